--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,2 @@
+// Package api is the HTTP interface for callers and operators.
+package api
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,2 @@
+// Package load is the load and experiment tool.
+package load
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,2 @@
+// Package membership tells which nodes live and which address a caller uses.
+package membership
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,2 @@
+// Package node assembles the duties of one node.
+package node
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,3 @@
+// Package placement decides which journal owns which shard, and what a
+// takeover or a handoff changes.
+package placement
--- /dev/null
+++ b/rpc/rpc.go
@@ -0,0 +1,2 @@
+// Package rpc carries messages between nodes over gRPC.
+package rpc
