--- /dev/null
+++ b/emulator/engine/text.go
@@ -0,0 +1,66 @@
+package engine
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"strings"
+)
+
+// TokenBytes is the number of bytes that count as one token.
+const TokenBytes = 4
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Prompt returns the text that the engine reads for the messages. It ends
+// with the header of the answer, so the prompt of the next turn has this
+// prompt and its answer as prefix.
+func Prompt(messages []Message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		fmt.Fprintf(&b, "<%s>\n%s\n", m.Role, m.Content)
+	}
+	b.WriteString("<assistant>\n")
+	return b.String()
+}
+
+// Tokens returns the number of tokens in the text.
+func Tokens(text string) int { return (len(text) + TokenBytes - 1) / TokenBytes }
+
+// PrefixHashes returns one FNV-1a hash per full block of the text, each over
+// the text up to the end of its block.
+func PrefixHashes(text string, blockTokens int) []uint64 {
+	size := blockTokens * TokenBytes
+	hashes := make([]uint64, 0, len(text)/size)
+	hash := fnv.New64a()
+	for len(text) >= size {
+		hash.Write([]byte(text[:size]))
+		hashes = append(hashes, hash.Sum64())
+		text = text[size:]
+	}
+	return hashes
+}
+
+// Text returns the answer to a request: the given number of tokens, a
+// function of request id and attempt alone. A shorter answer is a prefix of a
+// longer one.
+func Text(requestID string, attempt, tokens int) string {
+	hash := fnv.New64a()
+	hash.Write([]byte(requestID))
+	hash.Write(binary.LittleEndian.AppendUint64(nil, uint64(attempt)))
+	random := rand.New(rand.NewPCG(hash.Sum64(), uint64(attempt)))
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	text := make([]byte, 0, tokens*TokenBytes)
+	for range tokens {
+		for range TokenBytes - 1 {
+			text = append(text, letters[random.IntN(len(letters))])
+		}
+		text = append(text, ' ')
+	}
+	return string(text)
+}
