--- /dev/null
+++ b/dispatch/reports_test.go
@@ -0,0 +1,164 @@
+package dispatch_test
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/dispatch"
+	"dogwoodline.example/duty"
+	"dogwoodline.example/emulator/engine"
+	"dogwoodline.example/ring"
+)
+
+// watcher collects the observations of one reports duty.
+type watcher struct {
+	out  *ring.Ring[dispatch.Observation]
+	seen []dispatch.Observation
+}
+
+func watch(slots int, living func(string) bool, targets ...dispatch.Endpoint) *watcher {
+	w := &watcher{out: ring.New[dispatch.Observation](slots)}
+	transport := dispatch.NewTransport()
+	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
+	config := dispatch.ReportsConfig{
+		Interval: 5 * time.Millisecond, Timeout: time.Second, Living: living, Clock: clockwork.NewRealClock(),
+	}
+	list := func() []dispatch.Endpoint { return targets }
+	dispatch.NewReports(transport, config, list, w.out, slog.New(slog.DiscardHandler)).Start(group, 2)
+	DeferCleanup(func() {
+		group.Stop()
+		transport.Close()
+	})
+	return w
+}
+
+func (w *watcher) all() []dispatch.Observation {
+	w.seen = w.out.PopBatch(w.seen, w.out.Cap())
+	return w.seen
+}
+
+func (w *watcher) has(match func(dispatch.Observation) bool) func() bool {
+	return func() bool { return slices.ContainsFunc(w.all(), match) }
+}
+
+func kind(k dispatch.ObservationKind) func(dispatch.Observation) bool {
+	return func(o dispatch.Observation) bool { return o.Kind == k }
+}
+
+// cached returns the prefixes that the observations tell to be cached.
+func (w *watcher) cached() map[uint64]bool {
+	blocks := make(map[uint64]bool)
+	for _, o := range w.all() {
+		for _, event := range o.Cache {
+			if event.Evicted {
+				delete(blocks, event.Hash)
+			} else {
+				blocks[event.Hash] = true
+			}
+		}
+	}
+	return blocks
+}
+
+var _ = Describe("The reports duty", func() {
+	// Guards against a client that names prefixes otherwise than the engines,
+	// and against events that are passed on twice or not at all while the ring
+	// of observations is full.
+	It("passes cache events on that match the client's prefix hashes", func() {
+		e := startEngine(nil)
+		w := watch(2, nil, endpoint(e.Address()))
+		job := modelJob(e.Address(), "r1", 100)
+		job.Body = chatBody("a question that is longer than a few blocks of the cache, so that several are kept", 100)
+		text, _ := startPool(1).run(job)
+		prompt, err := dispatch.Prompt(job.Body)
+		Expect(err).NotTo(HaveOccurred())
+		expected := make(map[uint64]bool)
+		for _, hash := range dispatch.PrefixHashes(prompt+text, 16) {
+			expected[hash] = true
+		}
+		Expect(len(expected)).To(BeNumerically(">", 2), "more events than slots in the ring")
+		Eventually(w.cached).Should(Equal(expected))
+		Expect(w.has(kind(dispatch.CacheGap))()).To(BeFalse())
+	})
+
+	It("tells of lost cache events", func() {
+		e := startEngine(func(c *engine.Config) { c.EventLoss = 0.5 })
+		w := watch(64, nil, endpoint(e.Address()))
+		startPool(1).run(modelJob(e.Address(), "r1", 400))
+		Eventually(w.has(kind(dispatch.CacheGap))).Should(BeTrue())
+	})
+
+	It("tells once of a restart and of leaving, and of an unreachable backend server", func() {
+		e := startEngine(nil)
+		w := watch(64, nil, endpoint(e.Address()), dispatch.Endpoint{Name: "b2", Address: refusedAddress()})
+		Eventually(w.has(kind(dispatch.Loaded))).Should(BeTrue())
+		Expect(e.Set(engine.Switches{Leaving: ptr(true)})).To(Succeed())
+		Eventually(w.has(kind(dispatch.LeavingChanged))).Should(BeTrue())
+		Expect(e.Set(engine.Switches{CrashNow: true})).To(Succeed())
+		Eventually(w.has(kind(dispatch.Restarted))).Should(BeTrue())
+		Consistently(func() int {
+			return len(slices.DeleteFunc(slices.Clone(w.all()), func(o dispatch.Observation) bool {
+				return o.Kind != dispatch.Restarted && o.Kind != dispatch.LeavingChanged
+			}))
+		}, "100ms").Should(Equal(2))
+		Expect(w.has(func(o dispatch.Observation) bool {
+			return o.Kind == dispatch.Unreachable && o.Backend == "b2"
+		})()).To(BeTrue())
+	})
+
+	// Guards against one hanging backend server that stops the reports of all.
+	It("keeps polling the others while one hangs", func() {
+		hanging, good := startEngine(nil), startEngine(nil)
+		Expect(hanging.Set(engine.Switches{Hang: ptr(true)})).To(Succeed())
+		other := dispatch.Endpoint{Name: "b2", Address: good.Address()}
+		w := watch(64, nil, endpoint(hanging.Address()), other)
+		Eventually(func() int {
+			return len(slices.DeleteFunc(slices.Clone(w.all()), func(o dispatch.Observation) bool {
+				return o.Kind != dispatch.Loaded || o.Backend != "b2"
+			}))
+		}).Should(BeNumerically(">", 10))
+	})
+
+	It("releases the memory of ended programs and never that of living ones", func() {
+		e := startEngine(nil)
+		p := startPool(1)
+		for _, program := range []string{"ended", "living"} {
+			job := modelJob(e.Address(), program, 100)
+			job.Program = program
+			p.run(job)
+		}
+		watch(64, func(program string) bool { return program == "living" }, endpoint(e.Address()))
+		control := dispatch.NewControl(dispatch.NewTransport())
+		held := func() map[string]int64 {
+			memory, err := control.Held(context.Background(), endpoint(e.Address()))
+			Expect(err).NotTo(HaveOccurred())
+			return memory.Programs
+		}
+		Eventually(held).ShouldNot(HaveKey("ended"))
+		Consistently(held, "50ms").Should(HaveKey("living"))
+	})
+})
+
+var _ = Describe("Sweep", func() {
+	none := func(string) bool { return false }
+
+	// Guards against the release of a program that started after the list of
+	// living programs was made.
+	It("releases only what two sweeps in a row saw as gone", func() {
+		held := map[string]int64{"a": 1, "b": 1}
+		release, gone := dispatch.Sweep(held, none, nil)
+		Expect(release).To(BeEmpty())
+		living := func(program string) bool { return program == "b" }
+		release, gone = dispatch.Sweep(held, living, gone)
+		Expect(release).To(Equal([]string{"a"}))
+		release, _ = dispatch.Sweep(held, none, gone)
+		Expect(release).To(Equal([]string{"a"}), "b was living in the sweep before")
+	})
+})
--- a/emulator/engine/cache.go
+++ b/emulator/engine/cache.go
@@ -10,6 +10,10 @@
 // readers. Older ones are lost to readers that come later.
 const eventLogSize = 1 << 15
 
+// eventBatch is the largest number of events in one answer. Readers go on
+// with the last sequence number that they got.
+const eventBatch = 4096
+
 // CacheEvent tells that a prefix block was stored or evicted. A missing
 // sequence number is an event that was lost.
 type CacheEvent struct {
@@ -122,7 +126,10 @@
 func (p *prefixCache) since(after uint64, until time.Time) []CacheEvent {
 	events := make([]CacheEvent, 0)
 	for _, event := range p.log {
-		if event.Sequence > after && !event.at.After(until) {
+		if event.at.After(until) || len(events) == eventBatch {
+			break
+		}
+		if event.Sequence > after {
 			events = append(events, event)
 		}
 	}
