--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -70,7 +70,7 @@
 // startEngine starts a stand-in engine that runs 50 times faster than real.
 func startEngine(change func(*engine.Config)) *engine.Engine {
 	GinkgoHelper()
-	config := engine.Default()
+	config := engine.DefaultConfig()
 	config.TimeScale = 50
 	if change != nil {
 		change(&config)
--- a/emulator/engine/config.go
+++ b/emulator/engine/config.go
@@ -74,8 +74,8 @@
 	RestartDelay time.Duration
 }
 
-// Default returns settings of a medium engine without faults and without lag.
-func Default() Config {
+// DefaultConfig returns settings of a medium engine without faults and without lag.
+func DefaultConfig() Config {
 	return Config{
 		Name:              "engine",
 		Seed:              1,
