--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -60,13 +60,15 @@
 			return err
 		}
 		started := time.Now()
-		c.finish(ctx, job, c.call(ctx, job))
+		parts := partSender{events: c.events, job: job}
+		result := c.call(ctx, job, parts.send)
+		c.finish(ctx, parts.last(result))
 		timer.Observe(started)
 	}
 }
 
 // call runs a job to its end.
-func (c *Callers) call(ctx context.Context, job Job) Result {
+func (c *Callers) call(ctx context.Context, job Job, part func(string, int64, schedule.Timing)) Result {
 	parent := job.Context
 	if parent == nil {
 		parent = context.Background()
@@ -82,34 +84,29 @@
 	if err := jobContext.Err(); err != nil {
 		return ended(job, broken(jobContext, job, false, err), false)
 	}
-	parts := partSender{events: c.events, job: job}
-	var result Result
 	switch job.Kind {
 	case Model:
-		result = c.model.Call(jobContext, job, parts.send)
+		return c.model.Call(jobContext, job, part)
 	case Service:
-		result = c.service.Call(jobContext, job, parts.send)
-	default:
-		return ended(job, outcome.Refuse(outcome.Malformed, "unknown kind of job"), false)
+		return c.service.Call(jobContext, job, part)
 	}
-	return result
+	return ended(job, outcome.Refuse(outcome.Malformed, "unknown kind of job"), false)
 }
 
-func (c *Callers) finish(ctx context.Context, job Job, result Result) {
-	event := eventOf(job)
-	event.Final, event.Result, event.Timing = true, result, result.Timing
+func (c *Callers) finish(ctx context.Context, event Event) {
 	err := c.events.TryPush(event)
 	if errors.Is(err, ring.ErrFull) {
 		err = c.events.Push(ctx, event)
 	}
 	if err != nil {
-		c.log.Error("dispatch: result was dropped", "request", job.RequestID, "outcome", result.Outcome.Code, "error", err)
+		c.log.Error("dispatch: result was dropped",
+			"request", event.RequestID, "outcome", event.Result.Outcome.Code, "error", err)
 	}
 }
 
 // partSender pushes parts of a streamed answer. It joins parts while the ring
-// is half full, so that a slow consumer delays parts and blocks nothing. What
-// is left at the end is in the result's answer.
+// is half full, so that a slow consumer delays parts and blocks nothing. The
+// final event carries what is left.
 type partSender struct {
 	events *ring.Ring[Event]
 	job    Job
@@ -125,16 +122,22 @@
 	if p.events.Len() >= p.events.Cap()/2 {
 		return
 	}
-	event := eventOf(p.job)
-	event.Text, event.Offset, event.Timing = p.held, p.offset, timing
-	if p.events.TryPush(event) == nil {
+	if p.events.TryPush(p.event(timing)) == nil {
 		p.held = ""
 	}
 }
 
-func eventOf(job Job) Event {
+// last returns the final event.
+func (p *partSender) last(result Result) Event {
+	event := p.event(result.Timing)
+	event.Final, event.Result = true, result
+	return event
+}
+
+func (p *partSender) event(timing schedule.Timing) Event {
 	return Event{
-		ID: job.ID, Program: job.Program, RequestID: job.RequestID,
-		Attempt: job.Attempt, Backend: job.Endpoint.Name,
+		ID: p.job.ID, Program: p.job.Program, RequestID: p.job.RequestID,
+		Attempt: p.job.Attempt, Backend: p.job.Endpoint.Name,
+		Text: p.held, Offset: p.offset, Timing: timing,
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -81,7 +81,7 @@
 	Attempt   int
 	Backend   schedule.BackendID
 	// Text is the next part of the answer and Offset its place in the answer
-	// of this attempt, in bytes.
+	// of this attempt, in bytes. The final event may hold the last part.
 	Text   string
 	Offset int64
 	// Timing is what was measured so far.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -59,11 +59,13 @@
 	for {
 		event, err := p.events.Pop(ctx)
 		Expect(err).NotTo(HaveOccurred())
+		if event.Text != "" {
+			Expect(event.Offset).To(Equal(offset + int64(text.Len())))
+		}
+		text.WriteString(event.Text)
 		if event.Final {
 			return text.String(), event.Result
 		}
-		Expect(event.Offset).To(Equal(offset + int64(text.Len())))
-		text.WriteString(event.Text)
 	}
 }
 
--- a/emulator/engine/core.go
+++ b/emulator/engine/core.go
@@ -71,9 +71,11 @@
 	fence    uint64
 	deadline time.Time // zero for none
 	prompt   string
-	total    int    // tokens to generate
-	text     string // the whole answer
-	given    int    // answer tokens that the client already has
+	total    int      // tokens to generate
+	text     string   // the whole answer
+	given    int      // answer tokens that the client already has
+	hashes   []uint64 // of the blocks of prompt and answer, see prepare
+	blocks   int      // full blocks in the prompt
 	listener *ring.Ring[progress]
 
 	phase       phase
@@ -86,6 +88,13 @@
 	silent      bool // whole answer at once, no intermediate progress
 }
 
+// prepare computes the hashes of the prompt with its answer. Handlers do it,
+// since it takes milliseconds for a long history.
+func (r *request) prepare(blockTokens int) {
+	r.hashes = PrefixHashes(r.prompt+r.text, blockTokens)
+	r.blocks = len(r.prompt) / (blockTokens * TokenBytes)
+}
+
 // core is the state machine of an engine. Time is passed in and it does no
 // I/O. It is owned by one duty.
 type core struct {
@@ -226,7 +235,7 @@
 
 func (c *core) begin(r *request) {
 	tokens := Tokens(r.prompt)
-	blocks := c.cache.match(r.program, PrefixHashes(r.prompt, c.config.BlockTokens))
+	blocks := c.cache.match(r.program, r.hashes[:r.blocks])
 	r.cached = min(blocks*c.config.BlockTokens, tokens-1)
 	r.prefillLeft = float64(tokens + r.given - r.cached)
 	r.produced = float64(r.given)
@@ -311,7 +320,7 @@
 	for _, r := range slices.Clone(c.running) {
 		switch {
 		case r.phase == prefill && r.prefillLeft <= tokenEpsilon:
-			c.cache.store(now, r.program, PrefixHashes(r.prompt, c.config.BlockTokens))
+			c.cache.store(now, r.program, r.hashes[:r.blocks])
 			r.phase = decode
 			changed = true
 		case r.phase == decode && r.produced >= float64(r.goal)-tokenEpsilon:
@@ -336,7 +345,7 @@
 	}
 	r.phase = ended
 	c.running = slices.DeleteFunc(c.running, func(other *request) bool { return other == r })
-	c.cache.store(now, r.program, PrefixHashes(r.prompt+r.text, c.config.BlockTokens))
+	c.cache.store(now, r.program, r.hashes)
 	c.totals.Finished++
 	c.totals.GeneratedTokens += int64(r.total - r.given)
 	c.retain(r)
--- a/emulator/engine/http.go
+++ b/emulator/engine/http.go
@@ -134,6 +134,7 @@
 	offset := number(HeaderOffset)
 	req.given = min(int(offset)/TokenBytes, req.total-1)
 	req.text = Text(req.key.id, req.key.attempt, req.total)
+	req.prepare(e.config.BlockTokens)
 	return req, offset > 0, nil
 }
 
