Share the duties and handlers of the stand-ins

They are now in emulator/internal/standin. Set waits until the switches are in force, which makes tests with switches deterministic.

A state now tells of a crash once: a second switch while the listener was down could have closed it again after its restart.

--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -107,7 +107,7 @@
 		p := startPool(2)
 		Expect(p.jobs.TryPush(modelJob(e.Address(), "r1", 400))).To(Succeed())
 		Eventually(p.events.Len).Should(BeNumerically(">", 0)) // r1 runs
-		Expect(e.Set(engine.Switches{Leaving: ptr(true)})).To(Succeed())
+		Expect(e.Set(context.Background(), engine.Switches{Leaving: ptr(true)})).To(Succeed())
 		other := startPool(1)
 		Eventually(func() outcome.Code {
 			job := modelJob(e.Address(), "r2", 1)
@@ -168,7 +168,7 @@
 	// Guards against a hanging engine that holds a caller duty for ever.
 	It("ends at its deadline when the engine hangs", func() {
 		e := startEngine(nil)
-		Expect(e.Set(engine.Switches{Hang: ptr(true)})).To(Succeed())
+		Expect(e.Set(context.Background(), engine.Switches{Hang: ptr(true)})).To(Succeed())
 		p := startPool(1)
 		Eventually(func() outcome.Reason {
 			job := modelJob(e.Address(), "r1", 1)
--- a/emulator/engine/http.go
+++ b/emulator/engine/chat.go
@@ -8,11 +8,15 @@
 	"strings"
 	"time"
 
-	"github.com/go-chi/chi/v5"
+	"github.com/zeebo/errs"
 
+	"dogwoodline.example/emulator/internal/standin"
 	"dogwoodline.example/ring"
 )
 
+// Error is the class of all errors of this package.
+var Error = errs.Class("engine")
+
 // Names of the headers that carry what the chat-completion form does not.
 const (
 	HeaderProgram    = "X-Program-Id"
@@ -25,40 +29,6 @@
 	HeaderStart      = "X-Start-Id"      // in answers: the start id of the engine
 )
 
-// bodyLimit is the largest request body in bytes. It has room for 590,000
-// tokens of history.
-const bodyLimit = 16 << 20
-
-func (e *Engine) handler() http.Handler {
-	router := chi.NewRouter()
-	router.Post("/admin", e.serveAdmin)
-	router.Group(func(r chi.Router) {
-		r.Use(e.authorize)
-		r.Post("/v1/chat/completions", e.serveChat)
-		r.Post("/orders/{kind}", e.serveOrder)
-		r.Get("/load", e.serveQuery(func(c *core, now time.Time, _ *http.Request) any { return c.load(now) }))
-		r.Get("/held", e.serveQuery(func(c *core, _ time.Time, _ *http.Request) any {
-			return Held{StartID: c.startID, Programs: c.heldPrograms()}
-		}))
-		r.Get("/cache/events", e.serveQuery(func(c *core, now time.Time, r *http.Request) any {
-			after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64) // absent means from the start
-			until := now.Add(-c.config.real(c.config.EventLag))
-			return CacheEvents{StartID: c.startID, Events: c.cache.since(after, until)}
-		}))
-	})
-	return router
-}
-
-func (e *Engine) authorize(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.config.Credential != "" && r.Header.Get("Authorization") != "Bearer "+e.config.Credential {
-			writeRefusal(w, http.StatusUnauthorized, "unauthorized")
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // chatBody is the part of the chat-completion form that the stand-in reads.
 type chatBody struct {
 	Model     string    `json:"model"`
@@ -71,22 +41,26 @@
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
-	req, resume, err := e.decodeChat(w, r)
+	var body chatBody
+	if !standin.Decode(w, r, &body) {
+		return
+	}
+	req, resume, err := e.newRequest(body, r.Header)
 	if err != nil {
-		writeRefusal(w, http.StatusBadRequest, err.Error())
+		standin.Refusal(http.StatusBadRequest, err.Error()).Write(w)
 		return
 	}
 	listener := req.listener
-	if e.inbox.TryPush(submitMessage{request: req, resume: resume}) != nil {
-		writeRefusal(w, http.StatusServiceUnavailable, string(overloaded))
+	if e.server.Push(func(c *core, now time.Time) { c.admit(now, req, resume) }) != nil {
+		standin.Refusal(http.StatusServiceUnavailable, string(overloaded)).Write(w)
 		return
 	}
-	answer := newAnswer(w, req)
+	key, answer := req.key, newAnswer(w, req)
 	for {
 		p, err := listener.Pop(r.Context())
 		if err != nil {
 			// An engine that hangs reads this after it goes on.
-			_ = e.inbox.TryPush(disconnectMessage{key: req.key, listener: listener})
+			_ = e.server.Push(func(c *core, now time.Time) { c.disconnected(now, key, listener) })
 			return
 		}
 		if p.crashed {
@@ -99,24 +73,21 @@
 	}
 }
 
-func (e *Engine) decodeChat(w http.ResponseWriter, r *http.Request) (*request, bool, error) {
-	var body chatBody
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(&body); err != nil {
-		return nil, false, Error.Wrap(err)
-	}
-	number := func(header string) int64 {
-		value, _ := strconv.ParseInt(r.Header.Get(header), 10, 64) // absent means zero
+// newRequest returns the request and whether it resumes a stream.
+func (e *Engine) newRequest(body chatBody, header http.Header) (*request, bool, error) {
+	number := func(name string) int64 {
+		value, _ := strconv.ParseInt(header.Get(name), 10, 64) // absent means zero
 		return value
 	}
 	req := &request{
-		key:      requestKey{r.Header.Get(HeaderRequest), int(number(HeaderAttempt))},
-		program:  r.Header.Get(HeaderProgram),
+		key:      requestKey{header.Get(HeaderRequest), int(number(HeaderAttempt))},
+		program:  header.Get(HeaderProgram),
 		model:    body.Model,
 		priority: int(number(HeaderPriority)),
 		fence:    uint64(number(HeaderFence)),
 		prompt:   Prompt(body.Messages),
 		total:    body.MaxTokens,
-		silent:   !body.Stream && !strings.Contains(r.Header.Get("Accept"), "text/event-stream"),
+		silent:   !body.Stream && !strings.Contains(header.Get("Accept"), "text/event-stream"),
 		listener: ring.New[progress](progressSlots),
 	}
 	if body.OutputTokens > 0 {
@@ -176,13 +147,13 @@
 	}
 	switch {
 	case p.refused != none && !a.started:
-		writeRefusal(a.w, statusOf(p.refused), string(p.refused))
+		standin.Refusal(p.refused.status(), string(p.refused)).Write(a.w)
 	case p.refused != none:
 		a.event(map[string]any{"error": map[string]any{"reason": p.refused}})
 	case a.stream:
 		a.chunk(p)
 	case p.done:
-		writeJSON(a.w, http.StatusOK, a.frame(p, "message", a.text))
+		standin.Answer{Status: http.StatusOK, Body: a.frame(p, "message", a.text)}.Write(a.w)
 	}
 }
 
@@ -225,56 +196,8 @@
 	fmt.Fprintf(a.w, "data: %s\n\n", data) //nolint:errcheck // a lost client shows in the request's context
 }
 
-func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var order Order
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(&order); err != nil {
-		writeRefusal(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	reply := ring.New[OrderAnswer](1)
-	if e.inbox.TryPush(orderMessage{kind: chi.URLParam(r, "kind"), order: order, reply: reply}) != nil {
-		writeRefusal(w, http.StatusServiceUnavailable, string(overloaded))
-		return
-	}
-	result, err := reply.Pop(r.Context())
-	if err != nil {
-		return
-	}
-	if result.Reason != "" {
-		writeRefusal(w, statusOf(refusal(result.Reason)), result.Reason)
-		return
-	}
-	writeJSON(w, http.StatusOK, result)
-}
-
-func (e *Engine) serveQuery(read func(*core, time.Time, *http.Request) any) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		reply := ring.New[any](1)
-		bound := func(c *core, now time.Time) any { return read(c, now, r) }
-		if e.inbox.TryPush(queryMessage{read: bound, reply: reply}) != nil {
-			writeRefusal(w, http.StatusServiceUnavailable, string(overloaded))
-			return
-		}
-		if result, err := reply.Pop(r.Context()); err == nil {
-			writeJSON(w, http.StatusOK, result)
-		}
-	}
-}
-
-func (e *Engine) serveAdmin(w http.ResponseWriter, r *http.Request) {
-	var switches Switches
-	if err := json.NewDecoder(r.Body).Decode(&switches); err != nil {
-		writeRefusal(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	if err := e.Set(switches); err != nil {
-		writeRefusal(w, http.StatusServiceUnavailable, err.Error())
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func statusOf(reason refusal) int {
+// status returns the HTTP status of a refusal.
+func (reason refusal) status() int {
 	switch reason {
 	case leaving, overloaded, notLoaded, pastDeadline:
 		return http.StatusServiceUnavailable
@@ -283,17 +206,3 @@
 	}
 	return http.StatusConflict
 }
-
-func writeRefusal(w http.ResponseWriter, status int, reason string) {
-	writeJSON(w, status, map[string]any{"error": map[string]any{"reason": reason}})
-}
-
-func writeJSON(w http.ResponseWriter, status int, value any) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic("engine: answer cannot be encoded: " + err.Error())
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	w.Write(data)
-}
--- a/emulator/engine/core_test.go
+++ b/emulator/engine/core_test.go
@@ -63,9 +63,9 @@
 		c := testCore(nil)
 		alone := newRequest("r1", "p", 100, 100)
 		c.admit(epoch, alone, false)
-		c.advance(after(1099 * time.Millisecond))
+		c.Advance(after(1099 * time.Millisecond))
 		Expect(last(alone).done).To(BeFalse())
-		c.advance(after(1101 * time.Millisecond)) // 0.1 s of prefill and 1 s of decode
+		c.Advance(after(1101 * time.Millisecond)) // 0.1 s of prefill and 1 s of decode
 		Expect(last(alone).done).To(BeTrue())
 
 		c = testCore(nil)
@@ -73,9 +73,9 @@
 		for _, r := range pair {
 			c.admit(epoch, r, false)
 		}
-		c.advance(after(2199 * time.Millisecond))
+		c.Advance(after(2199 * time.Millisecond))
 		Expect(last(pair[0]).done || last(pair[1]).done).To(BeFalse())
-		c.advance(after(2201 * time.Millisecond)) // 0.2 s of prefill and 2 s of decode
+		c.Advance(after(2201 * time.Millisecond)) // 0.2 s of prefill and 2 s of decode
 		Expect(last(pair[0]).done && last(pair[1]).done).To(BeTrue())
 	})
 
@@ -86,7 +86,7 @@
 				c.admit(epoch, newRequest(id, "p"+id, 50*(i+1), 40+i), false)
 			}
 			for t := step; t <= 3*time.Second; t += step {
-				c.advance(after(t))
+				c.Advance(after(t))
 			}
 			return c.totals
 		}
@@ -103,9 +103,9 @@
 			c.admit(epoch, r, false)
 		}
 		Expect(last(excess).refused).To(Equal(overloaded))
-		c.advance(after(60 * time.Millisecond))
+		c.Advance(after(60 * time.Millisecond))
 		Expect(last(late).refused).To(Equal(pastDeadline))
-		c.advance(after(225 * time.Millisecond))
+		c.Advance(after(225 * time.Millisecond))
 		Expect(last(first).done && last(high).done).To(BeTrue())
 		Expect(last(low).done).To(BeFalse())
 	})
@@ -114,10 +114,10 @@
 		c := testCore(nil)
 		turn := newRequest("r1", "p", 40, 20)
 		c.admit(epoch, turn, false)
-		c.advance(after(time.Second))
+		c.Advance(after(time.Second))
 		next := newPrompt("r2", "p", turn.prompt+turn.text+strings.Repeat("new ", 10), 20)
 		c.admit(after(time.Second), next, false)
-		c.advance(after(2 * time.Second))
+		c.Advance(after(2 * time.Second))
 		Expect(last(next).cached).To(Equal(60))
 	})
 
@@ -128,7 +128,7 @@
 		for i, program := range []string{"a", "b", "a", "c"} {
 			now := after(time.Duration(i) * time.Second)
 			c.admit(now, newRequest(string(rune('0'+i)), program, 36, 4), false)
-			c.advance(now.Add(time.Second))
+			c.Advance(now.Add(time.Second))
 		}
 		// The runs store 10, 10, 1 and 10 blocks, because the second prompt of
 		// "a" was cached. Of these 31 the six oldest go: the first answer of
@@ -145,9 +145,9 @@
 		c := testCore(nil)
 		shared := newPrompt("r2", "q", newRequest("", "p", 36, 4).prompt, 4)
 		c.admit(epoch, newRequest("r1", "p", 36, 4), false)
-		c.advance(after(time.Second))
+		c.Advance(after(time.Second))
 		c.admit(after(time.Second), shared, false)
-		c.advance(after(2 * time.Second))
+		c.Advance(after(2 * time.Second))
 		Expect(c.heldPrograms()).To(Equal(map[string]int64{"p": 40, "q": 40}))
 		answer := c.obey(after(2*time.Second), "release", Order{Program: "p"})
 		Expect(answer.Released).To(BeEquivalentTo(40))
@@ -160,7 +160,7 @@
 		Expect(other.heldPrograms()).To(Equal(map[string]int64{"q": 40}))
 		again := newPrompt("r3", "q", shared.prompt+shared.text+"more", 4)
 		other.admit(epoch, again, false)
-		other.advance(after(time.Second))
+		other.Advance(after(time.Second))
 		Expect(last(again).cached).To(Equal(40))
 	})
 
@@ -169,31 +169,31 @@
 		running, poison := newRequest("r1", "p", 36, 100), newPrompt("r2", "q", "some poison here", 1)
 		start := c.startID
 		c.admit(epoch, running, false)
-		c.advance(after(100 * time.Millisecond))
+		c.Advance(after(100 * time.Millisecond))
 		c.admit(after(100*time.Millisecond), poison, false)
 		Expect(last(running).crashed && last(poison).crashed).To(BeTrue())
 		Expect(c.crashes.Len()).To(Equal(1))
-		c.start(after(time.Second))
+		c.Start(after(time.Second))
 		Expect(c.startID).NotTo(Equal(start))
 		Expect(c.heldPrograms()).To(BeEmpty())
 		Expect(c.load(after(time.Second)).Running).To(BeZero())
 	})
 
-	DescribeTable("takes fencing numbers as its setting tells", func(obey bool, reason string) {
+	DescribeTable("takes fencing numbers as its setting tells", func(obey bool, reason refusal) {
 		c := testCore(func(config *Config) { config.ObeyFencing = obey })
-		Expect(c.obey(epoch, "role", Order{Fence: 7, Name: "decode"}).Reason).To(BeEmpty())
+		Expect(c.obey(epoch, "role", Order{Fence: 7, Name: "decode"}).Reason).To(Equal(none))
 		Expect(c.obey(epoch, "role", Order{Fence: 6, Name: "prefill"}).Reason).To(Equal(reason))
 		Expect(c.role == "decode").To(Equal(obey))
 	},
-		Entry("obeyed", true, "fenced"),
-		Entry("ignored", false, ""),
+		Entry("obeyed", true, fenced),
+		Entry("ignored", false, none),
 	)
 
 	It("reports its load and its cache events late", func() {
 		c := testCore(func(config *Config) { config.ReportLag, config.EventLag = 2*time.Second, time.Second })
-		c.advance(after(500 * time.Millisecond))
+		c.Advance(after(500 * time.Millisecond))
 		c.admit(after(500*time.Millisecond), newRequest("r1", "p", 40, 1000), false)
-		c.advance(after(time.Second))
+		c.Advance(after(time.Second))
 		Expect(c.load(after(2400 * time.Millisecond)).Running).To(BeZero())
 		Expect(c.load(after(2600 * time.Millisecond)).Running).To(Equal(1))
 		Expect(c.cache.since(0, after(500*time.Millisecond))).To(BeEmpty())
@@ -208,17 +208,17 @@
 		r, resumed := newRequest("r1", "p", 10, 1000), newRequest("r1", "p", 10, 1000)
 		broken := r.listener
 		c.admit(epoch, r, false)
-		c.advance(after(time.Second))
+		c.Advance(after(time.Second))
 		c.disconnected(after(time.Second), r.key, broken)
-		c.advance(after(1500 * time.Millisecond))
+		c.Advance(after(1500 * time.Millisecond))
 		c.admit(after(1500*time.Millisecond), resumed, true)
 		Expect(last(resumed).tokens).To(Equal(149))
 		c.disconnected(after(1600*time.Millisecond), r.key, broken) // told late
-		c.advance(after(5 * time.Second))
+		c.Advance(after(5 * time.Second))
 		Expect(c.running).To(HaveLen(1))
 		c.disconnected(after(5*time.Second), r.key, resumed.listener)
-		Expect(c.wake()).To(BeNumerically("<=", time.Second))
-		c.advance(after(6 * time.Second))
+		Expect(c.Wake(epoch)).To(BeNumerically("<=", time.Second))
+		c.Advance(after(6 * time.Second))
 		Expect(c.running).To(BeEmpty())
 		Expect(c.heldPrograms()).To(Equal(map[string]int64{"p": 8}), "the cached part of the prompt stays")
 	})
--- a/emulator/engine/engine_test.go
+++ b/emulator/engine/engine_test.go
@@ -107,12 +107,12 @@
 	It("is silent while it hangs and refuses connections while it is down", func() {
 		e := startEngine(func(c *Config) { c.RestartDelay = 100 * time.Second })
 		on, off := true, false
-		Expect(e.Set(Switches{Hang: &on})).To(Succeed())
+		Expect(e.Set(ctx, Switches{Hang: &on})).To(Succeed())
 		requestContext, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 		defer cancel()
 		_, err := post(requestContext, e, 1, nil)
 		Expect(err).To(MatchError(context.DeadlineExceeded))
-		Expect(e.Set(Switches{Hang: &off, CrashNow: true})).To(Succeed())
+		Expect(e.Set(ctx, Switches{Hang: &off, CrashNow: true})).To(Succeed())
 		Eventually(func() error {
 			response, err := http.Get(e.URL() + "/load")
 			if err == nil {
--- a/emulator/engine/order.go
+++ b/emulator/engine/order.go
@@ -21,7 +21,8 @@
 
 // OrderAnswer is the answer to an order.
 type OrderAnswer struct {
-	Reason string `json:"reason,omitempty"`
+	// Reason tells why the order was refused. It is sent as an error.
+	Reason refusal `json:"-"`
 	// Released is the memory in tokens that a release took off the program.
 	Released int64    `json:"released_tokens,omitempty"`
 	Blocks   []uint64 `json:"blocks,omitempty"`
@@ -32,7 +33,7 @@
 // obey carries out an order. The answer has a reason when it was refused.
 func (c *core) obey(now time.Time, kind string, o Order) OrderAnswer {
 	if !c.passesFence(o.Fence) {
-		return OrderAnswer{Reason: string(fenced)}
+		return OrderAnswer{Reason: fenced}
 	}
 	switch kind {
 	case "cancel":
@@ -60,13 +61,13 @@
 		c.note(now)
 		return OrderAnswer{}
 	}
-	return OrderAnswer{Reason: string(unknownTarget)}
+	return OrderAnswer{Reason: unknownTarget}
 }
 
 func (c *core) cancel(now time.Time, key requestKey) OrderAnswer {
 	r, ok := c.requests[key]
 	if !ok || r.phase == ended {
-		return OrderAnswer{Reason: string(unknownTarget)}
+		return OrderAnswer{Reason: unknownTarget}
 	}
 	c.remove(now, r, cancelled)
 	return OrderAnswer{}
--- a/emulator/service/ledger.go
+++ b/emulator/service/ledger.go
@@ -1,34 +1,22 @@
 package service
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
+	"dogwoodline.example/emulator/internal/standin"
 	"dogwoodline.example/ring"
 )
 
-// message is what a handler asks of the ledger duty.
-type message interface {
-	apply(l *ledger, now time.Time)
-}
-
-// answer is what the ledger duty tells a handler.
-type answer struct {
-	receipt Receipt
-	effects []Effect
-	refused string // reason of a refusal
-	crashed bool
-}
-
 // operation is a request that has not had its effect yet.
 type operation struct {
 	effect Effect
 	due    time.Time
-	reply  *ring.Ring[answer]
+	reply  *ring.Ring[standin.Answer]
 }
 
-// ledger is the state of a service. Time is passed in and it does no I/O. It
-// is owned by one duty.
+// ledger is the state of a service.
 type ledger struct {
 	hung        bool
 	down        bool
@@ -43,13 +31,22 @@
 	crashes *ring.Ring[struct{}]
 }
 
-func newLedger(config Config) *ledger {
-	return &ledger{lookup: config.Lookup, crashes: ring.New[struct{}](1)}
+func newLedger(lookup bool) *ledger {
+	return &ledger{lookup: lookup, crashes: ring.New[struct{}](1)}
 }
 
-// advance carries out the operations that are due.
-func (l *ledger) advance(now time.Time) {
-	for i := 0; i < len(l.pending) && !l.down; {
+// Hung reports whether requests are held.
+func (l *ledger) Hung() bool { return l.hung }
+
+// Crashes returns the ring of crashes.
+func (l *ledger) Crashes() *ring.Ring[struct{}] { return l.crashes }
+
+// Start ends the time after a crash. The ledger stays.
+func (l *ledger) Start(time.Time) { l.down = false }
+
+// Advance carries out the operations that are due.
+func (l *ledger) Advance(now time.Time) {
+	for i := 0; i < len(l.pending) && !l.down && !l.hung; {
 		if now.Before(l.pending[i].due) {
 			i++
 			continue
@@ -60,6 +57,30 @@
 	}
 }
 
+// Wake returns the time until the next operation is due.
+func (l *ledger) Wake(now time.Time) time.Duration {
+	next := time.Hour
+	if l.hung || l.down {
+		return next
+	}
+	for _, op := range l.pending {
+		next = min(next, op.due.Sub(now))
+	}
+	return max(next, 0)
+}
+
+// accept queues an operation or refuses it.
+func (l *ledger) accept(now time.Time, effect Effect, reply *ring.Ring[standin.Answer]) {
+	switch {
+	case l.down:
+		tell(reply, standin.Answer{})
+	case l.leaving:
+		tell(reply, standin.Refusal(http.StatusServiceUnavailable, "leaving"))
+	default:
+		l.pending = append(l.pending, operation{effect: effect, due: now.Add(l.slow), reply: reply})
+	}
+}
+
 func (l *ledger) carryOut(op operation) {
 	if l.crashBefore > 0 {
 		l.crashBefore--
@@ -73,111 +94,43 @@
 		l.crash(op)
 		return
 	}
-	tell(op.reply, answer{receipt: receipt(op.effect, Done)})
+	tell(op.reply, receipt(op.effect, Done))
 }
 
 // crash drops the pending operations. The ledger stays.
 func (l *ledger) crash(current operation) {
 	l.down = true
-	tell(current.reply, answer{crashed: true})
+	tell(current.reply, standin.Answer{})
 	for _, op := range l.pending {
-		tell(op.reply, answer{crashed: true})
+		tell(op.reply, standin.Answer{})
 	}
 	l.pending = nil
-	_ = l.crashes.TryPush(struct{}{}) // full means that a restart is already under way
+	_ = l.crashes.TryPush(struct{}{}) // one slot for the one crash before Start
 }
 
-// wake returns the time until advance has something to do.
-func (l *ledger) wake(now time.Time) time.Duration {
-	next := time.Hour
-	if l.hung || l.down {
-		return next
+// look returns the answer to a lookup.
+func (l *ledger) look(id string) standin.Answer {
+	if l.down {
+		return standin.Answer{}
 	}
-	for _, op := range l.pending {
-		next = min(next, op.due.Sub(now))
+	if !l.lookup {
+		return standin.Refusal(http.StatusNotImplemented, "lookup_unsupported")
 	}
-	return max(next, 0)
-}
-
-func (l *ledger) find(id string) (Receipt, bool) {
 	for _, effect := range l.effects {
 		if effect.RequestID == id {
-			return receipt(effect, Done), true
+			return receipt(effect, Done)
 		}
 	}
 	for _, op := range l.pending {
 		if op.effect.RequestID == id {
-			return receipt(op.effect, Pending), true
+			return receipt(op.effect, Pending)
 		}
 	}
-	return Receipt{}, false
+	return standin.Refusal(http.StatusNotFound, "not_found")
 }
 
-func receipt(effect Effect, state State) Receipt {
-	return Receipt{
-		RequestID: effect.RequestID, Operation: effect.Operation,
-		State: state, Sequence: effect.Sequence,
-	}
-}
-
-// tell passes the one answer to a handler. Its ring has one slot.
-func tell(reply *ring.Ring[answer], a answer) { _ = reply.TryPush(a) }
-
-// doMessage brings an operation.
-type doMessage struct {
-	effect Effect
-	reply  *ring.Ring[answer]
-}
-
-func (m doMessage) apply(l *ledger, now time.Time) {
-	switch {
-	case l.down:
-		tell(m.reply, answer{crashed: true})
-	case l.leaving:
-		tell(m.reply, answer{refused: reasonLeaving})
-	default:
-		l.pending = append(l.pending, operation{effect: m.effect, due: now.Add(l.slow), reply: m.reply})
-	}
-}
-
-// lookupMessage asks for a request by its id.
-type lookupMessage struct {
-	id    string
-	reply *ring.Ring[answer]
-}
-
-func (m lookupMessage) apply(l *ledger, _ time.Time) {
-	if l.down {
-		tell(m.reply, answer{crashed: true})
-		return
-	}
-	if !l.lookup {
-		tell(m.reply, answer{refused: reasonUnsupported})
-		return
-	}
-	found, ok := l.find(m.id)
-	if !ok {
-		tell(m.reply, answer{refused: reasonNotFound})
-		return
-	}
-	tell(m.reply, answer{receipt: found})
-}
-
-// effectsMessage asks for all effects.
-type effectsMessage struct{ reply *ring.Ring[answer] }
-
-func (m effectsMessage) apply(l *ledger, _ time.Time) {
-	tell(m.reply, answer{effects: slices.Clone(l.effects)})
-}
-
-// setMessage changes switches.
-type setMessage struct {
-	switches Switches
-	reply    *ring.Ring[answer]
-}
-
-func (m setMessage) apply(l *ledger, _ time.Time) {
-	s := m.switches
+// set applies switches.
+func (l *ledger) set(s Switches) {
 	if s.SlowMS != nil {
 		l.slow = time.Duration(*s.SlowMS) * time.Millisecond
 	}
@@ -186,7 +139,6 @@
 	assign(&l.crashAfter, s.CrashAfter)
 	assign(&l.leaving, s.Leaving)
 	assign(&l.lookup, s.Lookup)
-	tell(m.reply, answer{})
 }
 
 func assign[T any](target, value *T) {
@@ -195,7 +147,12 @@
 	}
 }
 
-// startMessage tells that the listener is open again after a crash.
-type startMessage struct{}
+func receipt(effect Effect, state State) standin.Answer {
+	return standin.Answer{Status: http.StatusOK, Body: Receipt{
+		RequestID: effect.RequestID, Operation: effect.Operation,
+		State: state, Sequence: effect.Sequence,
+	}}
+}
 
-func (startMessage) apply(l *ledger, _ time.Time) { l.down = false }
+// tell passes the one answer to a handler. Its ring has one slot.
+func tell(reply *ring.Ring[standin.Answer], a standin.Answer) { _ = reply.TryPush(a) }
--- a/emulator/service/service.go
+++ b/emulator/service/service.go
@@ -1,39 +1,30 @@
 // Package service is a small stand-in of a plain service with a ledger. It
 // records every effect, so that a doubled or a lost one shows, and has
 // switches for faults.
-//
-// One duty owns the ledger. Handlers decode a request, push a message onto a
-// ring and wait for the answer on a ring of their own. A second duty owns the
-// listener, so that a crash can drop all connections.
 package service
 
 import (
 	"context"
 	"encoding/json"
-	"log/slog"
+	"io"
+	"net/http"
+	"slices"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/zeebo/errs"
+	"github.com/go-chi/chi/v5"
 
-	"dogwoodline.example/duty"
-	"dogwoodline.example/emulator/internal/restart"
+	"dogwoodline.example/emulator/internal/standin"
 	"dogwoodline.example/ring"
 )
 
-// Error is the class of all errors of this package.
-var Error = errs.Class("service")
-
+// Names of the headers of a request.
 const (
-	// inboxSlots is the number of decoded requests that wait for the ledger.
-	inboxSlots = 1024
-	// adminSlots is the number of switch changes that wait for the ledger.
-	adminSlots = 64
+	HeaderProgram = "X-Program-Id"
+	HeaderRequest = "X-Request-Id"
 )
 
 // Config holds the settings of a service.
 type Config struct {
-	Name string
 	// Address is the loopback address, empty for a free port.
 	Address string
 	// Credential is the bearer token that callers must send, empty for none.
@@ -77,7 +68,7 @@
 type State string
 
 const (
-	// Pending requests are held or slow and will have their effect.
+	// Pending requests are slow and will have their effect.
 	Pending State = "pending"
 	// Done requests have had their effect.
 	Done State = "done"
@@ -93,104 +84,93 @@
 }
 
 // Service is a running stand-in service.
-type Service struct {
-	config Config
-	ledger *ledger
-	inbox  *ring.Ring[message] // from clients, not read while the service hangs
-	admin  *ring.Ring[message] // from the admin endpoint and the listener duty
-	server *restart.Server
-	duties *duty.Group
-}
+type Service struct{ server *standin.Server[*ledger] }
 
 // Start starts a service. It ends with ctx or Close. The error tells that the
 // address is not free.
 func Start(ctx context.Context, config Config) (*Service, error) {
-	s := &Service{
-		config: config,
-		ledger: newLedger(config),
-		inbox:  ring.New[message](inboxSlots),
-		admin:  ring.New[message](adminSlots),
-		duties: duty.NewGroup(ctx, slog.Default(), metrics.NewSet()),
+	settings := standin.Config{
+		Address: config.Address, Credential: config.Credential, RestartDelay: config.RestartDelay,
 	}
-	server, err := restart.Listen(config.Address, s.handler())
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	s.server = server
-	s.duties.Go("ledger", s.runLedger)
-	s.duties.Go("listener", s.runListener)
-	return s, nil
+	s := &Service{}
+	var err error
+	s.server, err = standin.Start(ctx, settings, newLedger(config.Lookup), s.routes)
+	return s, err
 }
 
 // Address returns host and port of the service.
 func (s *Service) Address() string { return s.server.Address() }
 
 // URL returns the base URL of the service.
-func (s *Service) URL() string { return "http://" + s.Address() }
+func (s *Service) URL() string { return s.server.URL() }
+
+// Close stops the service and drops all connections.
+func (s *Service) Close() { s.server.Close() }
 
 // Set changes switches, as the admin endpoint does, and waits until they are
 // in force.
 func (s *Service) Set(ctx context.Context, switches Switches) error {
-	reply := ring.New[answer](1)
-	if err := s.admin.TryPush(setMessage{switches: switches, reply: reply}); err != nil {
-		return Error.Wrap(err)
-	}
-	_, err := reply.Pop(ctx)
-	return Error.Wrap(err)
+	return s.server.Switch(ctx, func(l *ledger, _ time.Time) { l.set(switches) })
 }
 
-// Close stops the service and drops all connections.
-func (s *Service) Close() {
-	s.duties.Stop()
-	s.server.Close()
+func (s *Service) routes(server *standin.Server[*ledger]) standin.Routes {
+	s.server = server
+	return standin.Routes{
+		Client: func(r chi.Router) {
+			r.Post("/do/{operation}", s.serveDo)
+			r.Get("/requests/{id}", s.serveLookup)
+		},
+		Admin: func(r chi.Router) {
+			r.Post("/admin", s.serveAdmin)
+			r.Get("/effects", s.serveEffects)
+		},
+	}
 }
 
-// runLedger is the duty that owns the ledger.
-func (s *Service) runLedger(ctx context.Context) error {
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
-	for {
-		now := time.Now()
-		drain(s.ledger, s.admin, now)
-		inbox := s.inbox.Ready()
-		if s.ledger.hung {
-			inbox = nil
-		} else {
-			drain(s.ledger, s.inbox, now)
-			s.ledger.advance(now)
-		}
-		timer.Reset(s.ledger.wake(now))
-		select {
-		case <-timer.C:
-		case <-inbox:
-		case <-s.admin.Ready():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+// serveDo carries an operation out. A client that goes away does not stop it.
+func (s *Service) serveDo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, standin.BodyLimit))
+	effect := Effect{
+		RequestID: r.Header.Get(HeaderRequest),
+		Program:   r.Header.Get(HeaderProgram),
+		Operation: chi.URLParam(r, "operation"),
+		Body:      body,
+	}
+	if err != nil || !json.Valid(body) || effect.RequestID == "" {
+		standin.Refusal(http.StatusBadRequest, "malformed").Write(w)
+		return
 	}
+	s.server.Ask(w, r, func(l *ledger, now time.Time, reply *ring.Ring[standin.Answer]) {
+		l.accept(now, effect, reply)
+	})
 }
 
-func drain(l *ledger, from *ring.Ring[message], now time.Time) {
-	for {
-		m, ok := from.TryPop()
-		if !ok {
-			return
-		}
-		m.apply(l, now)
+func (s *Service) serveLookup(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	s.server.Ask(w, r, func(l *ledger, _ time.Time, reply *ring.Ring[standin.Answer]) {
+		tell(reply, l.look(id))
+	})
+}
+
+// serveEffects works while the service hangs, so that tests can check it.
+func (s *Service) serveEffects(w http.ResponseWriter, r *http.Request) {
+	var effects []Effect
+	read := func(l *ledger, _ time.Time) { effects = slices.Clone(l.effects) }
+	if err := s.server.Switch(r.Context(), read); err != nil {
+		standin.Refusal(http.StatusServiceUnavailable, err.Error()).Write(w)
+		return
 	}
+	standin.Answer{Status: http.StatusOK, Body: map[string]any{"effects": effects}}.Write(w)
 }
 
-// runListener is the duty that drops and renews the listener after a crash.
-func (s *Service) runListener(ctx context.Context) error {
-	for {
-		if _, err := s.ledger.crashes.Pop(ctx); err != nil {
-			return err
-		}
-		if err := s.server.Crash(ctx, s.config.RestartDelay); err != nil {
-			return err
-		}
-		if err := s.admin.Push(ctx, startMessage{}); err != nil {
-			return err
-		}
+func (s *Service) serveAdmin(w http.ResponseWriter, r *http.Request) {
+	var switches Switches
+	if !standin.Decode(w, r, &switches) {
+		return
+	}
+	if err := s.Set(r.Context(), switches); err != nil {
+		standin.Refusal(http.StatusServiceUnavailable, err.Error()).Write(w)
+		return
 	}
+	standin.Answer{Status: http.StatusOK, Body: switches}.Write(w)
 }
