Keep the connection after a streamed answer

The model client closed the body at the end mark, before the end of the stream, and net/http then dropped the connection. It now reads the end, for at most 50 ms.

--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -31,6 +31,9 @@
 	answerLimit = 8 << 20
 	// eventLimit bounds one server-sent event in bytes.
 	eventLimit = 1 << 20
+	// drainTimeout is far above the time in which a server that sent the end
+	// mark also ends the stream.
+	drainTimeout = 50 * time.Millisecond
 )
 
 // ModelCaller calls model engines.
@@ -80,9 +83,12 @@
 	if job.Offset > 0 {
 		header.Set(headerOffset, strconv.FormatInt(job.Offset, 10))
 	}
+	// The request's own context ends the wait of drain.
+	requestContext, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var x exchange
 	url := "http://" + job.Endpoint.Address + "/v1/chat/completions"
-	response, err := m.transport.send(ctx, &x, http.MethodPost, url, header, job.Body, !job.Idempotent)
+	response, err := m.transport.send(requestContext, &x, http.MethodPost, url, header, job.Body, !job.Idempotent)
 	if err != nil {
 		mayHaveRun := x.mayHaveRun()
 		result := ended(job, broken(ctx, job, mayHaveRun, err), mayHaveRun)
@@ -97,7 +103,9 @@
 	}
 	reader := answerReader{ctx: ctx, job: job, started: started, chunk: chunk, next: job.Offset}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		reader.stream(response.Body)
+		if reader.stream(response.Body) {
+			drain(response.Body, cancel)
+		}
 	} else {
 		reader.whole(response.Body)
 	}
@@ -166,8 +174,8 @@
 	a.take(answer)
 }
 
-// stream reads server-sent events up to the end mark.
-func (a *answerReader) stream(body io.Reader) {
+// stream reads server-sent events and reports whether the end mark came.
+func (a *answerReader) stream(body io.Reader) bool {
 	lines := bufio.NewScanner(io.LimitReader(body, answerLimit))
 	lines.Buffer(nil, eventLimit)
 	for lines.Scan() {
@@ -177,15 +185,15 @@
 		}
 		data = strings.TrimSpace(data)
 		if data == "[DONE]" {
-			return
+			return true
 		}
 		var event completion
 		if err := json.Unmarshal([]byte(data), &event); err != nil {
 			a.fail(uncertain(a.job, outcome.Malformed, err.Error()))
-			return
+			return false
 		}
 		if a.take(event); a.problem != nil {
-			return
+			return false
 		}
 	}
 	err := lines.Err()
@@ -193,6 +201,16 @@
 		err = io.ErrUnexpectedEOF
 	}
 	a.fail(broken(a.ctx, a.job, true, err))
+	return false
+}
+
+// drain reads the end of a stream after its end mark, so that the connection
+// can be used again. A server that does not end the stream loses the
+// connection.
+func drain(body io.Reader, cancel context.CancelFunc) {
+	timer := time.AfterFunc(drainTimeout, cancel)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, body) // the answer is complete already
 }
 
 // take adds one event. An event of another request, or one that leaves a gap,
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -93,6 +94,50 @@
 		Expect(result.Cost).To(BeEquivalentTo(1000))
 	})
 
+	// Guards against a new connection for each stream, and against a wait for
+	// a server that does not end its stream after the end mark.
+	It("keeps the connection after a stream and does not wait for a stream without end", func() {
+		var opened atomic.Int32
+		endless := make(chan struct{})
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			id := r.Header.Get("X-Request-Id")
+			fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: [DONE]\n\n", id)
+			http.NewResponseController(w).Flush() // the end of the stream follows by itself
+			if id == "endless" {
+				<-endless
+			}
+		}))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				opened.Add(1)
+			}
+		}
+		server.Start()
+		defer server.Close()
+		defer close(endless)
+		p := startPool(1)
+		for _, id := range []string{"r1", "r2", "r3", "endless"} {
+			_, result := p.run(modelJob(server.Listener.Addr().String(), id, 5))
+			Expect(result.Outcome.Code).To(Equal(outcome.Completed))
+			Expect(content(result)).To(Equal("x"))
+		}
+		Expect(opened.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("did not run when its fencing number is old", func() {
+		e := startEngine(nil)
+		p := startPool(1)
+		job := modelJob(e.Address(), "r1", 1)
+		job.Endpoint.Fence = 7
+		_, result := p.run(job)
+		Expect(result.Outcome.Code).To(Equal(outcome.Completed))
+		job.RequestID, job.Endpoint.Fence = "r2", 6
+		_, result = p.run(job)
+		Expect(result.Outcome.Code).To(Equal(outcome.NotRun))
+		Expect(result.Outcome.Reason).To(Equal(outcome.Fenced))
+	})
+
 	It("did not run when the connection is refused", func() {
 		_, result := startPool(1).run(modelJob(refusedAddress(), "r1", 5))
 		Expect(result.Outcome.Code).To(Equal(outcome.NotRun))
@@ -120,14 +165,36 @@
 		Expect(text).To(Equal(engine.Text("r1", 1, 400)))
 	})
 
-	It("resumes a stream at its offset, also on another engine", func() {
+	DescribeTable("resumes a stream at its offset on another engine", func(offset int64) {
 		e := startEngine(nil)
 		whole := engine.Text("r1", 3, 50)
 		job := modelJob(e.Address(), "r1", 50)
-		job.Attempt, job.Offset = 3, 80
+		job.Attempt, job.Offset = 3, offset
 		text, result := startPool(1).run(job)
 		Expect(result.Outcome.Code).To(Equal(outcome.Completed))
-		Expect(text).To(Equal(whole[80:]))
+		Expect(text).To(Equal(whole[offset:]))
+	},
+		Entry("between tokens", int64(80)),
+		Entry("inside a token", int64(81)),
+		Entry("at the end", int64(200)),
+	)
+
+	// Guards against "not run" for a call that has run in part, and against
+	// the text of an engine that starts the answer again.
+	It("is no clean refusal and no mixed text when a resume fails", func() {
+		p := startPool(1)
+		job := modelJob(refusedAddress(), "r1", 50)
+		job.Offset = 80
+		_, result := p.run(job)
+		Expect(result.Outcome.Code).To(Equal(outcome.Failed))
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			io.WriteString(w, `{"id":"r1","choices":[{"message":{"content":"again"}}]}`)
+		}))
+		defer server.Close()
+		job.Endpoint = endpoint(server.Listener.Addr().String())
+		text, result := p.run(job)
+		Expect(result.Outcome.Code).To(Equal(outcome.Failed))
+		Expect(text).To(BeEmpty())
 	})
 
 	It("stops the run on the engine when its context is cancelled", func() {
