--- a/emulator/engine/core.go
+++ b/emulator/engine/core.go
@@ -60,8 +60,8 @@
 
 func (p progress) last() bool { return p.done || p.crashed || p.refused != none }
 
-// request is a request with the state of its run. After it was pushed onto
-// the inbox it belongs to the core duty; prompt, tokens and text never change.
+// request is a request with the state of its run. After it was passed to the
+// duty that owns the core it belongs to that duty.
 type request struct {
 	key      requestKey
 	program  string
--- a/emulator/engine/core_test.go
+++ b/emulator/engine/core_test.go
@@ -79,6 +79,19 @@
 		Expect(last(pair[0]).done && last(pair[1]).done).To(BeTrue())
 	})
 
+	It("runs slower by the slow-down factor from the moment it is switched", func() {
+		c := testCore(nil)
+		r := newRequest("r1", "p", 100, 100)
+		c.admit(epoch, r, false)
+		c.Advance(after(600 * time.Millisecond)) // prefill and 50 tokens
+		factor := 5.0
+		c.set(after(600*time.Millisecond), Switches{SlowFactor: &factor})
+		c.Advance(after(3099 * time.Millisecond))
+		Expect(last(r).done).To(BeFalse())
+		c.Advance(after(3101 * time.Millisecond))
+		Expect(last(r).done).To(BeTrue())
+	})
+
 	It("gives the same result whether it advances in one step or in many", func() {
 		finish := func(step time.Duration) Totals {
 			c := testCore(nil)
--- a/emulator/engine/engine_test.go
+++ b/emulator/engine/engine_test.go
@@ -72,6 +72,20 @@
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
 	})
 
+	It("takes switches over HTTP and refuses new work while it is leaving", func() {
+		e := startEngine(nil)
+		response, err := http.Post(e.URL()+"/admin", "application/json", strings.NewReader(`{"leaving":true}`))
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Expect(load(e)).To(ContainSubstring(`"leaving":true`))
+		response, err = post(ctx, e, 5, nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		data, _ := io.ReadAll(response.Body)
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(string(data)).To(ContainSubstring(`"reason":"leaving"`))
+	})
+
 	It("cancels the run of a client that disconnects", func() {
 		e := startEngine(nil)
 		requestContext, cancel := context.WithCancel(ctx)
--- a/emulator/engine/report.go
+++ b/emulator/engine/report.go
@@ -90,7 +90,7 @@
 	return report
 }
 
-// held returns the memory per program: its cached blocks and the tokens of
+// heldPrograms returns the memory per program: its cached blocks and the tokens of
 // its running requests that are in no block yet.
 func (c *core) heldPrograms() map[string]int64 {
 	held := make(map[string]int64, len(c.cache.held))
