Add the state machine of programs

Cause: order, repeats, history, budget and the meaning of not run need one place that decides them, apart from I/O.

Change: program.Table, a pure state machine with durable records; each record carries a budget ceiling, so replay knows what may have been spent.

Ruled out: a ceiling that only grows; a takeover after three settled calls then counted 14 units as spent where 6 were (test of replay).

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -22,15 +22,18 @@
 
 // Account tracks one program's budget.
 //
-// The ceiling is the part of the limit that is known to be durable in the
-// program's record. After a change of owner everything below the ceiling that
-// no result settled counts as spent, so a lost reservation cannot be spent
-// twice.
+// Each durable record of the program carries a ceiling: what may be spent
+// until the next record. After a change of owner everything below the ceiling
+// of the last durable record counts as spent, so a lost reservation cannot be
+// spent twice.
 type Account struct {
 	Limit    Units `json:"limit"`
 	Spent    Units `json:"spent"`
 	Reserved Units `json:"reserved"`
-	Ceiling  Units `json:"ceiling"`
+	// Ceiling is the ceiling of the last record known to be durable.
+	Ceiling Units `json:"ceiling"`
+
+	proposed []Units // ceilings of records that may not be durable yet
 }
 
 // Remaining returns what can still be reserved.
@@ -51,21 +54,30 @@
 	return nil
 }
 
-// Covered reports whether all spent and reserved units are below the durable
-// ceiling, so that work may start before another record is durable.
+// Covered reports whether all spent and reserved units are below the ceiling
+// of whichever record turns out to be the last durable one, so that work may
+// start before another record is durable.
 func (a *Account) Covered() bool {
-	return a.Spent+a.Reserved <= a.Ceiling
+	lowest := a.Ceiling
+	for _, ceiling := range a.proposed {
+		lowest = min(lowest, ceiling)
+	}
+	return a.Spent+a.Reserved <= lowest
 }
 
-// NextCeiling returns the ceiling to make durable so that all reservations
-// and ahead further units are covered.
-func (a *Account) NextCeiling(ahead Units) Units {
-	return min(a.Limit, max(a.Ceiling, a.Spent+a.Reserved+ahead))
+// Propose returns the ceiling for the next record, which covers all
+// reservations and ahead further units. Each call is followed by one Confirm
+// when that record is durable, in the same order.
+func (a *Account) Propose(ahead Units) Units {
+	ceiling := min(a.Limit, a.Spent+a.Reserved+ahead)
+	a.proposed = append(a.proposed, ceiling)
+	return ceiling
 }
 
-// RaiseCeiling notes that a higher ceiling is durable.
-func (a *Account) RaiseCeiling(ceiling Units) {
-	a.Ceiling = min(a.Limit, max(a.Ceiling, ceiling))
+// Confirm notes that the oldest proposed ceiling is durable.
+func (a *Account) Confirm() {
+	a.Ceiling = a.proposed[0]
+	a.proposed = append(a.proposed[:0], a.proposed[1:]...)
 }
 
 // Settle replaces a reservation by the actual cost. A cost above the
--- a/program/program.go
+++ b/program/program.go
@@ -198,6 +198,8 @@
 	Chunks    []WaiterChunk
 	// Released lists programs whose engine memory is no longer needed.
 	Released []string
+	// Crashes lists requests whose crash count changed, for the other nodes.
+	Crashes []Crash
 	// Idle lists shards that were asked to move and have no running call.
 	Idle []int
 }
@@ -210,6 +212,7 @@
 	e.Replies = e.Replies[:0]
 	e.Chunks = e.Chunks[:0]
 	e.Released = e.Released[:0]
+	e.Crashes = e.Crashes[:0]
 	e.Idle = e.Idle[:0]
 }
 
--- a/program/record.go
+++ b/program/record.go
@@ -19,14 +19,17 @@
 // set. Seq grows by one with each record of the program; replay sorts by it
 // and drops repetitions.
 type Record struct {
-	Program string       `json:"p"`
-	Seq     uint64       `json:"s"`
+	Program string `json:"p"`
+	Seq     uint64 `json:"s"`
+	// Ceiling is what may be spent before the next record is durable.
+	Ceiling budget.Units `json:"c"`
 	Started *Spec        `json:"started,omitempty"`
 	Intent  *Intent      `json:"intent,omitempty"`
 	Ended   *CallEnded   `json:"ended,omitempty"`
 	Crash   *Crash       `json:"crash,omitempty"`
 	Child   *ChildOpened `json:"child,omitempty"`
 	Closed  *ChildClosed `json:"closed,omitempty"`
+	Handoff *Handoff     `json:"handoff,omitempty"`
 	Final   *Final       `json:"final,omitempty"`
 }
 
@@ -34,8 +37,6 @@
 type Intent struct {
 	Call    Call `json:"call"`
 	Attempt int  `json:"attempt"`
-	// Ceiling is the budget that may be spent once this record is durable.
-	Ceiling budget.Units `json:"ceiling"`
 }
 
 // CallEnded is recorded when the outcome of a call is known.
@@ -55,9 +56,8 @@
 
 // ChildOpened reserves a child's limit in its parent's budget.
 type ChildOpened struct {
-	ID      string       `json:"id"`
-	Limit   budget.Units `json:"limit"`
-	Ceiling budget.Units `json:"ceiling"`
+	ID    string       `json:"id"`
+	Limit budget.Units `json:"limit"`
 }
 
 // ChildClosed returns what a child left of its share.
@@ -67,6 +67,11 @@
 	Spent budget.Units `json:"spent"`
 }
 
+// Handoff is recorded before a planned move of the program's shard. Its
+// ceiling leaves nothing to spend ahead, so that a planned move costs no
+// budget.
+type Handoff struct{}
+
 // Final ends a program.
 type Final struct {
 	UnixMS int64 `json:"unix_ms"`
@@ -98,7 +103,7 @@
 	set := 0
 	for _, present := range []bool{
 		r.Started != nil, r.Intent != nil, r.Ended != nil, r.Crash != nil,
-		r.Child != nil, r.Closed != nil, r.Final != nil,
+		r.Child != nil, r.Closed != nil, r.Handoff != nil, r.Final != nil,
 	} {
 		if present {
 			set++
--- /dev/null
+++ b/program/table_test.go
@@ -0,0 +1,389 @@
+package program_test
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/budget"
+	"dogwoodline.example/outcome"
+	"dogwoodline.example/program"
+)
+
+// rig drives a Table by hand: it keeps what was appended and dispatched, and
+// lets a test decide what becomes durable.
+type rig struct {
+	table       *program.Table
+	now         time.Time
+	out         program.Effects
+	uncommitted []program.Append
+	durable     [][]byte
+	dispatched  []program.Dispatch
+	replies     map[program.Waiter]program.Reply
+	chunks      map[program.Waiter]string
+	idle        []int
+	lastWaiter  program.Waiter
+}
+
+func newRig() *rig {
+	r := &rig{
+		table:   program.NewTable(func(string) int { return 0 }),
+		now:     time.Unix(1_000_000, 0),
+		replies: map[program.Waiter]program.Reply{},
+		chunks:  map[program.Waiter]string{},
+	}
+	r.table.Serve(r.now, 0, &r.out)
+	return r
+}
+
+func (r *rig) take() {
+	r.uncommitted = append(r.uncommitted, r.out.Appends...)
+	r.dispatched = append(r.dispatched, r.out.Dispatches...)
+	for _, reply := range r.out.Replies {
+		r.replies[reply.Waiter] = reply.Reply
+	}
+	for _, chunk := range r.out.Chunks {
+		r.chunks[chunk.Waiter] += chunk.Chunk.Text
+	}
+	r.idle = append(r.idle, r.out.Idle...)
+	r.out.Reset()
+}
+
+func (r *rig) commit() {
+	for len(r.uncommitted) > 0 {
+		batch := r.uncommitted[0]
+		r.uncommitted = r.uncommitted[1:]
+		for _, record := range batch.Records {
+			r.durable = append(r.durable, record.Encode())
+		}
+		r.table.Committed(r.now, batch.Tag, &r.out)
+		r.take()
+	}
+}
+
+// takeover returns a rig of the next owner, which knows only what is durable.
+func (r *rig) takeover() *rig {
+	next := newRig()
+	next.now = r.now
+	next.durable = r.durable
+	Expect(next.table.Adopt(next.now, 0, r.durable, &next.out)).To(Succeed())
+	next.take()
+	return next
+}
+
+func (r *rig) waiter() program.Waiter {
+	r.lastWaiter++
+	return r.lastWaiter
+}
+
+func (r *rig) start(spec program.Spec) program.Waiter {
+	w := r.waiter()
+	r.table.Start(r.now, spec, w, &r.out)
+	r.take()
+	return w
+}
+
+func (r *rig) call(c program.Call) program.Waiter {
+	w := r.waiter()
+	if c.Deadline.IsZero() {
+		c.Deadline = r.now.Add(time.Minute)
+	}
+	r.table.Call(r.now, c, true, w, &r.out)
+	r.take()
+	return w
+}
+
+func (r *rig) finish(d program.Dispatch, result program.Result) {
+	r.table.Finished(r.now, d.ID, result, &r.out)
+	r.take()
+}
+
+func (r *rig) last() program.Dispatch {
+	Expect(r.dispatched).NotTo(BeEmpty())
+	return r.dispatched[len(r.dispatched)-1]
+}
+
+func spec(id string, limit budget.Units) program.Spec {
+	return program.Spec{ID: id, Tenant: "t", Class: "c", Limit: limit, TurnLimit: 100, IdleLease: time.Hour}
+}
+
+func posting(order int, id string) program.Call {
+	return program.Call{Program: "p", RequestID: id, Order: order, Kind: program.Service, Service: "ledger",
+		Operation: "post", Worst: 10, Digest: "d" + id, Tenant: "t"}
+}
+
+func question(order int, id string) program.Call {
+	c := posting(order, id)
+	c.Kind, c.Idempotent, c.Service = program.Model, true, ""
+	c.Messages = []program.Message{{Role: "user", Content: id}}
+	return c
+}
+
+func done(answer string, cost budget.Units) program.Result {
+	return program.Result{Outcome: outcome.Outcome{Code: outcome.Completed}, Answer: []byte(answer), Cost: cost}
+}
+
+var _ = Describe("Table", func() {
+	var r *rig
+	BeforeEach(func() {
+		r = newRig()
+		r.start(spec("p", 100))
+		r.commit()
+	})
+
+	It("runs calls in the program's order, whatever order they arrive in", func() {
+		r.call(posting(2, "b"))
+		r.commit()
+		Expect(r.dispatched).To(BeEmpty())
+		r.call(posting(1, "a"))
+		r.commit()
+		Expect(r.dispatched).To(HaveLen(1))
+		Expect(r.last().Call.RequestID).To(Equal("a"))
+		r.finish(r.last(), done("x", 1))
+		r.commit()
+		Expect(r.last().Call.RequestID).To(Equal("b"))
+	})
+
+	It("sends a non-idempotent call only after its intent is durable", func() {
+		r.call(posting(1, "a"))
+		Expect(r.dispatched).To(BeEmpty())
+		r.commit()
+		Expect(r.dispatched).To(HaveLen(1))
+	})
+
+	It("answers a repeated request from the record and refuses another one with its id", func() {
+		r.call(posting(1, "a"))
+		r.commit()
+		r.finish(r.last(), done("paid", 3))
+		r.commit()
+		again := r.call(posting(1, "a"))
+		Expect(r.dispatched).To(HaveLen(1))
+		Expect(string(r.replies[again].Answer)).To(Equal("paid"))
+		Expect(r.replies[again].Recorded).To(BeTrue())
+		other := posting(1, "a")
+		other.Digest = "else"
+		Expect(r.replies[r.call(other)].Outcome.Reason).To(Equal(outcome.Conflict))
+	})
+
+	It("never sends a non-idempotent call again after a takeover", func() {
+		r.call(posting(1, "a"))
+		r.commit()
+		Expect(r.dispatched).To(HaveLen(1))
+		next := r.takeover()
+		w := next.call(posting(1, "a"))
+		next.commit()
+		Expect(next.dispatched).To(BeEmpty())
+		Expect(next.replies[w].Outcome.Code).To(Equal(outcome.Unknown))
+	})
+
+	It("asks the service what became of an interrupted call when it can answer", func() {
+		c := posting(1, "a")
+		c.Lookup = true
+		r.call(c)
+		r.commit()
+		next := r.takeover()
+		w := next.call(c)
+		next.commit()
+		Expect(next.last().AskOnly).To(BeTrue())
+		next.finish(next.last(), done("paid", 3))
+		next.commit()
+		Expect(string(next.replies[w].Answer)).To(Equal("paid"))
+	})
+
+	It("runs an interrupted idempotent call again and shows the new attempt", func() {
+		r.call(question(1, "a"))
+		r.commit()
+		r.table.Chunk(r.last().ID, program.Chunk{Attempt: 1, Text: "old"}, &r.out)
+		next := r.takeover()
+		resumed := question(1, "a")
+		resumed.Offset, resumed.Attempt = 3, 1
+		w := next.call(resumed)
+		next.commit()
+		Expect(next.last().Attempt).To(Equal(2))
+		next.table.Chunk(next.last().ID, program.Chunk{Attempt: 2, Text: "new answer"}, &next.out)
+		next.take()
+		Expect(next.chunks[w]).To(Equal("new answer"))
+	})
+
+	It("says not run when the intent cannot be recorded in time, and a takeover does not run it", func() {
+		c := posting(1, "a")
+		c.Deadline = r.now.Add(time.Second)
+		w := r.call(c)
+		r.now = r.now.Add(2 * time.Second)
+		r.table.Tick(r.now, &r.out)
+		r.take()
+		Expect(r.replies[w].Outcome.Code).To(Equal(outcome.NotRun))
+		r.commit() // the intent became durable after all
+		Expect(r.dispatched).To(BeEmpty())
+		next := r.takeover()
+		next.commit()
+		Expect(next.dispatched).To(BeEmpty())
+	})
+
+	It("gives a finished answer as not recorded while the store is down", func() {
+		p := spec("q", 100)
+		p.Ahead = 50
+		r.start(p)
+		r.commit()
+		c := question(1, "a")
+		c.Program = "q"
+		w := r.call(c)
+		Expect(r.dispatched).To(HaveLen(1), "the durable ceiling covers the call")
+		r.finish(r.last(), done("hi", 5))
+		Expect(r.replies).NotTo(HaveKey(w))
+		r.now = r.now.Add(time.Second)
+		r.table.Tick(r.now, &r.out)
+		r.take()
+		Expect(r.replies[w].Outcome.Code).To(Equal(outcome.Completed))
+		Expect(r.replies[w].Recorded).To(BeFalse())
+	})
+
+	It("refuses a call whose worst case does not fit, and lets children draw on one share", func() {
+		r.start(spec("p.1", 60))
+		r.start(spec("p.2", 30))
+		r.commit()
+		over := r.start(spec("p.3", 20))
+		Expect(r.replies[over].Outcome.Code).To(Equal(outcome.OverBudget))
+		w := r.call(posting(1, "a")) // 10 of the remaining 10
+		r.commit()
+		r.finish(r.last(), done("", 10))
+		r.commit()
+		Expect(r.replies[w].Outcome.Code).To(Equal(outcome.Completed))
+		Expect(r.replies[r.call(posting(2, "b"))].Outcome.Code).To(Equal(outcome.OverBudget))
+		r.table.End(r.now, "p.1", "t", r.waiter(), &r.out)
+		r.take()
+		r.commit()
+		r.call(posting(2, "b"))
+		r.commit()
+		Expect(r.last().Call.RequestID).To(Equal("b"), "the unspent share returns to the parent")
+	})
+
+	It("counts everything below the durable ceiling as spent after a takeover", func() {
+		r.call(posting(1, "a"))
+		r.commit()
+		next := r.takeover()
+		w := next.waiter()
+		next.table.History("p", "t", w, &next.out)
+		next.take()
+		Expect(next.replies[w].Info.Account.Spent).To(BeEquivalentTo(10))
+		Expect(next.replies[w].Info.Account.Reserved).To(BeZero())
+	})
+
+	It("loses no budget in a planned move", func() {
+		p := spec("q", 100)
+		p.Ahead = 50
+		r.start(p)
+		r.commit()
+		r.table.Move(0, &r.out)
+		r.take()
+		Expect(r.idle).To(BeEmpty(), "the handoff records are not durable yet")
+		r.commit()
+		Expect(r.idle).To(Equal([]int{0}))
+		next := r.takeover()
+		w := next.waiter()
+		next.table.History("q", "t", w, &next.out)
+		next.take()
+		Expect(next.replies[w].Info.Account.Spent).To(BeZero())
+	})
+
+	It("holds new calls while a shard moves and answers them as moved", func() {
+		running := r.call(posting(1, "a"))
+		r.commit()
+		r.table.Move(0, &r.out)
+		held := r.call(posting(2, "b"))
+		Expect(r.idle).To(BeEmpty())
+		r.finish(r.last(), done("x", 1))
+		r.commit()
+		Expect(r.replies[running].Outcome.Code).To(Equal(outcome.Completed))
+		Expect(r.idle).NotTo(BeEmpty())
+		r.table.Drop(0, &r.out)
+		r.take()
+		Expect(r.replies[held].Moved).To(BeTrue())
+	})
+
+	It("refuses a request that crashed a second backend server while it ran alone", func() {
+		crash := program.Result{Outcome: outcome.Outcome{Code: outcome.Failed, Reason: outcome.ConnectionLost}, Backend: "b1", Crashed: true}
+		w := r.call(question(1, "a"))
+		r.commit()
+		Expect(r.last().Alone).To(BeFalse())
+		r.finish(r.last(), crash)
+		r.commit()
+		Expect(r.last().Alone).To(BeTrue())
+		r.finish(r.last(), crash)
+		r.commit()
+		Expect(r.replies[w].Outcome.Reason).To(Equal(outcome.CrashesBackend))
+		again := question(2, "b")
+		again.Digest = "da"
+		Expect(r.replies[r.call(again)].Outcome.Reason).To(Equal(outcome.CrashesBackend))
+	})
+
+	It("clears a request that merely ran beside a crash", func() {
+		r.call(question(1, "a"))
+		r.commit()
+		r.finish(r.last(), program.Result{Outcome: outcome.Outcome{Code: outcome.Failed, Reason: outcome.ConnectionLost}, Crashed: true})
+		r.commit()
+		r.finish(r.last(), done("fine", 5))
+		r.commit()
+		again := question(2, "b")
+		again.Digest = "da"
+		r.call(again)
+		r.commit()
+		Expect(r.last().Alone).To(BeFalse())
+	})
+
+	It("keeps tenants apart", func() {
+		c := posting(1, "a")
+		c.Tenant = "other"
+		Expect(r.replies[r.call(c)].Outcome.Reason).To(Equal(outcome.Forbidden))
+	})
+
+	It("stops an endless program at its turn limit", func() {
+		p := spec("loop", 1000)
+		p.TurnLimit = 2
+		r.start(p)
+		r.commit()
+		var w program.Waiter
+		for i := 1; i <= 3; i++ {
+			c := posting(i, strconv.Itoa(i))
+			c.Program = "loop"
+			w = r.call(c)
+			r.commit()
+			if i <= 2 {
+				r.finish(r.last(), done("", 1))
+				r.commit()
+			}
+		}
+		Expect(r.replies[w].Outcome.Reason).To(Equal(outcome.TurnLimit))
+	})
+
+	It("refuses damaged records without changing anything", func() {
+		next := newRig()
+		err := next.table.Adopt(next.now, 0, append(r.durable, []byte(`{"p":"x","s":1}`)), &next.out)
+		Expect(err).To(MatchError(program.ErrBadRecord))
+		Expect(next.table.Known("p")).To(BeFalse())
+	})
+
+	It("replays records in any order and with repetitions to the same state", func() {
+		for i := 1; i <= 3; i++ {
+			r.call(posting(i, fmt.Sprint(i)))
+			r.commit()
+			r.finish(r.last(), done(fmt.Sprint("answer", i), 2))
+			r.commit()
+		}
+		for i, j := 0, len(r.durable)-1; i < j; i, j = i+1, j-1 {
+			r.durable[i], r.durable[j] = r.durable[j], r.durable[i]
+		}
+		r.durable = append(r.durable, r.durable...)
+		next := r.takeover()
+		w := next.waiter()
+		next.table.History("p", "t", w, &next.out)
+		next.take()
+		info := next.replies[w].Info
+		Expect(info.History).To(HaveLen(3))
+		Expect(info.Next).To(Equal(4))
+		Expect(info.Account.Spent).To(BeEquivalentTo(6))
+	})
+})
