--- a/program/calls.go
+++ b/program/calls.go
@@ -79,7 +79,7 @@
 	p.calls[request.RequestID] = c
 	p.byOrder[request.Order] = c
 	t.active[c] = struct{}{}
-	t.admitNext(now, p, out)
+	t.admitNext(p, out)
 }
 
 func (t *Table) checkNew(p *state, request Call) *outcome.Outcome {
@@ -145,7 +145,7 @@
 	t.active[c] = struct{}{}
 	if c.Idempotent {
 		c.phase = callWaiting
-		t.admitNext(now, c.program, out)
+		t.admitNext(c.program, out)
 		return
 	}
 	if c.Lookup {
@@ -157,7 +157,7 @@
 }
 
 // admitNext starts the call whose turn it is.
-func (t *Table) admitNext(now time.Time, p *state, out *Effects) {
+func (t *Table) admitNext(p *state, out *Effects) {
 	c := p.byOrder[p.next]
 	if c == nil || c.phase != callWaiting || p.ended {
 		return
@@ -363,7 +363,7 @@
 	ended.Ended = &CallEnded{RequestID: c.RequestID, Outcome: c.outcome, Answer: c.answer, Spent: c.spent, Attempt: c.attempt}
 	t.append(out, appended{kind: resultAppend, program: p, call: c}, ended)
 	p.advance(c)
-	t.admitNext(now, p, out)
+	t.admitNext(p, out)
 }
 
 func (p *state) advance(c *call) {
--- a/program/durable.go
+++ b/program/durable.go
@@ -43,7 +43,7 @@
 		out.reply(waiter, Reply{Outcome: outcome.Outcome{Code: outcome.Completed}, Recorded: true, Info: p.info(false)})
 	}
 	p.starters = nil
-	t.admitNext(now, p, out)
+	t.admitNext(p, out)
 }
 
 func (t *Table) intentDurable(now time.Time, what appended, out *Effects) {
