--- a/program/durable.go
+++ b/program/durable.go
@@ -20,7 +20,7 @@
 	}
 	switch what.kind {
 	case startAppend:
-		t.started(now, what, out)
+		t.started(what, out)
 	case intentAppend:
 		t.intentDurable(now, what, out)
 	case resultAppend:
@@ -36,7 +36,7 @@
 	t.checkIdle(what.shard, out)
 }
 
-func (t *Table) started(now time.Time, what appended, out *Effects) {
+func (t *Table) started(what appended, out *Effects) {
 	p := what.program
 	p.recorded = true
 	for _, waiter := range p.starters {
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -1,2 +1,125 @@
 // Package rpc carries messages between nodes over gRPC.
+//
+// It translates between the messages of package peerpb and the types of the
+// parts that exchange them. It decides nothing.
 package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"dogwoodline.example/program"
+	"dogwoodline.example/rpc/peerpb"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("rpc")
+
+var (
+	// ErrNoLink reports that there is no connection to the node.
+	ErrNoLink = Error.New("no link to the node")
+	// ErrUndecodable reports a message that cannot be decoded.
+	ErrUndecodable = Error.New("message cannot be decoded")
+)
+
+// Method names what a forwarded request asks for.
+type Method int
+
+const (
+	// Start starts a program.
+	Start Method = Method(peerpb.Method_METHOD_START)
+	// Call runs a call of a program.
+	Call Method = Method(peerpb.Method_METHOD_CALL)
+	// History reads a program's history.
+	History Method = Method(peerpb.Method_METHOD_HISTORY)
+	// End ends a program.
+	End Method = Method(peerpb.Method_METHOD_END)
+)
+
+// Forwarded is a caller's request that another node passes on.
+type Forwarded struct {
+	Method  Method
+	Tenant  string
+	Program string
+	// Request is the caller's request in JSON.
+	Request []byte
+	// Body is the input of a service call.
+	Body     []byte
+	Stream   bool
+	Deadline time.Duration
+}
+
+// PingAnswer is what a node says of itself.
+type PingAnswer struct {
+	Incarnation string
+	// StoreSilent is the time since the platform store last answered it.
+	StoreSilent time.Duration
+}
+
+// Change is a change of a declared resource in its stored form.
+type Change struct {
+	Kind    string
+	Name    string
+	Version int64
+	Deleted bool
+	Value   []byte
+}
+
+// Handler serves the requests of other nodes.
+type Handler interface {
+	Ping(ctx context.Context) PingAnswer
+	// Forward serves a request that belongs to a program of this node. Parts
+	// of a streamed answer are handed to chunk.
+	Forward(ctx context.Context, request Forwarded, chunk func(program.Chunk) error) program.Reply
+	// PushConfig takes changes and returns the highest revision known here.
+	PushConfig(ctx context.Context, changes []Change) int64
+	// PullConfig returns the changes after a revision, and the highest one.
+	PullConfig(ctx context.Context, after int64) ([]Change, int64)
+	// NoteCrashes takes which requests crashed backend servers.
+	NoteCrashes(ctx context.Context, crashes []program.Crash)
+	// Schedule serves the owner of programs that asks for slots of a pool. It
+	// returns when the stream ends.
+	Schedule(stream ScheduleServer) error
+}
+
+// ScheduleServer is the granting node's side of a schedule stream.
+type ScheduleServer = peerpb.Peer_ScheduleServer
+
+func encodeReply(reply program.Reply) []byte {
+	data, err := json.Marshal(reply)
+	if err != nil {
+		panic("rpc: reply of plain values failed to encode: " + err.Error())
+	}
+	return data
+}
+
+func decodeReply(data []byte) (program.Reply, error) {
+	var reply program.Reply
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return program.Reply{}, errs.Combine(ErrUndecodable, err)
+	}
+	return reply, nil
+}
+
+func encodeChanges(changes []Change) []*peerpb.ConfigChange {
+	encoded := make([]*peerpb.ConfigChange, 0, len(changes))
+	for _, c := range changes {
+		encoded = append(encoded, &peerpb.ConfigChange{
+			Kind: c.Kind, Name: c.Name, Version: c.Version, Deleted: c.Deleted, Value: c.Value,
+		})
+	}
+	return encoded
+}
+
+func decodeChanges(encoded []*peerpb.ConfigChange) []Change {
+	changes := make([]Change, 0, len(encoded))
+	for _, c := range encoded {
+		changes = append(changes, Change{
+			Kind: c.GetKind(), Name: c.GetName(), Version: c.GetVersion(), Deleted: c.GetDeleted(), Value: c.GetValue(),
+		})
+	}
+	return changes
+}
--- /dev/null
+++ b/rpc/server.go
@@ -0,0 +1,96 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"dogwoodline.example/program"
+	"dogwoodline.example/rpc/peerpb"
+)
+
+// maxMessageBytes bounds a message between nodes. A history reply holds a
+// program of up to 590,000 tokens, about 2.4 MB, in JSON with base64.
+const maxMessageBytes = 8 << 20
+
+// Server accepts the connections of other nodes.
+type Server struct {
+	grpc *grpc.Server
+}
+
+// NewServer returns a server that passes requests to handler. Without
+// credentials connections are not encrypted.
+func NewServer(handler Handler, tls credentials.TransportCredentials) *Server {
+	if tls == nil {
+		tls = insecure.NewCredentials()
+	}
+	server := grpc.NewServer(grpc.Creds(tls), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))
+	peerpb.RegisterPeerServer(server, &service{handler: handler})
+	return &Server{grpc: server}
+}
+
+// Serve accepts connections until Stop is called.
+func (s *Server) Serve(listener net.Listener) error {
+	return Error.Wrap(s.grpc.Serve(listener))
+}
+
+// Stop lets running requests end, up to wait, and closes all connections.
+func (s *Server) Stop(wait time.Duration) {
+	timer := time.AfterFunc(wait, s.grpc.Stop)
+	defer timer.Stop()
+	s.grpc.GracefulStop()
+}
+
+type service struct {
+	peerpb.UnimplementedPeerServer
+	handler Handler
+}
+
+func (s *service) Ping(ctx context.Context, _ *peerpb.PingRequest) (*peerpb.PingResponse, error) {
+	answer := s.handler.Ping(ctx)
+	return &peerpb.PingResponse{Incarnation: answer.Incarnation, StoreSilentMs: answer.StoreSilent.Milliseconds()}, nil
+}
+
+func (s *service) Forward(request *peerpb.ForwardRequest, stream peerpb.Peer_ForwardServer) error {
+	forwarded := Forwarded{
+		Method:   Method(request.GetMethod()),
+		Tenant:   request.GetTenant(),
+		Program:  request.GetProgram(),
+		Request:  request.GetRequest(),
+		Body:     request.GetBody(),
+		Stream:   request.GetStream(),
+		Deadline: time.Duration(request.GetDeadlineMs()) * time.Millisecond,
+	}
+	reply := s.handler.Forward(stream.Context(), forwarded, func(chunk program.Chunk) error {
+		return stream.Send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Chunk{Chunk: &peerpb.Chunk{
+			Attempt: int32(chunk.Attempt), Offset: int64(chunk.Offset), Text: chunk.Text,
+		}}})
+	})
+	return stream.Send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Reply{Reply: encodeReply(reply)}})
+}
+
+func (s *service) PushConfig(ctx context.Context, changes *peerpb.ConfigChanges) (*peerpb.ConfigAck, error) {
+	return &peerpb.ConfigAck{Revision: s.handler.PushConfig(ctx, decodeChanges(changes.GetChanges()))}, nil
+}
+
+func (s *service) PullConfig(ctx context.Context, pull *peerpb.ConfigPull) (*peerpb.ConfigChanges, error) {
+	changes, revision := s.handler.PullConfig(ctx, pull.GetAfter())
+	return &peerpb.ConfigChanges{Revision: revision, Changes: encodeChanges(changes)}, nil
+}
+
+func (s *service) NoteCrashes(ctx context.Context, crashes *peerpb.Crashes) (*peerpb.CrashesAck, error) {
+	noted := make([]program.Crash, 0, len(crashes.GetCrashes()))
+	for _, c := range crashes.GetCrashes() {
+		noted = append(noted, program.Crash{Digest: c.GetDigest(), Count: int(c.GetCount())})
+	}
+	s.handler.NoteCrashes(ctx, noted)
+	return &peerpb.CrashesAck{}, nil
+}
+
+func (s *service) Schedule(stream peerpb.Peer_ScheduleServer) error {
+	return s.handler.Schedule(stream)
+}
