Add the platform's HTTP client and stand-in, and the declared resources

Cause: the nodes need the platform store, host list and weight store over HTTP, a stand-in with faults for tests, and the types of the resources.

Change: platform/httpstore tells calls without effect from writes whose answer was lost by whether the request headers were written to a connection. emulator/platformserver serves platform/memstore with rate limits, outages, delays and lost answers. resource holds five kinds with defaults, validation and an immutable set.

Ruled out: repeating writes in the client, because only the caller knows whether a repetition is safe.

--- /dev/null
+++ b/emulator/platformserver/handlers.go
@@ -0,0 +1,258 @@
+package platformserver
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+
+	"dogwoodline.example/platform"
+	"dogwoodline.example/platform/wire"
+)
+
+// maxWait bounds a watch, in case a client asks for an absurd wait.
+const maxWait = time.Minute
+
+// errBadRequest reports a malformed parameter or body.
+var errBadRequest = platform.Error.New("malformed request")
+
+// call is a handler that returns the answer or a platform error, and the
+// current version of the key after a conflict.
+type call func(r *http.Request) (answer any, err error)
+
+func (s *Server) platform() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/kv", s.read("list", s.list))
+	router.Get("/kv/*", s.read("get", s.get))
+	router.Put("/kv/*", s.write("put", s.put))
+	router.Delete("/kv/*", s.write("delete", s.remove))
+	router.Get("/watch", s.read("watch", s.watch))
+	router.Post("/leases", s.write("grant", s.grant))
+	router.Post("/leases/{id}/renew", s.write("renew", s.renew))
+	router.Delete("/leases/{id}", s.write("revoke", s.revoke))
+	router.Get("/hosts", s.read("hosts", func(*http.Request) (any, error) {
+		return wire.Hosts{Hosts: s.Hosts()}, nil
+	}))
+	router.Post("/weights/*", s.read("weights", s.weights))
+	return router
+}
+
+func (s *Server) read(kind string, run call) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if s.admit(w, r, kind, s.reads) {
+			answer, err := run(r)
+			respond(w, answer, err)
+		}
+	}
+}
+
+func (s *Server) write(kind string, run call) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.admit(w, r, kind, s.writes) {
+			return
+		}
+		answer, err := run(r)
+		if err == nil && s.faults.loseAnswer() {
+			s.count("answers_lost")
+			drop(w)
+			return
+		}
+		respond(w, answer, err)
+	}
+}
+
+// admit applies outage, delay and rate limit. It reports false when the call
+// was ended without effect.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, kind string, limiter *rate.Limiter) bool {
+	if !s.faults.waitOutage(r.Context()) {
+		s.count("dropped")
+		drop(w)
+		return false
+	}
+	s.count(kind)
+	if !limiter.AllowN(s.clock.Now(), 1) {
+		s.count("rate_limited")
+		respond(w, nil, platform.ErrRateLimited)
+		return false
+	}
+	s.sleep(r.Context(), s.faults.delay())
+	// An outage that began during the delay takes the call with it.
+	if !s.faults.waitOutage(r.Context()) {
+		s.count("dropped")
+		drop(w)
+		return false
+	}
+	return true
+}
+
+func (s *Server) get(r *http.Request) (any, error) {
+	return s.store.Get(r.Context(), key(r))
+}
+
+// conflict carries the current version of the key with ErrConflict.
+type conflict struct{ version platform.Version }
+
+func (c *conflict) Error() string { return platform.ErrConflict.Error() }
+func (c *conflict) Unwrap() error { return platform.ErrConflict }
+
+func (s *Server) put(r *http.Request) (any, error) {
+	expected, err := number[platform.Version](r.URL.Query().Get("if_version"), platform.AnyVersion)
+	if err != nil {
+		return nil, err
+	}
+	lease, err := number[platform.LeaseID](r.URL.Query().Get("lease"), 0)
+	if err != nil {
+		return nil, err
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	if err != nil {
+		return nil, errBadRequest
+	}
+	version, err := s.store.Put(r.Context(), key(r), value, expected, lease)
+	if errors.Is(err, platform.ErrConflict) {
+		return nil, &conflict{version: version}
+	}
+	return wire.Written{Version: version}, err
+}
+
+func (s *Server) remove(r *http.Request) (any, error) {
+	expected, err := number[platform.Version](r.URL.Query().Get("if_version"), platform.AnyVersion)
+	if err != nil {
+		return nil, err
+	}
+	return wire.Written{}, s.store.Delete(r.Context(), key(r), expected)
+}
+
+func (s *Server) list(r *http.Request) (any, error) {
+	items, revision, err := s.store.List(r.Context(), r.URL.Query().Get("prefix"))
+	return wire.Items{Items: items, Revision: revision}, err
+}
+
+func (s *Server) watch(r *http.Request) (any, error) {
+	query := r.URL.Query()
+	after, err := number[platform.Version](query.Get("after"), 0)
+	if err != nil {
+		return nil, err
+	}
+	waitMS, err := number[int64](query.Get("wait_ms"), 0)
+	if err != nil || waitMS < 0 {
+		return nil, errBadRequest
+	}
+	wait := maxWait
+	if waitMS < maxWait.Milliseconds() {
+		wait = time.Duration(waitMS) * time.Millisecond
+	}
+	ctx, cancel := s.faults.untilOutage(r.Context())
+	defer cancel()
+	events, revision, err := s.store.Watch(ctx, query.Get("prefix"), after, wait)
+	return wire.Events{Events: events, Revision: revision}, err
+}
+
+func (s *Server) grant(r *http.Request) (any, error) {
+	var request wire.GrantRequest
+	if err := decode(r, &request); err != nil || request.TTLMS <= 0 {
+		return nil, errBadRequest
+	}
+	lease, err := s.store.Grant(r.Context(), time.Duration(request.TTLMS)*time.Millisecond)
+	return wire.Granted{Lease: lease}, err
+}
+
+func (s *Server) renew(r *http.Request) (any, error) {
+	lease, err := number[platform.LeaseID](chi.URLParam(r, "id"), 0)
+	if err != nil {
+		return nil, err
+	}
+	return wire.Written{}, s.store.Renew(r.Context(), lease)
+}
+
+func (s *Server) revoke(r *http.Request) (any, error) {
+	lease, err := number[platform.LeaseID](chi.URLParam(r, "id"), 0)
+	if err != nil {
+		return nil, err
+	}
+	return wire.Written{}, s.store.Revoke(r.Context(), lease)
+}
+
+func (s *Server) weights(r *http.Request) (any, error) {
+	var request wire.WeightRequest
+	if err := decode(r, &request); err != nil || request.Bytes < 0 {
+		return nil, errBadRequest
+	}
+	return wire.WeightGrant{WaitMS: s.reserveWeights(request.Bytes).Milliseconds()}, nil
+}
+
+func (s *Server) admin() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/counters", func(w http.ResponseWriter, _ *http.Request) { respond(w, s.Counters(), nil) })
+	router.Get("/faults", func(w http.ResponseWriter, _ *http.Request) { respond(w, s.Faults(), nil) })
+	router.Put("/faults", adminSet(s.SetFaults))
+	router.Put("/limits", adminSet(func(limits Limits) error { s.SetLimits(limits); return nil }))
+	router.Put("/hosts", adminSet(func(list wire.Hosts) error { s.SetHosts(list.Hosts); return nil }))
+	return router
+}
+
+func adminSet[T any](set func(T) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var value T
+		if err := decode(r, &value); err != nil {
+			respond(w, nil, errBadRequest)
+			return
+		}
+		respond(w, value, set(value))
+	}
+}
+
+// key returns the decoded path behind /kv/. Keys contain slashes.
+func key(r *http.Request) string { return strings.TrimPrefix(r.URL.Path, "/kv/") }
+
+func number[T ~int64](text string, absent T) (T, error) {
+	if text == "" {
+		return absent, nil
+	}
+	parsed, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, errBadRequest
+	}
+	return T(parsed), nil
+}
+
+func decode(r *http.Request, into any) error {
+	decoder := json.NewDecoder(io.LimitReader(r.Body, platform.MaxValueBytes))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(into)
+}
+
+func respond(w http.ResponseWriter, answer any, err error) {
+	status := http.StatusOK
+	if err != nil {
+		body := wire.Error{Detail: err.Error()}
+		body.Code, status = wire.FromError(err)
+		var found *conflict
+		if errors.As(err, &found) {
+			body.Version = found.version
+		}
+		answer = body
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The status line is sent; a client that went away needs no answer.
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// drop closes the connection without an answer.
+func drop(w http.ResponseWriter) {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	connection, _, err := hijacker.Hijack()
+	if err == nil {
+		_ = connection.Close()
+	}
+}
--- /dev/null
+++ b/emulator/platformserver/listen.go
@@ -0,0 +1,112 @@
+package platformserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("platformserver")
+
+// reopenAttempts and reopenPause bound the wait for the port after an outage:
+// another process may hold it for a moment as an outgoing port.
+const (
+	reopenAttempts = 50
+	reopenPause    = 20 * time.Millisecond
+)
+
+// listener is the platform's port. In a refusing outage it is closed, so that
+// new connections are refused by the operating system.
+type listener struct {
+	address string
+	handler http.Handler
+
+	mu     sync.Mutex
+	server *http.Server // nil while the port is closed
+	closed bool
+}
+
+// Listen serves the platform at address and the /admin interface at
+// adminAddress until ctx ends. It returns the addresses in use.
+func (s *Server) Listen(ctx context.Context, address, adminAddress string) (platformAddr, adminAddr string, err error) {
+	adminPort := &listener{address: adminAddress, handler: s.Handler()}
+	if err := adminPort.open(); err != nil {
+		return "", "", err
+	}
+	port := &listener{address: address, handler: s.platform()}
+	if err := port.open(); err != nil {
+		adminPort.close()
+		return "", "", err
+	}
+	s.mu.Lock()
+	s.listener = port
+	s.mu.Unlock()
+	context.AfterFunc(ctx, func() {
+		port.close()
+		adminPort.close()
+	})
+	return port.address, adminPort.address, nil
+}
+
+func (l *listener) setRefusing(refusing bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if refusing {
+		l.stopLocked()
+		return nil
+	}
+	if l.server != nil || l.closed {
+		return nil
+	}
+	var err error
+	for range reopenAttempts {
+		if err = l.openLocked(); err == nil {
+			return nil
+		}
+		time.Sleep(reopenPause)
+	}
+	return err
+}
+
+func (l *listener) open() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.openLocked()
+}
+
+func (l *listener) openLocked() error {
+	socket, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	l.address = socket.Addr().String()
+	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: 10 * time.Second}
+	l.server = server
+	go func() {
+		err := server.Serve(socket)
+		if !errors.Is(err, http.ErrServerClosed) {
+			_ = socket.Close()
+		}
+	}()
+	return nil
+}
+
+func (l *listener) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.stopLocked()
+}
+
+func (l *listener) stopLocked() {
+	if l.server != nil {
+		_ = l.server.Close()
+		l.server = nil
+	}
+}
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -1,3 +1,109 @@
 // Package resource holds the declared resources: their types, their TOML and
 // JSON form, their validation and their versions.
+//
+// A resource has a kind, a name, a spec that operators write, a status that
+// the system reports and a version, which is the platform store's revision of
+// its last write. Specs are never changed after decoding, so that snapshots
+// can share them.
 package resource
+
+import (
+	"strings"
+
+	"github.com/zeebo/errs"
+
+	"dogwoodline.example/platform"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("resource")
+
+// ErrMalformed reports input that is not a resource document.
+var ErrMalformed = Error.New("malformed resource")
+
+// Kind is the type of a resource.
+type Kind string
+
+const (
+	// KindTenant resources name the organisations that run programs.
+	KindTenant Kind = "tenant"
+	// KindClass resources describe programs of one type and their limits.
+	KindClass Kind = "class"
+	// KindPool resources name backend servers that serve the same model.
+	KindPool Kind = "pool"
+	// KindBackend resources are single backend servers of a pool.
+	KindBackend Kind = "backend"
+	// KindService resources are tool services with their operations.
+	KindService Kind = "service"
+)
+
+// Kinds lists all kinds.
+var Kinds = []Kind{KindTenant, KindClass, KindPool, KindBackend, KindService}
+
+// ID names a resource.
+type ID struct {
+	Kind Kind
+	Name string
+}
+
+// String returns the form kind/name, as in keys of the platform store.
+func (id ID) String() string { return string(id.Kind) + "/" + id.Name }
+
+// ParseID reads the form kind/name. The second result is false when the kind
+// is unknown or the name is empty.
+func ParseID(text string) (ID, bool) {
+	kind, name, _ := strings.Cut(text, "/")
+	id := ID{Kind: Kind(kind), Name: name}
+	return id, name != "" && newSpec(id.Kind) != nil
+}
+
+// Resource is one declared resource.
+type Resource struct {
+	Kind    Kind
+	Name    string
+	Version platform.Version
+	Spec    Spec
+	Status  Status
+}
+
+// ID returns the kind and name.
+func (r Resource) ID() ID { return ID{Kind: r.Kind, Name: r.Name} }
+
+// Status is what the system reports about a resource.
+type Status struct {
+	// Warnings are references to resources that do not exist and similar
+	// findings. They do not keep the resource from being in force.
+	Warnings []string `json:"warnings,omitempty"`
+}
+
+// Spec is the part of a resource that operators write. The concrete types are
+// *Tenant, *Class, *Pool, *Backend and *Service.
+type Spec interface {
+	setDefaults()
+	check(problems *Problems)
+}
+
+// Change is a new version of a resource, or its deletion. A deletion has no
+// spec.
+type Change struct {
+	ID      ID
+	Version platform.Version
+	Spec    Spec
+	Deleted bool
+}
+
+func newSpec(kind Kind) Spec {
+	switch kind {
+	case KindTenant:
+		return &Tenant{}
+	case KindClass:
+		return &Class{}
+	case KindPool:
+		return &Pool{}
+	case KindBackend:
+		return &Backend{}
+	case KindService:
+		return &Service{}
+	}
+	return nil
+}
