--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -38,7 +38,8 @@
 	MaxTokens    int
 	// Arrived is the time at which the call became runnable.
 	Arrived time.Time
-	// Deadline is the time after which the call must not be started.
+	// Deadline is the time after which the call must not be started. It must
+	// be set.
 	Deadline time.Time
 	// Alone asks for a backend server without other running calls and keeps
 	// others away until the call ends. It isolates a call that is suspected
@@ -93,7 +94,8 @@
 	Evicted bool
 }
 
-// Timing is what the node itself measured about a finished or running call.
+// Timing is what the node itself measured about a finished or running copy of
+// a call. Total runs from sending the request to now or to the end.
 type Timing struct {
 	FirstToken   time.Duration // from sending the request, zero when none came
 	Total        time.Duration
@@ -101,6 +103,9 @@
 	PromptTokens int
 	CachedTokens int // prompt tokens that the backend server had cached
 	Failed       bool
+	// Cancelled means that the node stopped this copy, for example because
+	// the other copy of a hedged call was faster.
+	Cancelled bool
 }
 
 // Decisions collects what a step decided. The caller reuses it, so that the
@@ -116,25 +121,37 @@
 	d.Refusals = d.Refusals[:0]
 }
 
-// Scheduler is the interface of all policies.
+// Scheduler is the interface of all policies. The time passed to it must not
+// go backwards.
 type Scheduler interface {
-	// SetBackends replaces the set of known backend servers.
+	// SetBackends replaces the set of known backend servers. Calls that run
+	// on a backend server that is no longer listed stay known until Finish.
 	SetBackends(now time.Time, backends []Backend)
-	// Submit queues a call or refuses it at once.
+	// Submit queues a call or refuses it at once. A call whose id is already
+	// waiting or running is ignored. The request's slices must not change
+	// until the call ends.
 	Submit(now time.Time, request Request, out *Decisions)
-	// Withdraw removes a waiting call. It does nothing for unknown calls.
+	// Adopt notes a call that already runs, sent by its owner when this node
+	// becomes the granting node of the pool. It occupies a slot like a grant.
+	Adopt(now time.Time, request Request, backend BackendID)
+	// Withdraw removes a waiting call. It does nothing for other calls.
 	Withdraw(id CallID)
-	// Progress notes the node's own measurement of a running call.
-	Progress(now time.Time, id CallID, timing Timing)
-	// Finish frees the slot of a call on a backend server.
+	// Progress notes the node's own measurement of a running copy.
+	Progress(now time.Time, id CallID, backend BackendID, timing Timing)
+	// Finish frees the slot of a copy of a call on a backend server. Each
+	// grant, also a hedge, needs its own Finish. Copies that are not known to
+	// run are ignored.
 	Finish(now time.Time, id CallID, backend BackendID, timing Timing)
 	// Report takes a backend server's load report.
 	Report(now time.Time, report Report)
 	// Cache takes a cache event.
 	Cache(now time.Time, event CacheEvent)
 	// Next decides which calls start now, and which waiting calls are
-	// refused because their deadline passed.
+	// refused because their deadline passed. Decisions are appended to out.
 	Next(now time.Time, out *Decisions)
+	// Wake returns the time at which Next must be called even when no event
+	// comes before it, or the zero time when there is none.
+	Wake() time.Time
 	// Waiting returns the number of queued calls.
 	Waiting() int
 }
