--- /dev/null
+++ b/node/effects.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+
+	"dogwoodline.example/journal"
+	"dogwoodline.example/program"
+)
+
+// flush carries out what the table decided.
+func (p *programs) flush(ctx context.Context) {
+	for _, batch := range p.out.Appends {
+		p.record(batch)
+	}
+	for _, d := range p.out.Dispatches {
+		p.submit(ctx, d)
+	}
+	for _, id := range p.out.Withdrawn {
+		p.withdraw(ctx, id)
+	}
+	for _, chunk := range p.out.Chunks {
+		p.stream(chunk)
+	}
+	for _, reply := range p.out.Replies {
+		p.reply(reply)
+	}
+	for _, id := range p.out.Released {
+		p.notify(notice{released: id})
+	}
+	if len(p.out.Crashes) > 0 {
+		p.notify(notice{crashes: append([]program.Crash(nil), p.out.Crashes...)})
+	}
+	for _, number := range p.out.Idle {
+		p.notify(notice{idle: number + 1})
+	}
+	p.out.Reset()
+}
+
+// record hands a batch to the journal, in order.
+func (p *programs) record(batch program.Append) {
+	if p.fenced {
+		return
+	}
+	entry := journal.Append{Tag: uint64(batch.Tag)}
+	for _, r := range batch.Records {
+		entry.Records = append(entry.Records, journal.Record{
+			Shard: p.table.ShardOf(r.Program), Program: r.Program, Seq: r.Seq, Ended: r.Final != nil, Data: r.Encode(),
+		})
+	}
+	p.backlog = append(p.backlog, entry)
+	p.sendBacklog()
+}
+
+func (p *programs) sendBacklog() {
+	for len(p.backlog) > 0 {
+		if p.journal.appends.TryPush(p.backlog[0]) != nil {
+			return
+		}
+		p.backlog = p.backlog[1:]
+	}
+}
+
+// submit asks the scheduler duty for a slot.
+func (p *programs) submit(ctx context.Context, d program.Dispatch) {
+	o := &underway{order: compose(p.set(), d)}
+	o.request.Arrived = p.clock.Now()
+	o.job.Context, o.cancel = context.WithCancel(ctx)
+	p.orders[d.ID] = o
+	_ = p.scheduler.Push(ctx, schedulerInput{kind: submitCall, request: o.request})
+}
+
+func (p *programs) withdraw(ctx context.Context, id program.CallID) {
+	o, ok := p.orders[id]
+	if !ok {
+		return
+	}
+	delete(p.orders, id)
+	o.cancel() // a running job ends and its final event frees the slot
+	if !o.granted {
+		_ = p.scheduler.Push(ctx, schedulerInput{kind: withdrawCall, id: o.request.ID})
+	}
+}
+
+// stream hands a part of an answer to its caller. The last slot of the ring
+// is kept for the reply.
+func (p *programs) stream(chunk program.WaiterChunk) {
+	to, ok := p.callers[chunk.Waiter]
+	if !ok {
+		return
+	}
+	if to.answers.Len() < to.answers.Cap()-1 {
+		_ = to.answers.TryPush(answer{chunk: chunk.Chunk})
+		return
+	}
+	delete(p.callers, chunk.Waiter)
+	p.table.Detach(chunk.Waiter)
+	_ = to.answers.TryPush(answer{lagged: true})
+}
+
+func (p *programs) reply(r program.WaiterReply) {
+	to, ok := p.callers[r.Waiter]
+	if !ok {
+		return
+	}
+	delete(p.callers, r.Waiter)
+	_ = to.answers.TryPush(answer{reply: &r.Reply})
+}
+
+// notify tells the duties around what happened. A notice that finds its ring
+// full is repeated by the periodic checks of the table, except crash counts,
+// which other nodes then learn by themselves.
+func (p *programs) notify(n notice) {
+	if err := p.notices.TryPush(n); err != nil {
+		p.log.Warn("programs: notice dropped, ring is full")
+	}
+}
+
--- /dev/null
+++ b/node/programs.go
@@ -0,0 +1,334 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"dogwoodline.example/budget"
+	"dogwoodline.example/dispatch"
+	"dogwoodline.example/journal"
+	"dogwoodline.example/outcome"
+	"dogwoodline.example/program"
+	"dogwoodline.example/resource"
+	"dogwoodline.example/ring"
+	"dogwoodline.example/schedule"
+)
+
+const (
+	// maxCalls bounds the calls under way on a node. Rings that carry
+	// completions have room for all of them, so that no duty waits for
+	// another to take one.
+	maxCalls = 16384
+	// batchItems is how many items of one ring are handled before the others
+	// get their turn.
+	batchItems = 256
+	// programsTick is how often deadlines and leases are looked at.
+	programsTick = 50 * time.Millisecond
+)
+
+// programs is the duty that owns every program of this node.
+type programs struct {
+	clock clockwork.Clock
+	log   *slog.Logger
+	table *program.Table
+	set   func() *resource.Set
+	// credentials returns the value of a named credential.
+	credentials func(name string) string
+
+	commands  *ring.Ring[command]
+	shards    *ring.Ring[shardChange]
+	events    *ring.Ring[dispatch.Event]
+	decisions *ring.Ring[decision]
+	journal   journalEnd
+
+	scheduler *ring.Ring[schedulerInput]
+	jobs      *ring.Ring[dispatch.Job]
+	notices   *ring.Ring[notice]
+
+	callers map[program.Waiter]caller
+	orders  map[program.CallID]*underway
+	backlog []journal.Append // batches that the journal's ring had no room for
+	out     program.Effects
+	fenced  bool
+}
+
+// journalEnd is the programs duty's end of the journal.
+type journalEnd struct {
+	appends     *ring.Ring[journal.Append]
+	completions *ring.Ring[journal.Completion]
+	verdicts    *ring.Ring[journal.Verdict]
+}
+
+// underway is a dispatched call.
+type underway struct {
+	order
+	cancel  context.CancelFunc
+	backend schedule.BackendID
+	granted bool
+}
+
+// notice is a message of the programs duty to the duties around it. Exactly
+// one field is set.
+type notice struct {
+	idle     int // shard number plus one
+	fenced   bool
+	crashes  []program.Crash
+	released string
+}
+
+// run serves requests and events until ctx ends.
+func (p *programs) run(ctx context.Context) error {
+	ticker := p.clock.NewTicker(programsTick)
+	defer ticker.Stop()
+	for {
+		commands := p.commands.Ready()
+		if p.congested() {
+			commands = nil // callers are refused while nothing can be recorded
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-commands:
+			p.takeCommands(ctx)
+		case <-p.shards.Ready():
+			p.takeShards(ctx)
+		case <-p.events.Ready():
+			p.takeEvents(ctx)
+		case <-p.decisions.Ready():
+			p.takeDecisions(ctx)
+		case <-p.journal.completions.Ready():
+			p.takeCompletions(ctx)
+		case <-ticker.Chan():
+			p.table.Tick(p.clock.Now(), &p.out)
+			p.flush(ctx)
+		}
+	}
+}
+
+// congested reports whether new requests must wait in their ring.
+func (p *programs) congested() bool {
+	return len(p.backlog) > 0 || len(p.orders) >= maxCalls/2
+}
+
+func (p *programs) takeCommands(ctx context.Context) {
+	for range batchItems {
+		if p.congested() {
+			return
+		}
+		c, ok := p.commands.TryPop()
+		if !ok {
+			return
+		}
+		p.handleCommand(c)
+		p.flush(ctx)
+	}
+}
+
+func (p *programs) handleCommand(c command) {
+	now := p.clock.Now()
+	if c.from.waiter != 0 && !c.detach {
+		p.callers[c.from.waiter] = c.from
+	}
+	switch {
+	case c.detach:
+		delete(p.callers, c.from.waiter)
+		p.table.Detach(c.from.waiter)
+	case c.start != nil:
+		p.table.Start(now, *c.start, c.from.waiter, &p.out)
+	case c.call != nil:
+		p.table.Call(now, *c.call, c.stream, c.from.waiter, &p.out)
+	case c.history != nil:
+		p.table.History(c.history.program, c.history.tenant, c.from.waiter, &p.out)
+	case c.end != nil:
+		p.table.End(now, c.end.program, c.end.tenant, c.from.waiter, &p.out)
+	case c.living != nil:
+		p.answerLiving(c.living)
+	}
+	for _, crash := range c.crashes {
+		p.table.NoteCrash(crash)
+	}
+}
+
+func (p *programs) answerLiving(question *livingQuestion) {
+	living := make(map[string]bool, len(question.programs))
+	for _, id := range question.programs {
+		if p.table.Serves(id) {
+			living[id] = p.table.Living(id)
+		}
+	}
+	_ = question.answers.TryPush(livingAnswer{living: living})
+}
+
+func (p *programs) takeShards(ctx context.Context) {
+	for {
+		change, ok := p.shards.TryPop()
+		if !ok {
+			return
+		}
+		p.handleShard(change)
+		p.flush(ctx)
+	}
+}
+
+func (p *programs) handleShard(change shardChange) {
+	now := p.clock.Now()
+	switch change.action {
+	case expectShard:
+		p.table.Expect(change.shard)
+	case adoptShard:
+		if err := p.table.Adopt(now, change.shard, change.records, &p.out); err != nil {
+			p.log.Error("programs: shard holds a record that cannot be read", "shard", change.shard, "error", err)
+		}
+	case moveShard:
+		p.table.Move(change.shard, &p.out)
+	case keepShard:
+		p.table.Serve(now, change.shard, &p.out)
+	case dropShard:
+		p.table.Drop(change.shard, &p.out)
+	}
+}
+
+func (p *programs) takeEvents(ctx context.Context) {
+	for range batchItems {
+		event, ok := p.events.TryPop()
+		if !ok {
+			return
+		}
+		p.handleEvent(ctx, event)
+		p.flush(ctx)
+	}
+}
+
+func (p *programs) handleEvent(ctx context.Context, event dispatch.Event) {
+	id := program.CallID(event.ID)
+	if event.Text != "" {
+		p.table.Chunk(id, program.Chunk{Attempt: event.Attempt, Offset: int(event.Offset), Text: event.Text}, &p.out)
+		p.measure(ctx, schedulerInput{kind: progressCall, id: event.ID, backend: event.Backend, timing: event.Timing})
+	}
+	if !event.Final {
+		return
+	}
+	p.measure(ctx, schedulerInput{kind: finishCall, id: event.ID, backend: event.Backend, timing: event.Timing})
+	o, ok := p.orders[id]
+	if !ok {
+		return // withdrawn
+	}
+	delete(p.orders, id)
+	o.cancel()
+	p.table.Finished(p.clock.Now(), id, resultOf(o, event), &p.out)
+}
+
+func resultOf(o *underway, event dispatch.Event) program.Result {
+	result := program.Result{
+		Outcome: event.Result.Outcome,
+		Answer:  event.Result.Answer,
+		Cost:    budget.Units(event.Result.Cost),
+		Backend: string(event.Backend),
+		Crashed: event.Result.Crashed,
+	}
+	if o.job.Kind == dispatch.Model && result.Outcome.Code == outcome.Completed {
+		result.Answer = []byte(answerText(event.Result.Answer))
+	}
+	return result
+}
+
+// answerText returns the generated text of an engine's answer.
+func answerText(answer []byte) string {
+	var parsed struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(answer, &parsed); err != nil || len(parsed.Choices) == 0 {
+		return ""
+	}
+	return parsed.Choices[0].Message.Content
+}
+
+// measure tells the scheduler duty what happened to a call. Its ring has room
+// for every call under way; only progress may be left out.
+func (p *programs) measure(ctx context.Context, input schedulerInput) {
+	if input.kind == progressCall {
+		_ = p.scheduler.TryPush(input)
+		return
+	}
+	_ = p.scheduler.Push(ctx, input)
+}
+
+func (p *programs) takeDecisions(ctx context.Context) {
+	for {
+		d, ok := p.decisions.TryPop()
+		if !ok {
+			return
+		}
+		p.handleDecision(ctx, d)
+		p.flush(ctx)
+	}
+}
+
+func (p *programs) handleDecision(ctx context.Context, d decision) {
+	id := program.CallID(d.id)
+	o, ok := p.orders[id]
+	if !ok || o.granted {
+		if d.granted { // withdrawn meanwhile, or granted twice
+			p.measure(ctx, schedulerInput{kind: finishCall, id: d.id, backend: d.backend})
+		}
+		return
+	}
+	if !d.granted {
+		delete(p.orders, id)
+		o.cancel()
+		p.table.Finished(p.clock.Now(), id, program.Result{Outcome: d.outcome}, &p.out)
+		return
+	}
+	endpoint, ok := endpointOf(p.set(), p.credentials, d.backend)
+	if !ok {
+		p.measure(ctx, schedulerInput{kind: finishCall, id: d.id, backend: d.backend})
+		_ = p.scheduler.Push(ctx, schedulerInput{kind: submitCall, request: o.request})
+		return
+	}
+	o.granted = true
+	o.backend = d.backend
+	o.job.Endpoint = endpoint
+	_ = p.jobs.Push(ctx, o.job)
+}
+
+func (p *programs) takeCompletions(ctx context.Context) {
+	for {
+		completion, ok := p.journal.completions.TryPop()
+		if !ok {
+			break
+		}
+		p.handleCompletion(completion)
+		p.flush(ctx)
+	}
+	p.sendBacklog()
+}
+
+func (p *programs) handleCompletion(completion journal.Completion) {
+	switch c := completion.(type) {
+	case journal.Committed:
+		for _, tag := range c.Tags {
+			p.table.Committed(p.clock.Now(), program.Tag(tag), &p.out)
+		}
+	case journal.Rejected:
+		panic("node: the journal rejected a record of this node: " + c.Err.Error())
+	case journal.Fenced:
+		p.fenced = true
+		p.backlog = nil
+		p.table.DropAll(&p.out)
+		p.notify(notice{fenced: true})
+	case journal.Query:
+		live := make([]bool, len(c.Records))
+		for i, r := range c.Records {
+			live[i] = p.table.Known(r.Program)
+		}
+		_ = p.journal.verdicts.TryPush(journal.Verdict{Segment: c.Segment, Live: live})
+	}
+}
--- /dev/null
+++ b/node/requests.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"time"
+
+	"dogwoodline.example/program"
+	"dogwoodline.example/ring"
+)
+
+// replySlots is the number of stream parts that wait for one caller. A caller
+// that falls further behind repeats its request with the offset it has.
+const replySlots = 64
+
+// answer is a message to the goroutine that serves one caller: a part of a
+// stream, the reply, or the notice that parts were left out.
+type answer struct {
+	chunk  program.Chunk
+	reply  *program.Reply
+	lagged bool
+}
+
+// caller is the side of a request that waits for its answer.
+type caller struct {
+	waiter  program.Waiter
+	answers *ring.Ring[answer]
+}
+
+// command is a request to the programs duty. Exactly one of the pointers is
+// set.
+type command struct {
+	from    caller
+	start   *program.Spec
+	call    *program.Call
+	stream  bool
+	history *programOf
+	end     *programOf
+	detach  bool
+	crashes []program.Crash
+	living  *livingQuestion
+}
+
+// programOf names a program and the tenant that asks for it.
+type programOf struct {
+	program string
+	tenant  string
+}
+
+// livingQuestion asks which of some programs are alive. Programs of shards
+// that this node does not serve are left out of the answer.
+type livingQuestion struct {
+	programs []string
+	answers  *ring.Ring[livingAnswer]
+}
+
+// livingAnswer tells for each program of a served shard whether it is alive.
+type livingAnswer struct {
+	living map[string]bool
+}
+
+// shardChange is a message from the placement duty.
+type shardChange struct {
+	shard   int
+	action  shardAction
+	records [][]byte
+}
+
+type shardAction int
+
+const (
+	// expectShard makes requests wait until the shard is adopted.
+	expectShard shardAction = iota
+	// adoptShard replays the records and serves the shard.
+	adoptShard
+	// moveShard asks for the shard to become idle.
+	moveShard
+	// keepShard takes back moveShard.
+	keepShard
+	// dropShard gives the shard up.
+	dropShard
+)
+
+// deadlineOf returns the time at which a wait of a request ends.
+func deadlineOf(now time.Time, wait, fallback time.Duration) time.Time {
+	if wait <= 0 {
+		wait = fallback
+	}
+	return now.Add(min(wait, maxDeadline))
+}
--- a/program/shards.go
+++ b/program/shards.go
@@ -174,3 +174,13 @@
 		t.Drop(number, out)
 	}
 }
+
+// ShardOf returns the shard of a program.
+func (t *Table) ShardOf(programID string) int { return t.shardOf(programID) }
+
+// Serves reports whether this node serves the program's shard now, and so
+// knows all of its programs.
+func (t *Table) Serves(programID string) bool {
+	phase := t.Phase(t.shardOf(programID))
+	return phase == Serving || phase == Moving
+}
