--- /dev/null
+++ b/journal/codec.go
@@ -0,0 +1,214 @@
+package journal
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// formatVersion is the version of the encoding. A decoder refuses any other.
+const formatVersion = 1
+
+// Field numbers of a head or segment, in the protobuf wire format. The wire
+// format lets a commit append the new records to the encoded ones.
+const (
+	fieldFormat protowire.Number = iota + 1
+	fieldIncarnation
+	fieldCommit
+	fieldSealed
+	fieldFirst
+	fieldOpen
+	fieldRecord
+)
+
+// Field numbers of a record.
+const (
+	fieldShard protowire.Number = iota + 1
+	fieldProgram
+	fieldSeq
+	fieldEnded
+	fieldData
+	fieldKind
+)
+
+// head is the decoded value of a head or of a closed segment. A closed segment
+// has only an incarnation, its number in open, and records.
+type head struct {
+	incarnation string
+	commit      uint64 // number of the last commit; 0 if the owner never wrote
+	sealed      bool
+	first       uint64 // oldest closed segment that exists
+	open        uint64 // number of the segment that the head holds
+	body        []byte // encoded records
+}
+
+func appendHead(dst []byte, h head) []byte {
+	dst = appendUint(dst, fieldFormat, formatVersion)
+	dst = protowire.AppendTag(dst, fieldIncarnation, protowire.BytesType)
+	dst = protowire.AppendString(dst, h.incarnation)
+	dst = appendUint(dst, fieldCommit, h.commit)
+	dst = appendUint(dst, fieldSealed, protowire.EncodeBool(h.sealed))
+	dst = appendUint(dst, fieldFirst, h.first)
+	dst = appendUint(dst, fieldOpen, h.open)
+	return append(dst, h.body...)
+}
+
+func appendRecord(dst []byte, r Record) []byte {
+	var inner []byte
+	inner = appendUint(inner, fieldShard, uint64(r.Shard))
+	if r.Program != "" {
+		inner = protowire.AppendTag(inner, fieldProgram, protowire.BytesType)
+		inner = protowire.AppendString(inner, r.Program)
+	}
+	inner = appendUint(inner, fieldSeq, r.Seq)
+	inner = appendUint(inner, fieldEnded, protowire.EncodeBool(r.Ended))
+	inner = appendUint(inner, fieldKind, uint64(r.kind))
+	if len(r.Data) > 0 {
+		inner = protowire.AppendTag(inner, fieldData, protowire.BytesType)
+		inner = protowire.AppendBytes(inner, r.Data)
+	}
+	dst = protowire.AppendTag(dst, fieldRecord, protowire.BytesType)
+	return protowire.AppendBytes(dst, inner)
+}
+
+func appendUint(dst []byte, number protowire.Number, value uint64) []byte {
+	if value == 0 {
+		return dst
+	}
+	dst = protowire.AppendTag(dst, number, protowire.VarintType)
+	return protowire.AppendVarint(dst, value)
+}
+
+// field is one decoded field: number for a varint, bytes for the others.
+type field struct {
+	id     protowire.Number
+	kind   protowire.Type
+	number uint64
+	bytes  []byte
+}
+
+// nextField decodes the first field of src and returns the rest.
+func nextField(src []byte) (field, []byte, error) {
+	id, kind, n := protowire.ConsumeTag(src)
+	if n < 0 {
+		return field{}, nil, malformed(protowire.ParseError(n))
+	}
+	src = src[n:]
+	f := field{id: id, kind: kind}
+	switch kind {
+	case protowire.VarintType:
+		f.number, n = protowire.ConsumeVarint(src)
+	case protowire.BytesType:
+		f.bytes, n = protowire.ConsumeBytes(src)
+	default:
+		return field{}, nil, malformed(fmt.Errorf("wire type %d", kind))
+	}
+	if n < 0 {
+		return field{}, nil, malformed(protowire.ParseError(n))
+	}
+	return f, src[n:], nil
+}
+
+// decodeHead decodes a head or a segment. It returns ErrMalformed or
+// ErrFormat. The records are decoded by decodeRecords.
+func decodeHead(src []byte) (head, error) {
+	var h head
+	var format uint64
+	for len(src) > 0 {
+		whole := src
+		f, rest, err := nextField(src)
+		if err != nil {
+			return head{}, err
+		}
+		src = rest
+		switch {
+		case f.id == fieldRecord && f.kind == protowire.BytesType:
+			h.body = append(h.body, whole[:len(whole)-len(rest)]...)
+		case f.id == fieldIncarnation && f.kind == protowire.BytesType:
+			h.incarnation = string(f.bytes)
+		case f.id == fieldFormat && f.kind == protowire.VarintType:
+			format = f.number
+		case f.id == fieldCommit && f.kind == protowire.VarintType:
+			h.commit = f.number
+		case f.id == fieldSealed && f.kind == protowire.VarintType:
+			h.sealed = protowire.DecodeBool(f.number)
+		case f.id == fieldFirst && f.kind == protowire.VarintType:
+			h.first = f.number
+		case f.id == fieldOpen && f.kind == protowire.VarintType:
+			h.open = f.number
+		default:
+			return head{}, malformed(fmt.Errorf("field %d of type %d", f.id, f.kind))
+		}
+	}
+	switch {
+	case format != formatVersion:
+		return head{}, fmt.Errorf("%w: %d", ErrFormat, format)
+	case h.incarnation == "":
+		return head{}, malformed(fmt.Errorf("no incarnation"))
+	case h.first > h.open:
+		return head{}, malformed(fmt.Errorf("first segment %d is after the open segment %d", h.first, h.open))
+	}
+	return h, nil
+}
+
+// decodeRecords decodes the body of a head or segment, in its order.
+func decodeRecords(body []byte) ([]Record, error) {
+	var records []Record
+	for len(body) > 0 {
+		f, rest, err := nextField(body)
+		if err != nil {
+			return nil, err
+		}
+		if f.id != fieldRecord || f.kind != protowire.BytesType {
+			return nil, malformed(fmt.Errorf("field %d among records", f.id))
+		}
+		record, err := decodeRecord(f.bytes)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+		body = rest
+	}
+	return records, nil
+}
+
+func decodeRecord(src []byte) (Record, error) {
+	var r Record
+	for len(src) > 0 {
+		f, rest, err := nextField(src)
+		if err != nil {
+			return Record{}, err
+		}
+		src = rest
+		switch {
+		case f.id == fieldShard && f.kind == protowire.VarintType:
+			if f.number > MaxShard {
+				return Record{}, malformed(fmt.Errorf("shard %d", f.number))
+			}
+			r.Shard = int(f.number)
+		case f.id == fieldProgram && f.kind == protowire.BytesType:
+			r.Program = string(f.bytes)
+		case f.id == fieldSeq && f.kind == protowire.VarintType:
+			r.Seq = f.number
+		case f.id == fieldEnded && f.kind == protowire.VarintType:
+			r.Ended = protowire.DecodeBool(f.number)
+		case f.id == fieldData && f.kind == protowire.BytesType:
+			r.Data = append([]byte(nil), f.bytes...)
+		case f.id == fieldKind && f.kind == protowire.VarintType:
+			r.kind = kind(f.number)
+		default:
+			return Record{}, malformed(fmt.Errorf("field %d of type %d in a record", f.id, f.kind))
+		}
+	}
+	if r.kind >= kindUpperBound {
+		return Record{}, malformed(fmt.Errorf("record kind %d", r.kind))
+	}
+	if err := r.validate(); err != nil {
+		return Record{}, malformed(err)
+	}
+	return r, nil
+}
+
+func malformed(cause error) error {
+	return fmt.Errorf("%w: %w", ErrMalformed, cause)
+}
--- /dev/null
+++ b/journal/merge.go
@@ -0,0 +1,46 @@
+package journal
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Merge returns the union of replayed records, sorted by program and sequence
+// number, without copies.
+func Merge(lists ...[]Record) []Record {
+	merged := slices.Concat(lists...)
+	slices.SortStableFunc(merged, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Program, b.Program), cmp.Compare(a.Seq, b.Seq))
+	})
+	return slices.CompactFunc(merged, func(a, b Record) bool {
+		return a.Program == b.Program && a.Seq == b.Seq
+	})
+}
+
+// current removes the marks of adoption and handoff, and the records that an
+// adoption has superseded. The records are in journal order.
+func current(records []Record) []Record {
+	type adoption struct {
+		shard      int
+		generation uint64
+	}
+	complete := map[adoption]bool{}
+	for _, r := range records {
+		if r.kind == kindAdopted {
+			complete[adoption{r.Shard, r.Seq}] = true
+		}
+	}
+	superseded := map[int]int{} // shard -> index below which its records are dropped
+	for i, r := range records {
+		if r.kind == kindAdopt || r.kind == kindReadopt && complete[adoption{r.Shard, r.Seq}] {
+			superseded[r.Shard] = i
+		}
+	}
+	var kept []Record
+	for i, r := range records {
+		if r.kind == kindProgram && i >= superseded[r.Shard] {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
