--- a/node/effects.go
+++ b/node/effects.go
@@ -114,4 +114,3 @@
 		p.log.Warn("programs: notice dropped, ring is full")
 	}
 }
-
--- a/node/programs.go
+++ b/node/programs.go
@@ -228,7 +228,7 @@
 		Answer:  event.Result.Answer,
 		Cost:    budget.Units(event.Result.Cost),
 		Backend: string(event.Backend),
-		Crashed: event.Result.Crashed,
+		Crashed: event.Result.Outcome.Reason == outcome.ConnectionLost,
 	}
 	if o.job.Kind == dispatch.Model && result.Outcome.Code == outcome.Completed {
 		result.Answer = []byte(answerText(event.Result.Answer))
--- a/node/scheduler.go
+++ b/node/scheduler.go
@@ -109,7 +109,7 @@
 		s.pool(s.poolOf[input.id]).Withdraw(input.id)
 		delete(s.poolOf, input.id)
 	case progressCall:
-		s.pool(s.poolOf[input.id]).Progress(now, input.id, input.timing)
+		s.pool(s.poolOf[input.id]).Progress(now, input.id, input.backend, input.timing)
 	case finishCall:
 		s.pool(s.poolOf[input.id]).Finish(now, input.id, input.backend, input.timing)
 		delete(s.poolOf, input.id)
--- a/program/calls.go
+++ b/program/calls.go
@@ -162,6 +162,10 @@
 	if c == nil || c.phase != callWaiting || p.ended {
 		return
 	}
+	if refusal := t.rules.Apply(p.spec, p.conversation(), &c.Call); refusal != nil {
+		t.drop(c, *refusal, out)
+		return
+	}
 	if err := p.account.Reserve(c.Worst); err != nil {
 		t.drop(c, outcome.Outcome{Code: outcome.OverBudget, Detail: err.Error()}, out)
 		return
--- a/program/program.go
+++ b/program/program.go
@@ -85,7 +85,8 @@
 	Idempotent bool `json:"idempotent,omitempty"`
 	// Lookup tells that the service answers what became of a request id.
 	Lookup bool `json:"lookup,omitempty"`
-	// Worst is the most that the call can cost.
+	// Worst is the most that the call can cost. Like Idempotent and Lookup it
+	// is filled in by Rules when it is the call's turn.
 	Worst budget.Units `json:"worst"`
 	// Digest identifies what the call asks for, without its request id.
 	Digest string `json:"digest"`
--- a/program/table.go
+++ b/program/table.go
@@ -43,6 +43,7 @@
 // Table holds the programs of the shards that this node owns.
 type Table struct {
 	shardOf  func(programID string) int
+	rules    Rules
 	shards   map[int]*shard
 	programs map[string]*state
 	running  map[CallID]*call
@@ -92,11 +93,20 @@
 	released bool
 }
 
+// Rules are what the declared resources say about a call.
+type Rules interface {
+	// Apply fills in whether the call is idempotent, whether its service can
+	// be asked about it, and its worst-case cost. It returns an outcome when
+	// the call is not allowed. The conversation holds the earlier messages.
+	Apply(spec Spec, conversation []Message, call *Call) *outcome.Outcome
+}
+
 // NewTable returns an empty table. shardOf maps a program id to its shard and
 // must give the same shard to a whole family of programs.
-func NewTable(shardOf func(programID string) int) *Table {
+func NewTable(shardOf func(programID string) int, rules Rules) *Table {
 	return &Table{
 		shardOf:  shardOf,
+		rules:    rules,
 		shards:   map[int]*shard{},
 		programs: map[string]*state{},
 		running:  map[CallID]*call{},
--- a/program/table_test.go
+++ b/program/table_test.go
@@ -30,7 +30,7 @@
 
 func newRig() *rig {
 	r := &rig{
-		table:   program.NewTable(func(string) int { return 0 }),
+		table:   program.NewTable(func(string) int { return 0 }, asGiven{}),
 		now:     time.Unix(1_000_000, 0),
 		replies: map[program.Waiter]program.Reply{},
 		chunks:  map[program.Waiter]string{},
@@ -39,6 +39,11 @@
 	return r
 }
 
+// asGiven leaves calls as the test made them.
+type asGiven struct{}
+
+func (asGiven) Apply(program.Spec, []program.Message, *program.Call) *outcome.Outcome { return nil }
+
 func (r *rig) take() {
 	r.uncommitted = append(r.uncommitted, r.out.Appends...)
 	r.dispatched = append(r.dispatched, r.out.Dispatches...)
