--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,78 @@
+package settings_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+var _ = Describe("Settings", func() {
+	example, err := os.ReadFile("example.toml")
+	if err != nil {
+		panic(err)
+	}
+	with := func(old, replacement string) error {
+		GinkgoHelper()
+		Expect(string(example)).To(ContainSubstring(old))
+		_, err := settings.Parse([]byte(strings.Replace(string(example), old, replacement, 1)))
+		return err
+	}
+
+	It("keeps the example file in step with the defaults", func() {
+		loaded, err := settings.Load("example.toml")
+		Expect(err).NotTo(HaveOccurred())
+		expected := settings.Default()
+		expected.Node.ID, expected.Node.Host = "node-a1", "entry-a1"
+		expected.Node.AvailabilityZone, expected.Node.Region = "az-a", "fi-south"
+		expected.Listen.HTTP, expected.Listen.GRPC = "127.0.0.1:7101", "127.0.0.1:7201"
+		expected.Listen.HTTPAdvertised, expected.Listen.GRPCAdvertised = "127.0.0.1:7101", "127.0.0.1:7201"
+		expected.Platform.Address = "http://127.0.0.1:7001"
+		Expect(loaded).To(Equal(expected))
+	})
+
+	It("refuses misspelt settings with their names and lines", func() {
+		Expect(with("lease_ttl_ms", "lease_ttl")).To(MatchError(ContainSubstring("platform.lease_ttl: unknown setting in line 21")))
+	})
+
+	It("reports all problems at once, each with key, value and range", func() {
+		_, err := settings.Parse([]byte("[platform]\nlease_ttl_ms = 5\ntimeout = 3\n[log]\nlevel = \"loud\"\n"))
+		Expect(err).To(MatchError(And(
+			ContainSubstring("platform.timeout: unknown setting in line 3"),
+			ContainSubstring("platform.lease_ttl_ms = 5: allowed is 1000 to 60000"),
+			ContainSubstring(`log.level = "loud": allowed is debug, info, warn, error`),
+			ContainSubstring("node.id"),
+			ContainSubstring("listen.http"),
+		)))
+	})
+
+	DescribeTable("refuses values that would fail later",
+		func(old, replacement, key string) {
+			Expect(with(old, replacement)).To(MatchError(ContainSubstring(key)))
+		},
+		Entry("a host name where an IP number is needed", `"127.0.0.1:7101"`, `"localhost:7101"`, "listen.http"),
+		Entry("an advertised address nobody can connect to", `http_advertised = ""`, `http_advertised = "0.0.0.0:7101"`, "listen.http_advertised"),
+		Entry("one address for both listeners", `"127.0.0.1:7201"`, `"127.0.0.1:7101"`, "listen.grpc"),
+		Entry("a platform address with a path", `:7001"`, `:7001/kv"`, "platform.address"),
+		Entry("an id that would escape its key prefix", `"node-a1"`, `"../x"`, "node.id"),
+		Entry("a completions ring that can block", "completions = 16384", "completions = 128", "rings.completions"),
+		Entry("a TLS key without a certificate", `key_file = ""`, `key_file = "example.toml"`, "tls.certificate_file"),
+		Entry("a value of the wrong type", "shards = 1024", `shards = "many"`, "placement.shards: line 29"),
+		Entry("an unknown policy", `"program-aware"`, `"best"`, "schedule.policy"),
+	)
+
+	It("does not repeat a refused operator key in its message", func() {
+		err := with(`key = ""`, `key = "hunter2"`)
+		Expect(err).To(MatchError(ContainSubstring("operator.key")))
+		Expect(err.Error()).NotTo(ContainSubstring("hunter2"))
+	})
+})
