--- /dev/null
+++ b/api/api_test.go
@@ -0,0 +1,417 @@
+package api_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/api"
+	"dogwoodline.example/outcome"
+	"dogwoodline.example/program"
+)
+
+func TestAPI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "api")
+}
+
+// fakeService answers calls with a function and everything else as unknown.
+type fakeService struct {
+	call  func(request api.CallRequest, stream func(program.Chunk) error) program.Reply
+	ready error
+}
+
+var unknownProgram = program.Reply{Outcome: outcome.Refuse(outcome.UnknownProgram, "no such program")}
+
+func (f *fakeService) Address(id string) api.Address {
+	return api.Address{Address: "http://127.0.0.1:1/" + id, KeepMS: 5}
+}
+
+func (f *fakeService) Start(_ context.Context, tenant string, r api.StartRequest) program.Reply {
+	spec := program.Spec{ID: r.ID, Class: r.Class, Tenant: tenant, IdleLease: time.Second}
+	return program.Reply{Outcome: outcome.Outcome{Code: outcome.Completed}, Info: &program.Info{Spec: spec, Next: 1}}
+}
+
+func (f *fakeService) Call(
+	_ context.Context, _, _ string, r api.CallRequest, stream func(program.Chunk) error,
+) program.Reply {
+	return f.call(r, stream)
+}
+
+func (f *fakeService) History(context.Context, string, string) program.Reply { return unknownProgram }
+func (f *fakeService) End(context.Context, string, string) program.Reply     { return unknownProgram }
+func (f *fakeService) Ready() error                                          { return f.ready }
+
+type anyKey struct{}
+
+// Authenticate takes each key that starts with "key-" for a tenant's name.
+func (anyKey) Authenticate(key string) (string, bool) { return strings.CutPrefix(key, "key-") }
+
+// fakeResources fails every request with err, or waits in Watch.
+type fakeResources struct {
+	err      error
+	expected int64
+}
+
+func (f *fakeResources) Get(context.Context, string, string) (api.Resource, error) {
+	return api.Resource{Version: 7}, f.err
+}
+
+func (f *fakeResources) List(context.Context, string) (api.ResourceList, error) {
+	return api.ResourceList{Revision: 9}, f.err
+}
+
+func (f *fakeResources) Put(
+	_ context.Context, kind, name string, spec json.RawMessage, expected int64,
+) (api.Resource, error) {
+	f.expected = expected
+	return api.Resource{Kind: kind, Name: name, Version: expected + 1, Spec: spec}, f.err
+}
+
+func (f *fakeResources) Delete(_ context.Context, _, _ string, expected int64) error {
+	f.expected = expected
+	return f.err
+}
+
+func (f *fakeResources) Watch(ctx context.Context, kind string, after int64, _ time.Duration) (api.ResourceList, error) {
+	if after >= 9 {
+		<-ctx.Done()
+		return api.ResourceList{}, ctx.Err()
+	}
+	return api.ResourceList{Revision: 9, Resources: []api.Resource{{Kind: kind, Name: "a", Version: 9}}}, f.err
+}
+
+type setup struct {
+	service   *fakeService
+	resources *fakeResources
+	set       *metrics.Set
+	server    *api.Server
+	stop      context.CancelFunc
+}
+
+func newSetup() *setup {
+	s := &setup{service: &fakeService{}, resources: &fakeResources{}, set: metrics.NewSet()}
+	stopping, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	s.server = api.New(api.Config{
+		Service: s.service, Tenants: anyKey{}, Resources: s.resources, OperatorKey: "op",
+		Metrics: s.set, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Stopping: stopping,
+	})
+	return s
+}
+
+func (s *setup) do(method, path, key, body string, headers ...string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	recorder := httptest.NewRecorder()
+	s.server.ServeHTTP(recorder, request)
+	return recorder
+}
+
+const (
+	calls    = "/v1/programs/p/calls"
+	goodCall = `{"request_id":"r1","order":1,"kind":"model","messages":[{"role":"user","content":"hi"}]}`
+)
+
+func call(old, replacement string) string {
+	GinkgoHelper()
+	Expect(goodCall).To(ContainSubstring(old))
+	return strings.Replace(goodCall, old, replacement, 1)
+}
+
+var _ = Describe("Requests that are refused", func() {
+	refused := func(method, path, key, body string, status int, reason outcome.Reason, detail string) {
+		GinkgoHelper()
+		s := newSetup()
+		s.service.call = func(api.CallRequest, func(program.Chunk) error) program.Reply {
+			Fail("a refused request reached the service")
+			return program.Reply{}
+		}
+		answer := s.do(method, path, key, body)
+		var reply api.CallReply
+		Expect(json.Unmarshal(answer.Body.Bytes(), &reply)).To(Succeed())
+		Expect(reply.Outcome.Code).To(Equal(outcome.Invalid))
+		Expect(reply.Outcome.Reason).To(Equal(reason))
+		Expect(reply.Outcome.Detail).To(ContainSubstring(detail))
+		Expect(answer.Code).To(Equal(status))
+	}
+
+	DescribeTable("never reach the service and name the field",
+		func(body, detail string) {
+			refused("POST", calls, "key-a", body, 400, outcome.Malformed, detail)
+		},
+		Entry("no JSON", "order=1", "body: is not valid JSON"),
+		Entry("an empty body", "", "body"),
+		Entry("two objects", goodCall+goodCall, "body: has data after"),
+		Entry("an unknown field", `{"orderr":1}`, "orderr: is not a known field"),
+		Entry("a wrong type", call(`"order":1`, `"order":"1"`), "order: has the wrong JSON type"),
+		Entry("a fraction", call(`"order":1`, `"order":1.5`), "order: has the wrong JSON type"),
+		Entry("order 0", call(`"order":1`, `"order":0`), "order: must be from 1"),
+		Entry("a negative order", call(`"order":1`, `"order":-1`), "order: must be from 1"),
+		Entry("a negative limit", call(`"order":1`, `"order":1,"max_tokens":-5`), "max_tokens"),
+		Entry("a negative deadline", call(`"order":1`, `"order":1,"deadline_ms":-5`), "deadline_ms"),
+		Entry("a negative offset", call(`"order":1`, `"order":1,"offset":-5`), "offset"),
+		Entry("an offset of no attempt", call(`"order":1`, `"order":1,"offset":5`), "attempt: is needed"),
+		Entry("no request id", call(`"r1"`, `""`), "request_id: is missing"),
+		Entry("a request id with a slash", call(`"r1"`, `"a/b"`), "request_id: may hold only"),
+		Entry("a request id with an empty part", call(`"r1"`, `"a..b"`), "request_id: has an empty part"),
+		Entry("a long request id", call("r1", strings.Repeat("r", 129)), "request_id: is longer"),
+		Entry("an unknown kind", call(`"model"`, `"tool"`), "kind: must be"),
+		Entry("no messages", call(`{"role":"user","content":"hi"}`, ""), "messages: must not be empty"),
+		Entry("an unknown role", call(`"user"`, `"root"`), "messages[0].role"),
+		Entry("a body in a model call", call(`"order":1`, `"order":1,"body":{}`), "body: is for service calls"),
+		Entry("a service call without a service", `{"request_id":"r","order":1,"kind":"service","operation":"o"}`, "service: is missing"),
+		Entry("messages in a service call", call(`"model"`, `"service","service":"s","operation":"o"`), "messages: is for model calls"),
+	)
+
+	It("refuses bodies above the limit, keys, ids and budgets at the border", func() {
+		large := call("hi", strings.Repeat("x", api.MaxBodyBytes))
+		refused("POST", calls, "key-a", large, 413, api.TooLarge, "body")
+		refused("POST", calls, "", goodCall, 401, api.Unauthorized, "authorization")
+		refused("POST", calls, "stolen", goodCall, 401, api.Unauthorized, "authorization")
+		refused("POST", "/v1/programs/a%2Fb/calls", "key-a", goodCall, 400, outcome.Malformed, "program")
+		refused("POST", "/v1/programs/a%20b/calls", "key-a", goodCall, 400, outcome.Malformed, "program")
+		refused("POST", "/v1/programs", "key-a", `{"id":"a","class":"c","budget":-1}`, 400, outcome.Malformed, "budget")
+		refused("POST", "/v1/programs", "key-a", `{"id":".a","class":""}`, 400, outcome.Malformed, "id: has an empty part between dots; class: is missing")
+		refused("GET", "/v1/address?program=", "", "", 400, outcome.Malformed, "program: is missing")
+		refused("GET", "/v1/programs/p/history", "key-a", "", 404, outcome.UnknownProgram, "no such program")
+	})
+
+	DescribeTable("have a status that tells who has to act",
+		func(code outcome.Code, reason outcome.Reason, status int) {
+			Expect(api.Status(outcome.Outcome{Code: code, Reason: reason})).To(Equal(status))
+		},
+		Entry(nil, outcome.Completed, outcome.Reason(""), 200),
+		Entry(nil, outcome.NotRun, outcome.Overloaded, 429),
+		Entry(nil, outcome.NotRun, outcome.NoOwner, 503),
+		Entry(nil, outcome.NotRun, outcome.DeadlineExceeded, 504),
+		Entry(nil, outcome.Unknown, outcome.ConnectionLost, 502),
+		Entry(nil, outcome.OverBudget, outcome.Reason(""), 402),
+		Entry(nil, outcome.Invalid, outcome.Conflict, 409),
+		Entry(nil, outcome.Invalid, outcome.Ended, 410),
+		Entry(nil, outcome.Invalid, outcome.CrashesBackend, 422),
+		Entry(nil, outcome.Cancelled, outcome.Reason(""), 409),
+		Entry(nil, outcome.Failed, outcome.Reason(""), 502),
+		Entry("an outcome that the table lacks", outcome.Code("new"), outcome.Reason(""), 500),
+	)
+
+	It("tells in whole seconds when to come back", func() {
+		s := newSetup()
+		s.service.call = func(api.CallRequest, func(program.Chunk) error) program.Reply {
+			return program.Reply{Outcome: outcome.DidNotRun(outcome.Overloaded, 1100*time.Millisecond)}
+		}
+		answer := s.do("POST", calls, "key-a", goodCall)
+		Expect(answer.Code).To(Equal(429))
+		Expect(answer.Header().Get("Retry-After")).To(Equal("2"))
+		Expect(answer.Body.String()).To(ContainSubstring(`"retry_after_ms":1100`))
+	})
+})
+
+var _ = Describe("Streams", func() {
+	stream := func(body string, reply program.Reply, chunks ...program.Chunk) *httptest.ResponseRecorder {
+		s := newSetup()
+		s.service.call = func(_ api.CallRequest, send func(program.Chunk) error) program.Reply {
+			for _, chunk := range chunks {
+				Expect(send(chunk)).To(Succeed())
+			}
+			return reply
+		}
+		return s.do("POST", calls, "key-a", body, "Accept", "text/event-stream")
+	}
+	events := func(answer *httptest.ResponseRecorder) []string {
+		return strings.Split(strings.TrimSuffix(answer.Body.String(), "\n\n"), "\n\n")
+	}
+	done := func(attempt int, answer string) program.Reply {
+		return program.Reply{Outcome: outcome.Outcome{Code: outcome.Completed}, Answer: []byte(answer), Attempt: attempt}
+	}
+	doneEvent := func(attempt, length int) string {
+		return `event: done` + "\n" + `data: {"outcome":{"code":"completed"},"recorded":false,"attempt":` +
+			strconv.Itoa(attempt) + `,"spent":0,"length":` + strconv.Itoa(length) + `}`
+	}
+	const (
+		abc     = "event: chunk\ndata: {\"attempt\":1,\"offset\":0,\"text\":\"abc\"}"
+		de      = "event: chunk\ndata: {\"attempt\":1,\"offset\":3,\"text\":\"de\"}"
+		restart = "event: restart\ndata: {\"attempt\":2}"
+		xy      = "event: chunk\ndata: {\"attempt\":2,\"offset\":0,\"text\":\"xy\"}"
+	)
+
+	It("sends chunks and ends with the outcome and the length", func() {
+		answer := stream(goodCall, done(1, "abcde"),
+			program.Chunk{Attempt: 1, Text: "abc"}, program.Chunk{Attempt: 1, Offset: 3, Text: "de"})
+		Expect(answer.Header().Get("Content-Type")).To(Equal("text/event-stream"))
+		Expect(events(answer)).To(Equal([]string{abc, de, doneEvent(1, 5)}))
+	})
+
+	It("tells of another attempt instead of joining two answers", func() {
+		answer := stream(goodCall, done(2, "xy"),
+			program.Chunk{Attempt: 1, Text: "abc"}, program.Chunk{Attempt: 2, Text: "xy"})
+		Expect(events(answer)).To(Equal([]string{abc, restart, xy, doneEvent(2, 2)}))
+	})
+
+	It("sends what no chunk carried before it says done", func() {
+		Expect(events(stream(goodCall, done(1, "abcde"), program.Chunk{Attempt: 1, Text: "abc"}))).
+			To(Equal([]string{abc, de, doneEvent(1, 5)}))
+		Expect(events(stream(goodCall, done(2, "xy"), program.Chunk{Attempt: 1, Text: "abc"}))).
+			To(Equal([]string{abc, restart, xy, doneEvent(2, 2)}))
+	})
+
+	It("resumes at the caller's offset, or restarts when the attempt is another", func() {
+		resume := call(`"order":1`, `"order":1,"offset":3,"attempt":1`)
+		Expect(events(stream(resume, done(1, "abcde")))).To(Equal([]string{de, doneEvent(1, 5)}))
+		Expect(events(stream(resume, done(2, "xy")))).To(Equal([]string{restart, xy, doneEvent(2, 2)}))
+	})
+
+	It("starts again when the caller claims more than the answer has", func() {
+		resume := call(`"order":1`, `"order":1,"offset":9,"attempt":2`)
+		Expect(events(stream(resume, done(2, "xy")))).To(Equal([]string{restart, xy, doneEvent(2, 2)}))
+	})
+
+	It("carries bytes that JSON text would change", func() {
+		answer := stream(goodCall, done(1, "\xe2\x82"), program.Chunk{Attempt: 1, Text: "\xe2\x82"})
+		Expect(events(answer)[0]).To(ContainSubstring(`"bytes":"4oI="`))
+	})
+
+	It("answers a refusal before any output with its own status", func() {
+		answer := stream(goodCall, program.Reply{Outcome: outcome.DidNotRun(outcome.Draining, time.Second)})
+		Expect(answer.Code).To(Equal(503))
+		Expect(answer.Header().Get("Content-Type")).To(Equal("application/json"))
+	})
+
+	It("ends a stream that fails midway with the outcome and not as complete", func() {
+		failed := program.Reply{Outcome: outcome.Outcome{Code: outcome.Cancelled}, Attempt: 1}
+		last := events(stream(goodCall, failed, program.Chunk{Attempt: 1, Text: "abc"}))[1]
+		Expect(last).To(HavePrefix(`event: done` + "\n" + `data: {"outcome":{"code":"cancelled"}`))
+		Expect(last).NotTo(ContainSubstring("length"))
+	})
+})
+
+var _ = Describe("Resources", func() {
+	const path = "/v1/resources/pool/a"
+
+	DescribeTable("answer typed errors with the facts an operator needs",
+		func(err error, status int, contains string) {
+			s := newSetup()
+			s.resources.err = err
+			answer := s.do("PUT", path, "op", `{"spec":{}}`)
+			Expect(answer.Code).To(Equal(status))
+			Expect(answer.Body.String()).To(ContainSubstring(contains))
+		},
+		Entry("a conflict", &api.ConflictError{Current: 12}, 409, `"current_version":12`),
+		Entry("a missing resource", api.ErrNotFound, 404, "unknown_resource"),
+		Entry("field problems", &api.InvalidError{Problems: api.FieldProblems{{Field: "spec.model", Problem: "is missing"}}}, 400, `"field":"spec.model"`),
+		Entry("an outage of the store", api.ErrUnavailable, 503, "store_unavailable"),
+		Entry("any other error", errors.New("x"), 503, `"code":"unknown"`),
+	)
+
+	It("compares and swaps by header or field, and creates without either", func() {
+		s := newSetup()
+		Expect(s.do("PUT", path, "op", `{"spec":{},"version":3}`).Header().Get("ETag")).To(Equal(`"4"`))
+		Expect(s.resources.expected).To(Equal(int64(3)))
+		s.do("PUT", path, "op", `{"spec":{},"version":3}`, "If-Match", `"5"`)
+		Expect(s.resources.expected).To(Equal(int64(5)))
+		s.do("PUT", path, "op", `{"spec":{}}`)
+		Expect(s.resources.expected).To(BeZero())
+	})
+
+	It("refuses bad versions, specs, names and keys", func() {
+		s := newSetup()
+		s.resources.expected = -7
+		Expect(s.do("DELETE", path, "op", "").Code).To(Equal(400))
+		Expect(s.do("PUT", path, "op", `{"spec":{}}`, "If-Match", "*").Code).To(Equal(400))
+		Expect(s.do("PUT", path, "op", `{"spec":{},"version":-1}`).Code).To(Equal(400))
+		Expect(s.do("PUT", path, "op", `{"spec":[]}`).Code).To(Equal(400))
+		Expect(s.do("PUT", "/v1/resources/pool/a%2Fb", "op", `{"spec":{}}`).Code).To(Equal(400))
+		Expect(s.do("PUT", path, "wrong", `{"spec":{}}`).Code).To(Equal(401))
+		Expect(s.do("PUT", path, "", `{"spec":{}}`).Code).To(Equal(401))
+		Expect(s.do("GET", "/v1/resources?watch=true&after=-1", "op", "").Code).To(Equal(400))
+		Expect(s.resources.expected).To(Equal(int64(-7)), "a refused request reached the store")
+	})
+
+	It("ends waiting watches when the node stops", func() {
+		s := newSetup()
+		server := httptest.NewServer(s.server)
+		defer server.Close()
+		request, err := http.NewRequest("GET", server.URL+"/v1/resources/pool?watch=true", nil)
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Authorization", "Bearer op")
+		request.Header.Set("Accept", "text/event-stream")
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		s.stop()
+		body, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(ContainSubstring(`"name":"a","version":9`))
+	})
+})
+
+var _ = Describe("Metrics and health", func() {
+	It("bounds the tenants that have a histogram of their own", func() {
+		s := newSetup()
+		s.service.call = func(api.CallRequest, func(program.Chunk) error) program.Reply {
+			return program.Reply{Outcome: outcome.Outcome{Code: outcome.Completed}}
+		}
+		s.do("POST", "/v1/programs", "key-t0", `{"id":"p","class":"short"}`)
+		for i := range 230 {
+			s.do("POST", calls, "key-t"+strconv.Itoa(i), goodCall)
+		}
+		text := s.do("GET", "/metrics", "", "").Body.String()
+		Expect(strings.Count(text, "dogwoodline_call_seconds_count{")).To(Equal(201))
+		Expect(text).To(ContainSubstring(`dogwoodline_call_seconds_count{tenant="other",class="short"} 30`))
+	})
+
+	It("is not ready while the service says so", func() {
+		s := newSetup()
+		Expect(s.do("GET", "/readyz", "", "").Code).To(Equal(200))
+		s.service.ready = errors.New("no configuration yet")
+		answer := s.do("GET", "/readyz", "", "")
+		Expect(answer.Code).To(Equal(503))
+		Expect(answer.Body.String()).To(ContainSubstring("no configuration yet"))
+	})
+})
+
+// FuzzDecode guards against input that panics a decoder, or that a decoder
+// accepts with a value out of range.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		goodCall, "", "{}", "[]", "null", `{"order":-1}`, `{"order":1e3}`, `{"body":{"a":[1]}}`, `{"id":"a.1","class":"c"}`,
+		`{"request_id":"r","order":2,"kind":"service","service":"s","operation":"o","body":{"x":1},"stream":true}`,
+		`{"spec":{"a":1},"version":2}`, `{"spec":null}`, "{\"id\":\"\xff\"}", `{"ORDER":1,"order":2}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if start, problems := api.DecodeStart(data); len(problems) == 0 {
+			if start.ID == "" || strings.ContainsAny(start.ID, "/ \x00") || start.Budget < 0 || start.DeadlineMS < 0 {
+				t.Fatalf("accepted %+v", start)
+			}
+		}
+		if body, problems := api.DecodeCall(data); len(problems) == 0 {
+			if body.Order < 1 || body.Offset < 0 || body.MaxTokens < 0 || strings.Contains(body.RequestID, "/") {
+				t.Fatalf("accepted %+v", body)
+			}
+		}
+		if resource, problems := api.DecodeResource(data); len(problems) == 0 {
+			if resource.Version < 0 || !json.Valid(resource.Spec) {
+				t.Fatalf("accepted %+v", resource)
+			}
+		}
+	})
+}
