--- a/journal/seal.go
+++ b/journal/seal.go
@@ -63,8 +63,9 @@
 
 // Replay returns the records of the wanted shards, sorted by program and
 // sequence number, without copies. It is meaningful on a sealed journal, on the
-// own one, and for a shard that the owner has handed off. A journal without a
-// head has no records.
+// own one, and for a shard that the owner has handed off. It returns
+// platform.ErrNotFound if the journal has no head, because a journal that is
+// still named as a source is never deleted: an empty result would hide a loss.
 func Replay(ctx context.Context, store platform.Store, incarnation string, want func(shard int) bool) ([]Record, error) {
 	for range readAttempts {
 		records, err := read(ctx, store, incarnation)
@@ -122,9 +123,6 @@
 // read returns all records in journal order.
 func read(ctx context.Context, store platform.Store, incarnation string) ([]Record, error) {
 	h, version, err := readHead(ctx, store, incarnation)
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil, nil
-	}
 	if err != nil {
 		return nil, err
 	}
--- a/membership/membership.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package membership tells which nodes live and which address a caller uses.
-package membership
--- a/placement/placement.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package placement decides which journal owns which shard, and what a
-// takeover or a handoff changes.
-package placement
--- /dev/null
+++ b/placement/plan.go
@@ -0,0 +1,210 @@
+package placement
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Move is a planned handoff.
+type Move struct {
+	Shard    int
+	From, To string
+}
+
+// Assign gives each shard without an owner to one of the eligible
+// incarnations and reports whether it changed the map.
+func (m *Map) Assign(eligible []string) bool {
+	return m.reassign(eligible, "", nil)
+}
+
+// Takeover gives the shards of a dead owner to the eligible incarnations, adds
+// its journal to their sources and lists it as sealed. It reports whether it
+// changed the map. A second taker finds nothing left to change.
+func (m *Map) Takeover(dead string, eligible []string) bool {
+	if len(eligible) == 0 {
+		return false
+	}
+	changed := m.reassign(eligible, dead, []string{dead})
+	if slices.Contains(m.Sealed, dead) {
+		return changed
+	}
+	m.Sealed = append(m.Sealed, dead)
+	return true
+}
+
+func (m *Map) reassign(eligible []string, from string, sources []string) bool {
+	if len(eligible) == 0 {
+		return false
+	}
+	p := newPlacer(*m, eligible)
+	changed := false
+	for shard, e := range m.Shards {
+		if e.Owner != from {
+			continue
+		}
+		// An owner that died while adopting leaves its sources, so that the
+		// next owner replays all of them.
+		e.Sources = union(e.Sources, sources)
+		e.Owner = p.place(shard)
+		m.Shards[shard] = e
+		changed = true
+	}
+	return changed
+}
+
+// Handoff gives a serving shard to another owner, with the journal of the old
+// owner as source. It reports whether it changed the map.
+func (m *Map) Handoff(move Move) bool {
+	e := m.Shards[move.Shard]
+	if e.Owner != move.From || len(e.Sources) > 0 || move.To == move.From {
+		return false
+	}
+	m.Shards[move.Shard] = Entry{Owner: move.To, Sources: []string{move.From}}
+	return true
+}
+
+// RemoveSources ends the adoption of a shard by its owner. It changes nothing,
+// and returns false, if the shard has another owner or other sources.
+func (m *Map) RemoveSources(shard int, owner string, adopted []string) bool {
+	e := m.Shards[shard]
+	if e.Owner != owner || len(e.Sources) == 0 || !slices.Equal(e.Sources, adopted) {
+		return false
+	}
+	m.Shards[shard].Sources = nil
+	return true
+}
+
+// Unused returns the sealed journals that no shard names. They can be deleted:
+// a sealed journal owns nothing, so no shard will name it again.
+func (m *Map) Unused() []string {
+	var unused []string
+	for _, journal := range m.Sealed {
+		if !m.Names(journal) {
+			unused = append(unused, journal)
+		}
+	}
+	return unused
+}
+
+// Forget removes deleted journals from the list of sealed ones.
+func (m *Map) Forget(deleted []string) bool {
+	before := len(m.Sealed)
+	m.Sealed = slices.DeleteFunc(m.Sealed, func(j string) bool { return slices.Contains(deleted, j) })
+	return len(m.Sealed) < before
+}
+
+// Rebalance returns the handoffs that leave every shard with an eligible owner
+// and the owners' shares different by at most one. It moves no more than that
+// needs. Shards that are being adopted stay.
+func (m *Map) Rebalance(eligible []string) []Move {
+	if len(eligible) == 0 {
+		return nil
+	}
+	p := newPlacer(*m, eligible)
+	var moves []Move
+	owned := map[string][]int{} // serving shards
+	for shard, e := range m.Shards {
+		if _, ok := p.counts[e.Owner]; ok {
+			if len(e.Sources) == 0 {
+				owned[e.Owner] = append(owned[e.Owner], shard)
+			}
+		} else if len(e.Sources) == 0 {
+			moves = append(moves, Move{Shard: shard, From: e.Owner, To: p.place(shard)})
+		}
+	}
+	for {
+		from, to := p.extremes(func(name string) bool { return len(owned[name]) > 0 })
+		if from == "" || p.counts[from]-p.counts[to] <= 1 {
+			return moves
+		}
+		i := closest(owned[from], to)
+		moves = append(moves, Move{Shard: owned[from][i], From: from, To: to})
+		owned[from] = slices.Delete(owned[from], i, i+1)
+		p.counts[from]--
+		p.counts[to]++
+	}
+}
+
+// placer chooses owners by rendezvous hashing among those below the limit.
+type placer struct {
+	eligible []string
+	counts   map[string]int
+	limit    int
+}
+
+func newPlacer(m Map, eligible []string) *placer {
+	p := &placer{eligible: slices.Sorted(slices.Values(eligible)), counts: map[string]int{}}
+	p.limit = (len(m.Shards) + len(eligible) - 1) / len(eligible)
+	for _, name := range eligible {
+		p.counts[name] = 0
+	}
+	for _, e := range m.Shards {
+		if _, ok := p.counts[e.Owner]; ok {
+			p.counts[e.Owner]++
+		}
+	}
+	return p
+}
+
+// place returns the owner with the highest weight for the shard among those
+// that own fewer than the rounded-up average, and counts the shard for it.
+func (p *placer) place(shard int) string {
+	best, bestWeight := "", uint64(0)
+	for _, name := range p.eligible {
+		if p.counts[name] >= p.limit {
+			continue
+		}
+		if w := weight(shard, name); best == "" || w > bestWeight {
+			best, bestWeight = name, w
+		}
+	}
+	if best == "" {
+		// All are at the limit or above it, because a node has just joined or
+		// left; Rebalance evens that out.
+		best = slices.MinFunc(p.eligible, func(a, b string) int { return cmp.Compare(p.counts[a], p.counts[b]) })
+	}
+	p.counts[best]++
+	return best
+}
+
+// extremes returns the owner of the most shards among those that can give one
+// away, and the owner of the fewest. Equal counts are ordered by name.
+func (p *placer) extremes(canGive func(string) bool) (most, fewest string) {
+	for _, name := range p.eligible {
+		if canGive(name) && (most == "" || p.counts[name] > p.counts[most]) {
+			most = name
+		}
+		if fewest == "" || p.counts[name] < p.counts[fewest] {
+			fewest = name
+		}
+	}
+	return most, fewest
+}
+
+// closest returns the index of the shard that has the highest weight for the
+// owner.
+func closest(shards []int, owner string) int {
+	best, bestWeight := 0, uint64(0)
+	for i, shard := range shards {
+		if w := weight(shard, owner); w > bestWeight {
+			best, bestWeight = i, w
+		}
+	}
+	return best
+}
+
+// weight is the rendezvous weight of an owner for a shard.
+func weight(shard int, owner string) uint64 {
+	var buffer [64]byte
+	key := binary.BigEndian.AppendUint64(buffer[:0], uint64(shard))
+	return xxhash.Sum64(append(key, owner...))
+}
+
+func union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- /dev/null
+++ b/placement/steps.go
@@ -0,0 +1,305 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"dogwoodline.example/journal"
+	"dogwoodline.example/membership"
+	"dogwoodline.example/platform"
+)
+
+// reconcile brings the states in line with the map: it gives up lost shards
+// and serves new ones that have nothing to adopt.
+func (d *Duty) reconcile(ctx context.Context) error {
+	for shard, e := range d.current.Shards {
+		var err error
+		switch {
+		case e.Owner != d.self && d.states[shard] != elsewhere:
+			d.states[shard] = elsewhere
+			err = d.send(ctx, Released{Shard: shard, NewOwner: e.Owner})
+		case e.Owner == d.self && len(e.Sources) == 0 && d.states[shard] <= adopted:
+			d.states[shard] = serving
+			err = d.send(ctx, Serve{Shard: shard})
+		case e.Owner == d.self && d.states[shard] == adopted && !slices.Equal(e.Sources, d.adopting[shard]):
+			d.states[shard] = elsewhere // adopt again, with the new sources
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// adopt replays the sources of new shards into the own journal and hands the
+// records to the owner of the programs. Each source is read once for all
+// shards.
+func (d *Duty) adopt(ctx context.Context) error {
+	replayed := map[string]map[int][]journal.Record{}
+	var marked []journal.Record
+	var orders []Adopt
+	for shard, e := range d.current.Shards {
+		if e.Owner != d.self || len(e.Sources) == 0 || d.states[shard] != elsewhere {
+			continue
+		}
+		var lists [][]journal.Record
+		for _, source := range e.Sources {
+			if err := d.replay(ctx, replayed, source); err != nil {
+				return err
+			}
+			lists = append(lists, replayed[source][shard])
+		}
+		records := journal.Merge(lists...)
+		generation := uint64(d.version) //nolint:gosec // versions are positive
+		own := slices.Contains(e.Sources, d.self)
+		marked = append(marked, journal.AdoptionBegin(shard, generation, own))
+		marked = append(marked, records...)
+		marked = append(marked, journal.AdoptionEnd(shard, generation))
+		orders = append(orders, Adopt{Shard: shard, Records: records})
+	}
+	if err := d.in.Appender.Append(ctx, marked); err != nil {
+		return err
+	}
+	for _, order := range orders {
+		d.states[order.Shard] = adopting
+		d.adopting[order.Shard] = d.current.Shards[order.Shard].Sources
+		if err := d.send(ctx, order); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replay reads a source for all shards that this node adopts from it.
+func (d *Duty) replay(ctx context.Context, replayed map[string]map[int][]journal.Record, source string) error {
+	if replayed[source] != nil {
+		return nil
+	}
+	records, err := journal.Replay(ctx, d.store, source, func(shard int) bool {
+		return shard < len(d.current.Shards) && d.current.Shards[shard].Owner == d.self
+	})
+	if err != nil {
+		return err
+	}
+	replayed[source] = map[int][]journal.Record{}
+	for _, r := range records {
+		replayed[source][r.Shard] = append(replayed[source][r.Shard], r)
+	}
+	return nil
+}
+
+// finishAdoption removes the sources of adopted shards from the map. The
+// shards serve only after that.
+func (d *Duty) finishAdoption(ctx context.Context) error {
+	if !slices.Contains(d.states, adopted) {
+		return nil
+	}
+	err := d.swap(ctx, func(m *Map) bool {
+		changed := false
+		for shard, s := range d.states {
+			if s == adopted && m.RemoveSources(shard, d.self, d.adopting[shard]) {
+				changed = true
+			}
+		}
+		return changed
+	})
+	if err != nil {
+		return err
+	}
+	return d.reconcile(ctx)
+}
+
+// handOff swaps the owner of idle shards. The mark is durable first, and with
+// it every record of the shard.
+func (d *Duty) handOff(ctx context.Context) error {
+	if !slices.Contains(d.states, idle) {
+		return nil
+	}
+	var marks []journal.Record
+	targets := d.ownMoves()
+	for shard, s := range d.states {
+		_, planned := targets[shard]
+		switch {
+		case s != idle:
+		case planned:
+			marks = append(marks, journal.Handoff(shard))
+		default: // no longer needed
+			d.states[shard] = serving
+			if err := d.send(ctx, Serve{Shard: shard}); err != nil {
+				return err
+			}
+		}
+	}
+	if err := d.in.Appender.Append(ctx, marks); err != nil {
+		return err
+	}
+	err := d.swap(ctx, func(m *Map) bool {
+		changed := false
+		for _, mark := range marks {
+			changed = m.Handoff(targets[mark.Shard]) || changed
+		}
+		return changed
+	})
+	if err != nil {
+		return err
+	}
+	return d.reconcile(ctx)
+}
+
+// release asks for the shards that balance or the drain gives away.
+func (d *Duty) release(ctx context.Context) error {
+	free := d.settings.MaxReleases
+	for _, s := range d.states {
+		if s == releasing || s == idle {
+			free--
+		}
+	}
+	for shard, move := range d.ownMoves() {
+		if free <= 0 {
+			return nil
+		}
+		if d.states[shard] != serving {
+			continue
+		}
+		free--
+		d.states[shard] = releasing
+		if err := d.send(ctx, Release{Shard: shard, NewOwner: move.To}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ownMoves returns the planned handoffs of this node's shards. While an owner
+// is lapsed, only a drain moves shards, because the takeover changes the
+// balance.
+func (d *Duty) ownMoves() map[int]Move {
+	moves := map[int]Move{}
+	if !d.draining && d.hasLapsedOwner() {
+		return moves
+	}
+	for _, move := range d.current.Rebalance(d.eligible()) {
+		if move.From == d.self {
+			moves[move.Shard] = move
+		}
+	}
+	return moves
+}
+
+func (d *Duty) hasLapsedOwner() bool {
+	live := map[string]bool{}
+	for _, m := range d.in.View().Members {
+		live[m.Incarnation] = true
+	}
+	return slices.ContainsFunc(d.current.Shards, func(e Entry) bool { return !live[e.Owner] })
+}
+
+func (d *Duty) rankDelay() time.Duration {
+	return time.Duration(d.in.View().Rank(d.self)) * d.settings.RankDelay
+}
+
+func (d *Duty) noteDeath(m membership.Member) {
+	if _, known := d.deaths[m.Incarnation]; !known && m.Incarnation != d.self {
+		d.deaths[m.Incarnation] = &death{member: m, due: d.clock.Now().Add(d.rankDelay())}
+	}
+}
+
+// takeOver seals the journals of dead members and gives their shards away, as
+// soon as this node's turn has come.
+func (d *Duty) takeOver(ctx context.Context) error {
+	now := d.clock.Now()
+	view := d.in.View()
+	for name, dead := range d.deaths {
+		if _, back := view.Incarnation(name); back {
+			delete(d.deaths, name)
+			continue
+		}
+		if view.StoreDown || now.Before(view.SuspectAfter) {
+			// The store was down meanwhile. The member gets the time to renew.
+			if d.in.Suspects.TryPush(membership.Lapsed{Member: dead.member}) == nil {
+				delete(d.deaths, name)
+			}
+			continue
+		}
+		if now.Before(dead.due) || len(d.eligible()) == 0 {
+			continue
+		}
+		if err := d.takeOverFrom(ctx, name); err != nil {
+			return err
+		}
+		delete(d.deaths, name)
+	}
+	return d.reconcile(ctx)
+}
+
+func (d *Duty) takeOverFrom(ctx context.Context, name string) error {
+	needed, err := d.needsTakeover(ctx, name)
+	if err != nil || !needed {
+		return err
+	}
+	if err := journal.Seal(ctx, d.store, name); err != nil {
+		return err
+	}
+	d.log.Info("placement: taking over", "incarnation", name, "shards", d.current.Owned(name))
+	return d.swap(ctx, func(m *Map) bool { return m.Takeover(name, d.eligible()) })
+}
+
+// needsTakeover tells whether the dead incarnation owns shards or has left a
+// journal that must be listed for deletion.
+func (d *Duty) needsTakeover(ctx context.Context, name string) (bool, error) {
+	if d.current.Owned(name) > 0 {
+		return true, nil
+	}
+	if slices.Contains(d.current.Sealed, name) {
+		return false, nil
+	}
+	_, err := d.store.Get(ctx, journal.HeadKey(name))
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// clean deletes the sealed journals that no shard names. The member of the
+// lowest rank does it.
+func (d *Duty) clean(ctx context.Context) error {
+	unused := d.current.Unused()
+	if len(unused) == 0 || d.in.View().Rank(d.self) != 0 {
+		return nil
+	}
+	for _, name := range unused {
+		if err := journal.Delete(ctx, d.store, name); err != nil {
+			return err
+		}
+	}
+	return d.swap(ctx, func(m *Map) bool { return m.Forget(unused) })
+}
+
+// suspectOwners tells the detector about owners that are not members, for
+// instance those that died while no node was running.
+func (d *Duty) suspectOwners() {
+	view := d.in.View()
+	for _, e := range d.current.Shards {
+		_, live := view.Incarnation(e.Owner)
+		switch {
+		case live:
+			delete(d.reported, e.Owner)
+		case e.Owner == "" || e.Owner == d.self || d.reported[e.Owner]:
+		case view.StoreDown:
+		default:
+			lapsed := membership.Lapsed{Member: membership.Member{Incarnation: e.Owner}}
+			d.reported[e.Owner] = d.in.Suspects.TryPush(lapsed) == nil
+		}
+	}
+}
+
+func (d *Duty) reportDrained(ctx context.Context) error {
+	left := d.current.Owned(d.self)
+	if !d.draining || left == d.drained || left > 0 && len(d.eligible()) > 0 {
+		return nil
+	}
+	d.drained = left
+	return d.send(ctx, Drained{Left: left})
+}
