--- a/api/decode.go
+++ b/api/decode.go
@@ -14,8 +14,8 @@
 const (
 	// MaxIDBytes bounds program and request ids.
 	MaxIDBytes = 128
-	// MaxNameBytes bounds names of classes, services and operations.
-	MaxNameBytes = 64
+	// MaxNameBytes bounds names of classes, services, operations and resources.
+	MaxNameBytes = 128
 	// MaxTokens bounds max_tokens of a call.
 	MaxTokens = 1 << 20
 )
--- a/cmd/dogwoodline/emulate.go
+++ b/cmd/dogwoodline/emulate.go
@@ -1,10 +1,17 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/pelletier/go-toml/v2"
+	"github.com/zeebo/errs"
+
+	"dogwoodline.example/platform"
 	"dogwoodline.example/settings"
 )
 
@@ -16,67 +23,90 @@
 
 type emulatePlatform struct {
 	Listen string `default:"127.0.0.1:7001" help:"IP number and port to listen on."`
-	Hosts  string `placeholder:"FILE" help:"TOML file with the host list."`
+	Admin  string `default:"127.0.0.1:7002" help:"IP number and port of the fault switches."`
+	Hosts  string `placeholder:"FILE" help:"TOML file with [[hosts]] tables of name, address, zone and state."`
 }
 
 type emulateEngine struct {
-	Listen string `default:"127.0.0.1:7301" help:"IP number and port to listen on."`
-	Name   string `default:"engine-1" help:"Name of the backend server."`
-	Slots  int    `default:"8" help:"Calls that run at the same time."`
-	Model  string `default:"model-a" help:"Model that is loaded."`
+	Listen      string `default:"127.0.0.1:7301" help:"IP number and port to listen on."`
+	Name        string `default:"engine-1" help:"Name of the backend server."`
+	Slots       int    `default:"16" help:"Calls that run at the same time."`
+	Model       string `help:"Model that is loaded. Any model when missing."`
+	ObeyFencing bool   `help:"Refuse orders that carry an old fencing number."`
 }
 
 type emulateService struct {
 	Listen string `default:"127.0.0.1:7401" help:"IP number and port to listen on."`
 	Name   string `default:"ledger" help:"Name of the service."`
+	Lookup bool   `help:"Answer what became of a request id."`
 }
 
-// standIn is what these commands need from a stand-in.
-type standIn interface {
-	// Serve answers at the address until ctx ends.
-	Serve(ctx context.Context, listen string) error
-}
-
-func newPlatformStandIn(emulatePlatform) (standIn, error) {
-	// TODO(lead): return platformserver.New(hosts, log).
-	return nil, errNotBuilt
+// startPlatform serves until ctx ends.
+func startPlatform(context.Context, emulatePlatform, []platform.Host) error {
+	// TODO(lead): call platformserver.New(settings), SetHosts(hosts) and Listen(ctx, listen, admin).
+	return errNotBuilt
 }
 
-func newEngineStandIn(emulateEngine) (standIn, error) {
-	// TODO(lead): return engine.New(name, model, slots, log).
-	return nil, errNotBuilt
+// startEngine serves until ctx ends.
+func startEngine(context.Context, emulateEngine) error {
+	// TODO(lead): call engine.Start(ctx, config) with engine.Default() and the flags.
+	return errNotBuilt
 }
 
-func newServiceStandIn(emulateService) (standIn, error) {
-	// TODO(lead): return service.New(name, log).
-	return nil, errNotBuilt
+// startService serves until ctx ends.
+func startService(context.Context, emulateService) error {
+	// TODO(lead): call service.Start(ctx, config) with the flags.
+	return errNotBuilt
 }
 
 // Run runs the platform stand-in.
 func (e emulatePlatform) Run(c *console) error {
-	server, err := newPlatformStandIn(e)
-	return serveStandIn(c, "platform", e.Listen, server, err)
+	hosts, err := readHosts(e.Hosts)
+	if err != nil {
+		return errs.Combine(errUsage, err)
+	}
+	start := func(ctx context.Context) error { return startPlatform(ctx, e, hosts) }
+	return serveStandIn(c, "platform", e.Listen, start)
 }
 
 // Run runs the engine stand-in.
 func (e emulateEngine) Run(c *console) error {
-	server, err := newEngineStandIn(e)
-	return serveStandIn(c, "engine "+e.Name, e.Listen, server, err)
+	start := func(ctx context.Context) error { return startEngine(ctx, e) }
+	return serveStandIn(c, e.Name, e.Listen, start)
 }
 
 // Run runs the service stand-in.
 func (e emulateService) Run(c *console) error {
-	server, err := newServiceStandIn(e)
-	return serveStandIn(c, "service "+e.Name, e.Listen, server, err)
+	start := func(ctx context.Context) error { return startService(ctx, e) }
+	return serveStandIn(c, e.Name, e.Listen, start)
 }
 
-func serveStandIn(c *console, name, listen string, server standIn, err error) error {
-	if err != nil {
-		return err
-	}
+// serveStandIn starts a stand-in and waits for a signal.
+func serveStandIn(c *console, name, listen string, start func(context.Context) error) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if err := start(ctx); err != nil {
+		return err
+	}
 	log := newLog(c.errOut, settings.Default().Log)
-	log.Info("emulator: listening", "stand_in", name, "address", listen)
-	return server.Serve(ctx, listen)
+	log.Info("emulator: listening", "name", name, "address", listen)
+	<-ctx.Done()
+	return nil
+}
+
+func readHosts(path string) ([]platform.Host, error) {
+	var file struct {
+		Hosts []platform.Host `toml:"hosts"`
+	}
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&file); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return file.Hosts, nil
 }
--- /dev/null
+++ b/scripts/local.sh
@@ -0,0 +1,130 @@
+#!/usr/bin/env bash
+# Runs an example deployment on loopback as separate processes: the platform
+# stand-in, four engines, a service and three nodes.
+#
+#   scripts/local.sh start [satamavirta|ortaktirnak]
+#   scripts/local.sh status
+#   scripts/local.sh stop
+#
+# The ids of the processes and their start times are kept in run/, so that
+# stop ends exactly these processes, also when an id was given to another
+# process since.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+node_stop_s=130   # the longest drain_timeout_ms of the examples, and a margin
+stand_in_stop_s=5
+
+# Prints the start time of a process in clock ticks since boot, or nothing.
+start_time() {
+  sed 's/^.*) //' "/proc/$1/stat" 2>/dev/null | cut -d' ' -f20 || true
+}
+
+# Starts a process: launch NAME ARGUMENT...
+launch() {
+  local name=$1
+  shift
+  bin/dogwoodline "$@" >"run/$name.log" 2>&1 </dev/null &
+  echo "$! $(start_time $!)" >"run/$name.id"
+  echo "$name: process $!"
+}
+
+# Prints the id of a process that launch started and that still runs.
+running() {
+  local id started
+  read -r id started <"run/$1.id" || return 1
+  [ -n "$started" ] && [ "$(start_time "$id")" = "$started" ] || return 1
+  # A zombie has ended and waits to be collected by its parent.
+  [ "$(sed 's/^.*) //' "/proc/$id/stat" | cut -c1)" != Z ] || return 1
+  echo "$id"
+}
+
+# Sends a signal to the named processes and waits for them: end SECONDS NAME...
+end() {
+  local seconds=$1 name id
+  shift
+  for name in "$@"; do
+    if id=$(running "$name"); then kill -TERM "$id" 2>/dev/null || true; fi
+  done
+  for name in "$@"; do
+    for _ in $(seq $((seconds * 10))); do
+      running "$name" >/dev/null || break
+      sleep 0.1
+    done
+    if id=$(running "$name"); then
+      echo "$name did not stop in $seconds s, killed" >&2
+      kill -KILL "$id" 2>/dev/null || true
+    fi
+    rm -f "run/$name.id"
+  done
+}
+
+# Lists the names of started processes: names PATTERN
+names() {
+  local file
+  for file in run/$1.id; do
+    [ ! -e "$file" ] || basename "$file" .id
+  done
+}
+
+stop() {
+  # Nodes first: they hand over their programs while the platform still runs.
+  # shellcheck disable=SC2046
+  end "$node_stop_s" $(names 'node-*')
+  # shellcheck disable=SC2046
+  end "$stand_in_stop_s" $(names '*')
+}
+
+start() {
+  local example=examples/$1 node port=7301
+  [ -d "$example" ] || { echo "no example $1" >&2; exit 2; }
+  mkdir -p run bin
+  [ -z "$(names '*')" ] || { echo "already started, see scripts/local.sh status" >&2; exit 1; }
+  go build -o bin/dogwoodline ./cmd/dogwoodline
+  trap 'stop' ERR
+  launch platform emulate platform --listen 127.0.0.1:7001 --admin 127.0.0.1:7002 --hosts "$example/hosts.toml"
+  for engine in engine-1 engine-2 engine-3 engine-4; do
+    launch "$engine" emulate engine --name "$engine" --listen "127.0.0.1:$port"
+    port=$((port + 1))
+  done
+  launch service emulate service --listen 127.0.0.1:7401 --lookup
+  for node in node-a1 node-b1 node-c1; do
+    launch "$node" node --settings "$example/$node.toml"
+  done
+  export DOGWOODLINE_NODES=http://127.0.0.1:7101,http://127.0.0.1:7102,http://127.0.0.1:7103
+  export DOGWOODLINE_OPERATOR_KEY=$1-operator-example
+  apply "$example/resources.toml"
+  trap - ERR
+  echo "ready; use: export DOGWOODLINE_NODES=$DOGWOODLINE_NODES DOGWOODLINE_OPERATOR_KEY=$DOGWOODLINE_OPERATOR_KEY"
+}
+
+# Writes the resources once a node answers.
+apply() {
+  local code
+  for _ in $(seq 100); do
+    code=0
+    bin/dogwoodline apply -f "$1" >run/apply.log 2>&1 || code=$?
+    [ "$code" = 5 ] || break # 5 means that no node answers yet
+    running node-a1 >/dev/null || break
+    sleep 0.1
+  done
+  cat run/apply.log
+  return "$code"
+}
+
+status() {
+  local name id
+  for name in $(names '*'); do
+    if id=$(running "$name"); then echo "$name: process $id"; else echo "$name: ended"; fi
+  done
+}
+
+case ${1:-} in
+start) start "${2:-satamavirta}" ;;
+stop) stop ;;
+status) status ;;
+*)
+  sed -n '2,12s/^# \{0,1\}//p' "$0"
+  exit 2
+  ;;
+esac
