Bound all ids and names of the HTTP interface alike

Cause: the linter refused a parameter that always had the same value, since names of resources may have 128 bytes like ids. Change: one limit, MaxIDBytes. Conclusion: vet, linter and tests of api pass.

--- a/api/decode.go
+++ b/api/decode.go
@@ -12,10 +12,8 @@
 )
 
 const (
-	// MaxIDBytes bounds program and request ids.
+	// MaxIDBytes bounds ids of programs and requests, and names of resources.
 	MaxIDBytes = 128
-	// MaxNameBytes bounds names of classes, services, operations and resources.
-	MaxNameBytes = 128
 	// MaxTokens bounds max_tokens of a call.
 	MaxTokens = 1 << 20
 )
@@ -48,8 +46,8 @@
 	}
 }
 
-func (p *FieldProblems) id(field, value string, limit int) {
-	if problem := badID(value, limit); problem != "" {
+func (p *FieldProblems) id(field, value string) {
+	if problem := badID(value); problem != "" {
 		p.add(field, "%s", problem)
 	}
 }
@@ -57,12 +55,12 @@
 // badID returns what is wrong with an id. Ids consist of parts of letters,
 // digits, "_" and "-" with dots between them, so that they are safe in paths,
 // keys of the platform store and metric labels.
-func badID(id string, limit int) string {
+func badID(id string) string {
 	if id == "" {
 		return "is missing"
 	}
-	if len(id) > limit {
-		return fmt.Sprintf("is longer than %d bytes", limit)
+	if len(id) > MaxIDBytes {
+		return fmt.Sprintf("is longer than %d bytes", MaxIDBytes)
 	}
 	for part := range strings.SplitSeq(id, ".") {
 		if part == "" {
@@ -99,8 +97,8 @@
 	if problems != nil {
 		return StartRequest{}, problems
 	}
-	problems.id("id", request.ID, MaxIDBytes)
-	problems.id("class", request.Class, MaxNameBytes)
+	problems.id("id", request.ID)
+	problems.id("class", request.Class)
 	problems.between("budget", int64(request.Budget), 0, 1<<53)
 	problems.between("deadline_ms", request.DeadlineMS, 0, MaxDeadline.Milliseconds())
 	return request, problems
@@ -113,7 +111,7 @@
 	if problems != nil {
 		return CallBody{}, problems
 	}
-	problems.id("request_id", body.RequestID, MaxIDBytes)
+	problems.id("request_id", body.RequestID)
 	problems.between("order", int64(body.Order), 1, 1<<20)
 	problems.between("max_tokens", int64(body.MaxTokens), 0, MaxTokens)
 	problems.between("deadline_ms", body.DeadlineMS, 0, MaxDeadline.Milliseconds())
@@ -155,8 +153,8 @@
 }
 
 func (p *FieldProblems) checkService(body CallBody) {
-	p.id("service", body.Service, MaxNameBytes)
-	p.id("operation", body.Operation, MaxNameBytes)
+	p.id("service", body.Service)
+	p.id("operation", body.Operation)
 	if len(body.Messages) > 0 {
 		p.add("messages", "is for model calls only")
 	}
--- a/api/operator.go
+++ b/api/operator.go
@@ -121,7 +121,7 @@
 	kind := chi.URLParam(r, "kind")
 	var problems FieldProblems
 	if kind != "" {
-		problems.id("kind", kind, MaxNameBytes)
+		problems.id("kind", kind)
 	}
 	after := queryNumber(r, "after", 0, &problems)
 	wait := time.Duration(queryNumber(r, "wait_ms", defaultWatchWait.Milliseconds(), &problems)) * time.Millisecond
@@ -199,8 +199,8 @@
 func resourceName(w http.ResponseWriter, r *http.Request) (kind, name string, ok bool) {
 	kind, name = chi.URLParam(r, "kind"), chi.URLParam(r, "name")
 	var problems FieldProblems
-	problems.id("kind", kind, MaxNameBytes)
-	problems.id("name", name, MaxNameBytes)
+	problems.id("kind", kind)
+	problems.id("name", name)
 	if len(problems) > 0 {
 		writeResourceError(w, &InvalidError{Problems: problems})
 		return "", "", false
--- a/api/programs.go
+++ b/api/programs.go
@@ -17,7 +17,7 @@
 
 func (s *Server) address(w http.ResponseWriter, r *http.Request) {
 	id := r.URL.Query().Get("program")
-	if problem := badID(id, MaxIDBytes); problem != "" {
+	if problem := badID(id); problem != "" {
 		s.refuse(w, outcome.Malformed, "program: "+problem)
 		return
 	}
@@ -94,7 +94,7 @@
 
 func (s *Server) programID(w http.ResponseWriter, r *http.Request) (string, bool) {
 	id := chi.URLParam(r, "id")
-	if problem := badID(id, MaxIDBytes); problem != "" {
+	if problem := badID(id); problem != "" {
 		s.refuse(w, outcome.Malformed, "program: "+problem)
 		return "", false
 	}
