Join nodes: leases, shard map, forwarding and handoff

Cause: a node served alone; a program must be reachable through every node and move between them.

Ruled out: the caller's request id as the id towards engines. The program's id is part of it now.

Conclusion: a program is served through any of several nodes.

--- a/node/compose.go
+++ b/node/compose.go
@@ -89,7 +89,7 @@
 			Alone: d.Alone, Idempotent: d.Call.Idempotent,
 		},
 		job: dispatch.Job{
-			ID: schedule.CallID(d.ID), Program: d.Call.Program, RequestID: d.Call.RequestID, Attempt: d.Attempt,
+			ID: schedule.CallID(d.ID), Program: d.Call.Program, RequestID: outsideID(d.Call), Attempt: d.Attempt,
 			Priority: priority, Deadline: d.Call.Deadline, Idempotent: d.Call.Idempotent, WorstCost: int64(d.Call.Worst),
 		},
 	}
@@ -99,6 +99,13 @@
 	return o
 }
 
+// outsideID returns the id of a request towards engines and services, which
+// know nothing of programs. Callers choose request ids per program, so the
+// program's id makes them unique.
+func outsideID(call *program.Call) string {
+	return call.Program + ":" + call.RequestID
+}
+
 // backendsOf returns the backend servers and service addresses that the
 // resources declare, for the scheduler.
 func backendsOf(set *resource.Set, leaving func(address string) bool) []schedule.Backend {
--- a/node/effects.go
+++ b/node/effects.go
@@ -24,14 +24,11 @@
 	for _, reply := range p.out.Replies {
 		p.reply(reply)
 	}
-	for _, id := range p.out.Released {
-		p.notify(notice{released: id})
-	}
 	if len(p.out.Crashes) > 0 {
-		p.notify(notice{crashes: append([]program.Crash(nil), p.out.Crashes...)})
+		p.notify(ctx, notice{kind: crashesCounted, crashes: append([]program.Crash(nil), p.out.Crashes...)})
 	}
 	for _, number := range p.out.Idle {
-		p.notify(notice{idle: number + 1})
+		p.notify(ctx, notice{kind: shardIdle, shard: number})
 	}
 	p.out.Reset()
 }
@@ -106,11 +103,8 @@
 	_ = to.answers.TryPush(answer{reply: &r.Reply})
 }
 
-// notify tells the duties around what happened. A notice that finds its ring
-// full is repeated by the periodic checks of the table, except crash counts,
-// which other nodes then learn by themselves.
-func (p *programs) notify(n notice) {
-	if err := p.notices.TryPush(n); err != nil {
-		p.log.Warn("programs: notice dropped, ring is full")
-	}
+// notify tells the shard duty what happened. Its ring has room for several
+// notices of each shard, and the duty waits for nothing.
+func (p *programs) notify(ctx context.Context, n notice) {
+	_ = p.notices.Push(ctx, n)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -1,25 +1,33 @@
 // Package node assembles the duties of one node: it makes the rings that join
 // them, starts them, and stops them in order.
+//
+// A Node lives as long as its process. What it owns belongs to an incarnation
+// of it, which ends when another node has taken its journal over; the node
+// then goes on with a new and empty incarnation, while requests of callers are
+// served through whichever incarnation owns their program.
 package node
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"errors"
 	"log/slog"
+	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
+	"google.golang.org/grpc/credentials"
 
 	"dogwoodline.example/api"
-	"dogwoodline.example/dispatch"
-	"dogwoodline.example/duty"
 	"dogwoodline.example/journal"
+	"dogwoodline.example/membership"
+	"dogwoodline.example/placement"
 	"dogwoodline.example/platform"
-	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
-	"dogwoodline.example/ring"
 	"dogwoodline.example/rpc"
 	"dogwoodline.example/schedule"
 )
@@ -27,10 +35,34 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("node")
 
+var (
+	// ErrDraining reports that the node hands its programs over and takes no
+	// new ones.
+	ErrDraining = Error.New("draining")
+	// ErrStoreSilent reports that the platform store does not answer.
+	ErrStoreSilent = Error.New("the platform store does not answer")
+	// ErrNoView reports that the node does not know the shard map yet.
+	ErrNoView = Error.New("the shard map is not known yet")
+	// ErrLeftOver reports that shards could not be handed over, because no
+	// other node can take them.
+	ErrLeftOver = Error.New("no other node takes the remaining shards")
+)
+
 // Settings of a node. Zero values take the defaults.
 type Settings struct {
-	// Incarnation names this run of the node; no two runs share one.
-	Incarnation string
+	// ID names the node; it is the same over restarts.
+	ID string
+	// Zone is the node's availability zone.
+	Zone string
+	// HTTP is the base URL that callers use.
+	HTTP string
+	// GRPC is the address that other nodes use.
+	GRPC string
+	// LeaseTTL is how long the node counts as live without a renewal. Default
+	// 3 s.
+	LeaseTTL time.Duration
+	// AddressKeep is how long callers may keep an address. Default 2 s.
+	AddressKeep time.Duration
 	// Shards is the number of shards of the whole system. Default 1,024.
 	Shards int
 	// CallWorkers is the number of calls in progress at once. Default 256.
@@ -38,6 +70,12 @@
 	// CommandSlots is the number of requests that wait for the programs duty.
 	// Default 4,096.
 	CommandSlots int
+	// ReportInterval is the time between two polls of a backend server's load
+	// report. Default 500 ms.
+	ReportInterval time.Duration
+	// SweepInterval is the time between two looks at the memory that a
+	// backend server holds for programs. Default 3 s.
+	SweepInterval time.Duration
 	// Policy names the scheduling policy; empty means the default.
 	Policy string
 	// Schedule tunes the policy.
@@ -47,25 +85,39 @@
 }
 
 func (s Settings) withDefaults() Settings {
+	s.LeaseTTL = orDefault(s.LeaseTTL, membership.DefaultTTL)
+	s.AddressKeep = orDefault(s.AddressKeep, 2*time.Second)
 	s.Shards = orDefault(s.Shards, 1024)
 	s.CallWorkers = orDefault(s.CallWorkers, 256)
 	s.CommandSlots = orDefault(s.CommandSlots, 4096)
+	s.ReportInterval = orDefault(s.ReportInterval, 500*time.Millisecond)
+	s.SweepInterval = orDefault(s.SweepInterval, 3*time.Second)
 	if s.Policy == "" {
 		s.Policy = schedule.LeastOutstanding
 	}
 	return s
 }
 
-func orDefault(value, fallback int) int {
+func orDefault[T int | time.Duration](value, fallback T) T {
 	if value == 0 {
 		return fallback
 	}
 	return value
 }
 
-// Dependencies are the outside services of a node.
+// Dependencies are what a node needs from outside.
 type Dependencies struct {
-	Store   platform.Store
+	Store platform.Store
+	Hosts platform.HostList
+	// Resources returns the declared resources in force.
+	Resources func() *resource.Set
+	// Config serves other nodes' questions about the configuration. It may be
+	// nil.
+	Config ConfigExchange
+	// Listener accepts the connections of other nodes.
+	Listener net.Listener
+	// TLS encrypts connections between nodes. Nil means no encryption.
+	TLS     credentials.TransportCredentials
 	Clock   clockwork.Clock
 	Log     *slog.Logger
 	Metrics *metrics.Set
@@ -73,115 +125,110 @@
 	Credentials func(name string) string
 }
 
+// ConfigExchange passes changes of the configuration between nodes.
+type ConfigExchange interface {
+	// Take applies changes of another node and returns the highest revision
+	// known here.
+	Take(ctx context.Context, changes []rpc.Change) int64
+	// After returns the changes after a revision, and the highest one.
+	After(ctx context.Context, revision int64) ([]rpc.Change, int64)
+}
+
 // Node is one node of the system.
 type Node struct {
 	settings Settings
 	deps     Dependencies
+	links    *rpc.Links
 	service  *service
-	programs *programs
-	writer   *journal.Writer
-	group    *duty.Group
+	current  atomic.Pointer[incarnation]
+	draining atomic.Bool
 }
 
 // New assembles a node. It returns schedule.ErrUnknownPolicy for a policy that
 // does not exist.
-func New(settings Settings, deps Dependencies, owners ownership, set func() *resource.Set) (*Node, error) {
+func New(settings Settings, deps Dependencies) (*Node, error) {
 	settings = settings.withDefaults()
 	if _, err := schedule.New(settings.Policy, settings.Schedule); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	n := &Node{settings: settings, deps: deps}
-	n.writer = journal.NewWriter(deps.Store, deps.Clock, deps.Log, settings.Incarnation, settings.Journal)
-	n.programs = n.newPrograms(set)
-	n.service = &service{
-		clock: deps.Clock, incarnation: settings.Incarnation, shardOf: n.programs.table.ShardOf, owners: owners,
-		links: rpc.NewLinks(nil), set: set, commands: n.programs.commands, ready: n.ready,
-	}
+	n := &Node{settings: settings, deps: deps, links: rpc.NewLinks(deps.TLS)}
+	n.service = &service{clock: deps.Clock, node: n}
 	return n, nil
 }
 
-func (n *Node) newPrograms(set func() *resource.Set) *programs {
-	return &programs{
-		clock:       n.deps.Clock,
-		log:         n.deps.Log,
-		table:       program.NewTable(n.shardOf, rules{set: set}),
-		set:         set,
-		credentials: n.deps.Credentials,
-		commands:    ring.New[command](n.settings.CommandSlots),
-		shards:      ring.New[shardChange](2 * n.settings.Shards),
-		events:      ring.New[dispatch.Event](2 * maxCalls),
-		decisions:   ring.New[decision](2 * maxCalls),
-		journal: journalEnd{
-			appends:     n.writer.Appends(),
-			completions: n.writer.Completions(),
-			verdicts:    n.writer.Verdicts(),
-		},
-		scheduler: ring.New[schedulerInput](2 * maxCalls),
-		jobs:      ring.New[dispatch.Job](maxCalls),
-		notices:   ring.New[notice](4 * n.settings.Shards),
-		callers:   map[program.Waiter]caller{},
-		orders:    map[program.CallID]*underway{},
+// Run serves until ctx ends, as one incarnation after the other.
+func (n *Node) Run(ctx context.Context) error {
+	server := rpc.NewServer(&peerHandler{node: n}, n.deps.TLS)
+	defer server.Stop(time.Second)
+	defer n.links.Close()
+	serving := make(chan error, 1)
+	go func() { serving <- server.Serve(n.deps.Listener) }()
+	for ctx.Err() == nil && !n.draining.Load() {
+		current := newIncarnation(n, n.settings.ID+"-"+nonce())
+		n.current.Store(current)
+		if err := current.run(ctx); err != nil && !fencing(err) {
+			return err
+		}
 	}
+	return Error.Wrap(ctx.Err())
 }
 
-func (n *Node) newScheduler() *scheduler {
-	return &scheduler{
-		clock:     n.deps.Clock,
-		log:       n.deps.Log,
-		policy:    n.settings.Policy,
-		settings:  n.settings.Schedule,
-		set:       n.programs.set,
-		leaving:   func(string) bool { return false },
-		inputs:    n.programs.scheduler,
-		decisions: n.programs.decisions,
-		pools:     map[string]schedule.Scheduler{},
-		poolOf:    map[schedule.CallID]string{},
-		backends:  map[schedule.BackendID]string{},
-	}
+// fencing reports whether an incarnation ended because another node took its
+// programs over or a newer run of the node is registered.
+func fencing(err error) bool {
+	return errors.Is(err, journal.ErrFenced) || errors.Is(err, membership.ErrFenced) ||
+		errors.Is(err, membership.ErrSuperseded) || errors.Is(err, context.Canceled)
 }
 
-// Start opens the journal and starts the duties.
-func (n *Node) Start(ctx context.Context) error {
-	if err := n.writer.Open(ctx); err != nil {
-		return Error.Wrap(err)
-	}
-	n.group = duty.NewGroup(ctx, n.deps.Log, n.deps.Metrics)
-	transport := dispatch.NewTransport()
-	callers := dispatch.NewCallers(transport, n.programs.jobs, n.programs.events, n.deps.Log)
-	n.group.Go("journal", n.writer.Run)
-	n.group.Go("programs", n.programs.run)
-	n.group.Go("scheduler", n.newScheduler().run)
-	callers.Start(n.group, n.settings.CallWorkers)
-	for number := range n.settings.Shards {
-		_ = n.programs.shards.TryPush(shardChange{shard: number, action: adoptShard})
+func nonce() string {
+	var random [6]byte
+	_, _ = rand.Read(random[:])
+	return hex.EncodeToString(random[:])
+}
+
+// Drain hands all programs over to other nodes and waits until they are gone.
+// Requests that are in progress here end here or go on at the new owners. It
+// returns ErrLeftOver when no other node can take the programs.
+func (n *Node) Drain(ctx context.Context) error {
+	n.draining.Store(true)
+	current := n.current.Load()
+	if current == nil {
+		return nil
 	}
-	return nil
+	return current.drain(ctx)
 }
 
-// Stop ends all duties.
-func (n *Node) Stop() { n.group.Stop() }
+// Links returns the connections to the other nodes.
+func (n *Node) Links() *rpc.Links { return n.links }
 
 // Service returns the node's interface for callers.
 func (n *Node) Service() api.Service { return n.service }
 
-// shardOf is the same for a whole family of programs.
-func (n *Node) shardOf(programID string) int {
-	return shardOf(programID, n.settings.Shards)
+// Incarnation returns the name of the present incarnation, or "".
+func (n *Node) Incarnation() string {
+	if current := n.current.Load(); current != nil {
+		return current.name
+	}
+	return ""
 }
 
-// storeSilence is the time without a successful commit after which a node
-// that has something to record is not ready.
+// storeSilence is the time without an answer of the store after which a node
+// is not ready. Running programs go on for longer.
 const storeSilence = 30 * time.Second
 
 func (n *Node) ready() error {
-	state := n.writer.State()
-	if state.Fenced {
-		return journal.ErrFenced
-	}
-	if !state.FailingSince.IsZero() && n.deps.Clock.Since(state.FailingSince) > storeSilence {
-		return errStoreSilent
+	current := n.current.Load()
+	switch {
+	case n.draining.Load():
+		return ErrDraining
+	case current == nil || len(current.placement.View().Map.Shards) == 0:
+		return ErrNoView
+	case current.storeSilent() > storeSilence:
+		return ErrStoreSilent
 	}
 	return nil
 }
 
-var errStoreSilent = errors.New("the platform store does not answer")
+func (n *Node) shardOf(programID string) int {
+	return placement.Shard(programID, n.settings.Shards)
+}
--- a/node/programs.go
+++ b/node/programs.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -28,6 +29,9 @@
 	batchItems = 256
 	// programsTick is how often deadlines and leases are looked at.
 	programsTick = 50 * time.Millisecond
+	// livingInterval is how often the programs that need engine memory are
+	// published for the memory sweep.
+	livingInterval = time.Second
 )
 
 // programs is the duty that owns every program of this node.
@@ -38,6 +42,9 @@
 	set   func() *resource.Set
 	// credentials returns the value of a named credential.
 	credentials func(name string) string
+	// retains reports whether records of a shard that moved away are needed.
+	retains func(shard int) bool
+	living  *atomic.Pointer[livingView]
 
 	commands  *ring.Ring[command]
 	shards    *ring.Ring[shardChange]
@@ -71,19 +78,29 @@
 	granted bool
 }
 
-// notice is a message of the programs duty to the duties around it. Exactly
-// one field is set.
+// notice is a message of the programs duty to the duties around it.
 type notice struct {
-	idle     int // shard number plus one
-	fenced   bool
-	crashes  []program.Crash
-	released string
+	kind    noticeKind
+	shard   int
+	crashes []program.Crash
 }
 
+type noticeKind int
+
+const (
+	shardAdopted noticeKind = iota
+	shardIdle
+	journalFenced
+	crashesCounted
+)
+
 // run serves requests and events until ctx ends.
 func (p *programs) run(ctx context.Context) error {
+	defer p.close()
 	ticker := p.clock.NewTicker(programsTick)
 	defer ticker.Stop()
+	living := p.clock.NewTicker(livingInterval)
+	defer living.Stop()
 	for {
 		commands := p.commands.Ready()
 		if p.congested() {
@@ -105,8 +122,31 @@
 		case <-ticker.Chan():
 			p.table.Tick(p.clock.Now(), &p.out)
 			p.flush(ctx)
+		case <-living.Chan():
+			p.publishLiving()
+		}
+	}
+}
+
+// close answers all callers as moved, so that they repeat their requests at
+// the next owner.
+func (p *programs) close() {
+	p.commands.Close()
+	moved := &program.Reply{Moved: true, Outcome: outcome.DidNotRun(outcome.NoOwner, ownerRetry)}
+	for c, ok := p.commands.TryPop(); ok; c, ok = p.commands.TryPop() {
+		if c.from.answers != nil && !c.detach {
+			p.callers[c.from.waiter] = c.from
 		}
 	}
+	for _, to := range p.callers {
+		_ = to.answers.TryPush(answer{reply: moved})
+	}
+}
+
+func (p *programs) publishLiving() {
+	view := &livingView{}
+	view.programs, view.served = p.table.Living()
+	p.living.Store(view)
 }
 
 // congested reports whether new requests must wait in their ring.
@@ -145,47 +185,36 @@
 		p.table.History(c.history.program, c.history.tenant, c.from.waiter, &p.out)
 	case c.end != nil:
 		p.table.End(now, c.end.program, c.end.tenant, c.from.waiter, &p.out)
-	case c.living != nil:
-		p.answerLiving(c.living)
 	}
 	for _, crash := range c.crashes {
 		p.table.NoteCrash(crash)
 	}
 }
 
-func (p *programs) answerLiving(question *livingQuestion) {
-	living := make(map[string]bool, len(question.programs))
-	for _, id := range question.programs {
-		if p.table.Serves(id) {
-			living[id] = p.table.Living(id)
-		}
-	}
-	_ = question.answers.TryPush(livingAnswer{living: living})
-}
-
 func (p *programs) takeShards(ctx context.Context) {
 	for {
 		change, ok := p.shards.TryPop()
 		if !ok {
 			return
 		}
-		p.handleShard(change)
+		p.handleShard(ctx, change)
 		p.flush(ctx)
 	}
 }
 
-func (p *programs) handleShard(change shardChange) {
+func (p *programs) handleShard(ctx context.Context, change shardChange) {
 	now := p.clock.Now()
 	switch change.action {
-	case expectShard:
-		p.table.Expect(change.shard)
 	case adoptShard:
 		if err := p.table.Adopt(now, change.shard, change.records, &p.out); err != nil {
+			// Serving the shard would lose history, so it stays unserved.
 			p.log.Error("programs: shard holds a record that cannot be read", "shard", change.shard, "error", err)
+			return
 		}
+		p.notify(ctx, notice{kind: shardAdopted, shard: change.shard})
 	case moveShard:
 		p.table.Move(change.shard, &p.out)
-	case keepShard:
+	case serveShard:
 		p.table.Serve(now, change.shard, &p.out)
 	case dropShard:
 		p.table.Drop(change.shard, &p.out)
@@ -305,13 +334,13 @@
 		if !ok {
 			break
 		}
-		p.handleCompletion(completion)
+		p.handleCompletion(ctx, completion)
 		p.flush(ctx)
 	}
 	p.sendBacklog()
 }
 
-func (p *programs) handleCompletion(completion journal.Completion) {
+func (p *programs) handleCompletion(ctx context.Context, completion journal.Completion) {
 	switch c := completion.(type) {
 	case journal.Committed:
 		for _, tag := range c.Tags {
@@ -323,12 +352,22 @@
 		p.fenced = true
 		p.backlog = nil
 		p.table.DropAll(&p.out)
-		p.notify(notice{fenced: true})
+		p.notify(ctx, notice{kind: journalFenced})
 	case journal.Query:
-		live := make([]bool, len(c.Records))
-		for i, r := range c.Records {
-			live[i] = p.table.Known(r.Program)
+		_ = p.journal.verdicts.TryPush(p.verdict(c))
+	}
+}
+
+// verdict tells which records of a segment are needed. The compaction is put
+// off while a shard of the segment is being adopted, because its programs may
+// not be known yet.
+func (p *programs) verdict(query journal.Query) journal.Verdict {
+	live := make([]bool, len(query.Records))
+	for i, r := range query.Records {
+		if p.table.Phase(r.Shard) == program.Adopting {
+			return journal.Verdict{Segment: query.Segment}
 		}
-		_ = p.journal.verdicts.TryPush(journal.Verdict{Segment: c.Segment, Live: live})
+		live[i] = p.table.Known(r.Program) || p.retains(r.Shard)
 	}
+	return journal.Verdict{Segment: query.Segment, Live: live}
 }
--- a/node/requests.go
+++ b/node/requests.go
@@ -36,7 +36,6 @@
 	end     *programOf
 	detach  bool
 	crashes []program.Crash
-	living  *livingQuestion
 }
 
 // programOf names a program and the tenant that asks for it.
@@ -45,18 +44,6 @@
 	tenant  string
 }
 
-// livingQuestion asks which of some programs are alive. Programs of shards
-// that this node does not serve are left out of the answer.
-type livingQuestion struct {
-	programs []string
-	answers  *ring.Ring[livingAnswer]
-}
-
-// livingAnswer tells for each program of a served shard whether it is alive.
-type livingAnswer struct {
-	living map[string]bool
-}
-
 // shardChange is a message from the placement duty.
 type shardChange struct {
 	shard   int
@@ -67,14 +54,12 @@
 type shardAction int
 
 const (
-	// expectShard makes requests wait until the shard is adopted.
-	expectShard shardAction = iota
-	// adoptShard replays the records and serves the shard.
-	adoptShard
+	// adoptShard replays the records of the shard.
+	adoptShard shardAction = iota
+	// serveShard takes calls from now on, or again after moveShard.
+	serveShard
 	// moveShard asks for the shard to become idle.
 	moveShard
-	// keepShard takes back moveShard.
-	keepShard
 	// dropShard gives the shard up.
 	dropShard
 )
--- a/node/scheduler.go
+++ b/node/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"dogwoodline.example/dispatch"
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
@@ -24,8 +25,6 @@
 	withdrawCall
 	progressCall
 	finishCall
-	loadReport
-	cacheEvent
 )
 
 // schedulerInput is a message to the scheduler duty.
@@ -35,8 +34,6 @@
 	request schedule.Request
 	backend schedule.BackendID
 	timing  schedule.Timing
-	report  schedule.Report
-	cache   schedule.CacheEvent
 }
 
 // decision is the scheduler duty's answer about one call.
@@ -58,16 +55,22 @@
 	leaving  func(address string) bool
 
 	inputs    *ring.Ring[schedulerInput]
+	reports   *ring.Ring[dispatch.Observation]
 	decisions *ring.Ring[decision]
 
 	pools    map[string]schedule.Scheduler
 	poolOf   map[schedule.CallID]string
 	backends map[schedule.BackendID]string
+	refusing map[schedule.BackendID]bool // backend servers that say they are leaving
 	known    *resource.Set
 	checked  time.Time
 	out      schedule.Decisions
 }
 
+// observationSlots bounds the observations that wait. A load report of each
+// of 64 backend servers and its cache events come twice a second.
+const observationSlots = 1024
+
 // backendsCheck is how often the host list is compared with the backend
 // servers in use. It is well below the 3 s within which a leaving backend
 // server must get no more work.
@@ -82,6 +85,8 @@
 			return ctx.Err()
 		case <-s.inputs.Ready():
 			s.takeInputs()
+		case <-s.reports.Ready():
+			s.takeObservations()
 		case <-ticker.Chan():
 		}
 		s.refreshBackends()
@@ -113,10 +118,37 @@
 	case finishCall:
 		s.pool(s.poolOf[input.id]).Finish(now, input.id, input.backend, input.timing)
 		delete(s.poolOf, input.id)
-	case loadReport:
-		s.pool(s.backends[input.report.Backend]).Report(now, input.report)
-	case cacheEvent:
-		s.pool(s.backends[input.cache.Backend]).Cache(now, input.cache)
+	}
+}
+
+func (s *scheduler) takeObservations() {
+	for range batchItems {
+		o, ok := s.reports.TryPop()
+		if !ok {
+			return
+		}
+		s.observe(o)
+	}
+}
+
+// observe takes what a poll of a backend server showed.
+func (s *scheduler) observe(o dispatch.Observation) {
+	pool, ok := s.pools[s.backends[o.Backend]]
+	if !ok {
+		return // no call has asked for the pool yet
+	}
+	now := s.clock.Now()
+	switch o.Kind {
+	case dispatch.Loaded:
+		pool.Report(now, o.Report)
+	case dispatch.Cached:
+		for _, event := range o.Cache {
+			pool.Cache(now, event)
+		}
+	case dispatch.LeavingChanged:
+		s.refusing[o.Backend] = o.Leaving
+		s.known = nil // hands the change to the schedulers at once
+	case dispatch.CacheGap, dispatch.Restarted, dispatch.Unreachable:
 	}
 }
 
@@ -138,7 +170,7 @@
 
 func (s *scheduler) backendsOf(pool string) []schedule.Backend {
 	var own []schedule.Backend
-	for _, b := range backendsOf(s.set(), s.leaving) {
+	for _, b := range s.allBackends() {
 		if b.Pool == pool {
 			own = append(own, b)
 		}
@@ -146,6 +178,16 @@
 	return own
 }
 
+// allBackends returns the backend servers of all pools. One is leaving when the
+// host list or the server itself says so.
+func (s *scheduler) allBackends() []schedule.Backend {
+	all := backendsOf(s.set(), s.leaving)
+	for i := range all {
+		all[i].Leaving = all[i].Leaving || s.refusing[all[i].ID]
+	}
+	return all
+}
+
 // refreshBackends hands changed resources and host states to the schedulers.
 func (s *scheduler) refreshBackends() {
 	now := s.clock.Now()
@@ -157,7 +199,7 @@
 	s.checked = now
 	byPool := map[string][]schedule.Backend{}
 	clear(s.backends)
-	for _, b := range backendsOf(set, s.leaving) {
+	for _, b := range s.allBackends() {
 		byPool[b.Pool] = append(byPool[b.Pool], b)
 		s.backends[b.ID] = b.Pool
 	}
--- a/node/service.go
+++ b/node/service.go
@@ -10,9 +10,9 @@
 	"github.com/jonboulle/clockwork"
 
 	"dogwoodline.example/api"
+	"dogwoodline.example/membership"
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/program"
-	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
 	"dogwoodline.example/rpc"
 )
@@ -26,23 +26,11 @@
 	replyGrace = time.Second
 )
 
-// ownership tells which node incarnation owns a shard.
-type ownership interface {
-	Owner(shard int) (incarnation string, ok bool)
-	Address(shard int) api.Address
-}
-
 // service serves the requests of callers: those of its own programs itself,
 // the others through their owners.
 type service struct {
-	clock       clockwork.Clock
-	incarnation string
-	shardOf     func(programID string) int
-	owners      ownership
-	links       *rpc.Links
-	set         func() *resource.Set
-	commands    *ring.Ring[command]
-	ready       func() error
+	clock clockwork.Clock
+	node  *Node
 
 	lastWaiter atomic.Uint64
 }
@@ -51,11 +39,32 @@
 
 // Address implements api.Service.
 func (s *service) Address(programID string) api.Address {
-	return s.owners.Address(s.shardOf(programID))
+	current := s.node.current.Load()
+	if current == nil {
+		return api.Address{}
+	}
+	view := current.placement.View()
+	owner := ""
+	if shard := s.node.shardOf(programID); shard < len(view.Map.Shards) {
+		owner = view.Map.Shards[shard].Owner
+	}
+	first, second := membership.Choose(current.tracker.View(), programID, owner)
+	return addressOf(first, second, s.node.settings.AddressKeep)
+}
+
+func addressOf(first, second *membership.Member, keep time.Duration) api.Address {
+	answer := api.Address{KeepMS: keep.Milliseconds()}
+	if first != nil {
+		answer.Address, answer.Zone = first.HTTP, first.Zone
+	}
+	if second != nil {
+		answer.Second, answer.SecondZone = second.HTTP, second.Zone
+	}
+	return answer
 }
 
 // Ready implements api.Service.
-func (s *service) Ready() error { return s.ready() }
+func (s *service) Ready() error { return s.node.ready() }
 
 // Start implements api.Service.
 func (s *service) Start(ctx context.Context, tenant string, request api.StartRequest) program.Reply {
@@ -120,15 +129,21 @@
 }
 
 func (s *service) atOwner(ctx context.Context, request *rpc.Forwarded, progress *streamProgress) (program.Reply, error) {
-	owner, ok := s.owners.Owner(s.shardOf(request.Program))
-	if !ok {
+	current := s.node.current.Load()
+	if current == nil {
+		return program.Reply{Moved: true}, nil
+	}
+	shard := s.node.shardOf(request.Program)
+	view := current.placement.View()
+	if shard >= len(view.Map.Shards) || view.Map.Shards[shard].Owner == "" {
 		return program.Reply{Moved: true}, nil
 	}
+	owner := view.Map.Shards[shard].Owner
 	resumeFrom(request, progress)
-	if owner == s.incarnation {
-		return s.local(ctx, *request, progress.take), nil
+	if owner == current.name {
+		return s.local(ctx, current, *request, progress.take), nil
 	}
-	link, err := s.links.To(owner)
+	link, err := s.node.links.To(owner)
 	if err != nil {
 		return program.Reply{}, err
 	}
@@ -180,7 +195,7 @@
 
 // local serves a request of a program that this node owns. The reply says
 // Moved when it does not.
-func (s *service) local(ctx context.Context, request rpc.Forwarded, chunk func(program.Chunk) error) program.Reply {
+func (s *service) local(ctx context.Context, at *incarnation, request rpc.Forwarded, chunk func(program.Chunk) error) program.Reply {
 	to := caller{waiter: program.Waiter(s.lastWaiter.Add(1)), answers: ring.New[answer](replySlots)}
 	for {
 		c, refusal := s.commandOf(request)
@@ -188,10 +203,12 @@
 			return program.Reply{Outcome: *refusal}
 		}
 		c.from = to
-		if err := s.commands.TryPush(c); err != nil {
+		if err := at.programs.commands.TryPush(c); errors.Is(err, ring.ErrClosed) {
+			return program.Reply{Moved: true}
+		} else if err != nil {
 			return program.Reply{Outcome: outcome.DidNotRun(outcome.Overloaded, ownerRetry)}
 		}
-		reply, lagged := s.await(ctx, to, &request, chunk)
+		reply, lagged := s.await(ctx, at, to, &request, chunk)
 		if !lagged {
 			return reply
 		}
@@ -200,13 +217,13 @@
 
 // await hands on an answer's parts until its reply. The second result is true
 // when the caller fell behind and the request has to be repeated.
-func (s *service) await(ctx context.Context, to caller, request *rpc.Forwarded, chunk func(program.Chunk) error) (program.Reply, bool) {
+func (s *service) await(ctx context.Context, at *incarnation, to caller, request *rpc.Forwarded, chunk func(program.Chunk) error) (program.Reply, bool) {
 	progress := &streamProgress{send: chunk}
 	for {
 		a, err := to.answers.Pop(ctx)
 		switch {
 		case err != nil:
-			_ = s.commands.TryPush(command{from: to, detach: true})
+			_ = at.programs.commands.TryPush(command{from: to, detach: true})
 			return program.Reply{Outcome: outcome.Outcome{Code: outcome.Unknown, Reason: outcome.DeadlineExceeded,
 				Detail: "the call goes on; repeat it with the same request id"}}, false
 		case a.reply != nil:
@@ -216,7 +233,7 @@
 			return program.Reply{}, true
 		}
 		if progress.take(a.chunk) != nil {
-			_ = s.commands.TryPush(command{from: to, detach: true})
+			_ = at.programs.commands.TryPush(command{from: to, detach: true})
 			return program.Reply{Outcome: outcome.Outcome{Code: outcome.Unknown, Reason: outcome.ConnectionLost}}, false
 		}
 	}
@@ -231,7 +248,7 @@
 		if err := json.Unmarshal(request.Request, &start); err != nil {
 			return command{}, malformed(err)
 		}
-		spec, refusal := specOf(s.set(), request.Tenant, start)
+		spec, refusal := specOf(s.node.deps.Resources(), request.Tenant, start)
 		return command{start: &spec}, refusal
 	case rpc.Call:
 		var asked api.CallRequest
--- a/program/durable.go
+++ b/program/durable.go
@@ -105,14 +105,14 @@
 }
 
 // Tick ends calls whose deadline passed before they were sent, answers
-// finished calls whose record is late, and releases the engine memory of
+// finished calls whose record is late, and gives up the engine memory of
 // programs that are idle past their lease.
 func (t *Table) Tick(now time.Time, out *Effects) {
 	for c := range t.active {
 		t.tickCall(now, c, out)
 	}
 	for id, p := range t.programs {
-		t.tickProgram(now, id, p, out)
+		t.tickProgram(now, id, p)
 	}
 	for _, s := range t.shards {
 		t.checkIdle(s, out)
@@ -139,24 +139,34 @@
 	}
 }
 
-func (t *Table) tickProgram(now time.Time, id string, p *state, out *Effects) {
+func (t *Table) tickProgram(now time.Time, id string, p *state) {
 	if p.ended {
 		if now.Sub(p.endedAt) >= endedKept {
 			delete(t.programs, id)
 		}
 		return
 	}
-	idle := now.Sub(p.lastUsed) >= p.spec.IdleLease && len(p.byOrder) == 0
-	if idle && !p.released {
+	if now.Sub(p.lastUsed) >= p.spec.IdleLease && len(p.byOrder) == 0 {
 		p.released = true
-		out.Released = append(out.Released, id)
 	}
 }
 
-// Living reports whether the program is held here and has not ended.
-func (t *Table) Living(programID string) bool {
-	p, ok := t.programs[programID]
-	return ok && !p.ended && !p.released
+// Living returns the programs whose engine memory is needed, and the shards
+// that are served here. Nothing is known of programs of other shards.
+func (t *Table) Living() (programs map[string]struct{}, served map[int]struct{}) {
+	programs = make(map[string]struct{}, len(t.programs))
+	for id, p := range t.programs {
+		if !p.ended && !p.released {
+			programs[id] = struct{}{}
+		}
+	}
+	served = make(map[int]struct{}, len(t.shards))
+	for number, s := range t.shards {
+		if s.phase == Serving {
+			served[number] = struct{}{}
+		}
+	}
+	return programs, served
 }
 
 // Known reports whether records of the program are still needed.
@@ -170,15 +180,18 @@
 	return len(t.programs), len(t.active)
 }
 
-// Adopt replays the records of a shard and serves it. Records may come in any
-// order and more than once. It returns ErrBadRecord, and changes nothing, when
-// a record cannot be decoded.
+// Adopt replays the records of a shard, in place of what the table has for it.
+// Requests for the shard wait until Serve. Records may come in any order and
+// more than once. It returns ErrBadRecord, and changes nothing, when a record
+// cannot be decoded.
 func (t *Table) Adopt(now time.Time, number int, encoded [][]byte, out *Effects) error {
 	records, err := decodeAll(encoded)
 	if err != nil {
 		return err
 	}
+	t.Drop(number, out)
 	home := t.shard(number)
+	home.phase = Adopting
 	var adopted []*state
 	for i := range records {
 		p := t.apply(now, home, &records[i])
@@ -189,7 +202,6 @@
 	for _, p := range adopted {
 		p.account.Recover()
 	}
-	t.Serve(now, number, out)
 	return nil
 }
 
--- a/program/program.go
+++ b/program/program.go
@@ -197,8 +197,6 @@
 	Withdrawn []CallID
 	Replies   []WaiterReply
 	Chunks    []WaiterChunk
-	// Released lists programs whose engine memory is no longer needed.
-	Released []string
 	// Crashes lists requests whose crash count changed, for the other nodes.
 	Crashes []Crash
 	// Idle lists shards that were asked to move and have no running call.
@@ -212,7 +210,6 @@
 	e.Withdrawn = e.Withdrawn[:0]
 	e.Replies = e.Replies[:0]
 	e.Chunks = e.Chunks[:0]
-	e.Released = e.Released[:0]
 	e.Crashes = e.Crashes[:0]
 	e.Idle = e.Idle[:0]
 }
--- a/program/shards.go
+++ b/program/shards.go
@@ -57,19 +57,12 @@
 	return ok && c.phase != callInterrupted
 }
 
-// Expect makes requests for a shard wait until it is adopted.
-func (t *Table) Expect(number int) {
-	s := t.shard(number)
-	if s.phase == Absent {
-		s.phase = Adopting
-	}
-}
-
 // Serve takes calls for a shard and handles the requests that waited.
 func (t *Table) Serve(now time.Time, number int, out *Effects) {
 	s := t.shard(number)
 	s.phase = Serving
 	s.settled = false
+	s.told = false
 	held := s.held
 	s.held = nil
 	for _, request := range held {
@@ -104,10 +97,11 @@
 // checkIdle moves on a shard that is asked to move: first its handoff records
 // are appended, then it is reported as idle.
 func (t *Table) checkIdle(s *shard, out *Effects) {
-	if s.phase != Moving || s.busy > 0 {
+	if s.phase != Moving || s.busy > 0 || s.told {
 		return
 	}
 	if s.settled {
+		s.told = true
 		out.Idle = append(out.Idle, s.number)
 		return
 	}
@@ -121,6 +115,7 @@
 	}
 	if len(records) == 0 {
 		s.settled = true
+		s.told = true
 		out.Idle = append(out.Idle, s.number)
 		return
 	}
@@ -177,10 +172,3 @@
 
 // ShardOf returns the shard of a program.
 func (t *Table) ShardOf(programID string) int { return t.shardOf(programID) }
-
-// Serves reports whether this node serves the program's shard now, and so
-// knows all of its programs.
-func (t *Table) Serves(programID string) bool {
-	phase := t.Phase(t.shardOf(programID))
-	return phase == Serving || phase == Moving
-}
--- a/program/table.go
+++ b/program/table.go
@@ -60,6 +60,7 @@
 	phase   Phase
 	busy    int  // calls and appends that keep the shard from moving
 	settled bool // the handoff records are durable
+	told    bool // the shard was reported as idle
 	held    []heldRequest
 }
 
@@ -279,7 +280,6 @@
 	if parent, ok := t.programs[p.spec.Parent()]; ok {
 		records = append(records, parent.closeChild(p))
 	}
-	out.Released = append(out.Released, p.spec.ID)
 	return records
 }
 
--- a/program/table_test.go
+++ b/program/table_test.go
@@ -75,6 +75,7 @@
 	next.now = r.now
 	next.durable = r.durable
 	Expect(next.table.Adopt(next.now, 0, r.durable, &next.out)).To(Succeed())
+	next.table.Serve(next.now, 0, &next.out)
 	next.take()
 	return next
 }
--- a/rpc/links.go
+++ b/rpc/links.go
@@ -63,8 +63,7 @@
 	l.view.Store(&fresh)
 	for incarnation, link := range old {
 		if _, ok := fresh[incarnation]; !ok {
-			link.cancel()
-			link.conn.Close() //nolint:errcheck // the node is gone
+			link.close()
 		}
 	}
 	return nil
@@ -110,6 +109,11 @@
 	_ = l.Update(nil)
 }
 
+func (k *Link) close() {
+	k.cancel()
+	_ = k.conn.Close()
+}
+
 // joined returns a context that also ends with the link.
 func (k *Link) joined(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -131,6 +135,16 @@
 	}, nil
 }
 
+// PingAt asks the node at an address how it is, over a connection of its own.
+func (l *Links) PingAt(ctx context.Context, address string) (PingAnswer, error) {
+	link, err := l.dial("", address)
+	if err != nil {
+		return PingAnswer{}, err
+	}
+	defer link.close()
+	return link.Ping(ctx)
+}
+
 // Forward passes a request on and returns the owner's reply. An error means
 // that the owner may or may not have taken the request; repeating it with the
 // same request id is safe.
