--- /dev/null
+++ b/resource/set_test.go
@@ -0,0 +1,124 @@
+package resource_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"dogwoodline.example/platform"
+	"dogwoodline.example/resource"
+)
+
+// setMachine compares a Set with a map of the greatest version of each
+// resource. It guards against reverts, wrong indexes and changed snapshots.
+type setMachine struct {
+	set    *resource.Set
+	model  map[resource.ID]resource.Change
+	frozen *resource.Set
+	digest uint64
+}
+
+func drawChange(t *rapid.T) resource.Change {
+	number := rapid.IntRange(0, 3).Draw(t, "name")
+	change := resource.Change{
+		ID:      resource.ID{Kind: resource.KindBackend, Name: fmt.Sprint("b", number)},
+		Version: platform.Version(rapid.IntRange(1, 20).Draw(t, "version")),
+	}
+	// The content follows from id and version, as in the platform store.
+	change.Spec = &resource.Backend{Pool: fmt.Sprint("p", (int(change.Version)+number)%3), Slots: int(change.Version)}
+	if change.Deleted = (int(change.Version)+number)%4 == 0; change.Deleted {
+		change.Spec = nil
+	}
+	return change
+}
+
+func (m *setMachine) Apply(t *rapid.T) {
+	batch := rapid.SliceOfN(rapid.Custom(drawChange), 1, 5).Draw(t, "batch")
+	m.frozen, m.digest = m.set, m.set.Digest()
+	m.set = m.set.With(batch...)
+	for _, change := range batch {
+		if change.Version > m.model[change.ID].Version {
+			m.model[change.ID] = change
+		}
+	}
+}
+
+func (m *setMachine) View(t *rapid.T) {
+	revision := platform.Version(rapid.IntRange(1, 20).Draw(t, "revision"))
+	m.set = m.set.WithView(nil, revision)
+	for id, change := range m.model {
+		if !change.Deleted && change.Version < revision {
+			m.model[id] = resource.Change{ID: id, Version: revision, Deleted: true}
+		}
+	}
+}
+
+func (m *setMachine) Check(t *rapid.T) {
+	pools := map[string]int{}
+	rebuilt := resource.NewSet()
+	for id, want := range m.model {
+		got, _ := m.set.Change(id)
+		if got.Version != want.Version || got.Deleted != want.Deleted {
+			t.Fatalf("%v is %+v, want %+v", id, got, want)
+		}
+		if !want.Deleted {
+			pools[want.Spec.(*resource.Backend).Pool]++
+		}
+		rebuilt = rebuilt.With(want)
+	}
+	for _, pool := range []string{"p0", "p1", "p2"} {
+		if len(m.set.Backends(pool)) != pools[pool] {
+			t.Fatalf("pool %s has %d servers, want %d", pool, len(m.set.Backends(pool)), pools[pool])
+		}
+	}
+	if rebuilt.Digest() != m.set.Digest() || rebuilt.Revision() != m.set.Revision() {
+		t.Fatal("digest or revision depends on the order of the changes")
+	}
+	if m.frozen != nil && m.frozen.Digest() != m.digest {
+		t.Fatal("a published set changed")
+	}
+}
+
+func TestSetMachine(t *testing.T) {
+	// A fixed seed gives each run of the tests the same verdict.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		machine := &setMachine{set: resource.NewSet(), model: map[resource.ID]resource.Change{}}
+		t.Repeat(rapid.StateMachineActions(machine))
+	})
+}
+
+func put(kind resource.Kind, name string, version platform.Version, spec resource.Spec) resource.Change {
+	return resource.Change{ID: resource.ID{Kind: kind, Name: name}, Version: version, Spec: spec}
+}
+
+var _ = Describe("Set", func() {
+	It("warns about references that lead nowhere, without refusing the resource", func() {
+		class := &resource.Class{Pool: "p", Tenant: "t", Tools: []resource.Tool{{Service: "s", Operation: "o"}}}
+		set := resource.NewSet().With(put(resource.KindClass, "c", 1, class))
+		r, ok := set.Get(resource.ID{Kind: resource.KindClass, Name: "c"})
+		Expect(ok).To(BeTrue())
+		Expect(r.Status.Warnings).To(HaveExactElements(
+			ContainSubstring("spec.pool"), ContainSubstring("spec.tenant"), ContainSubstring("spec.tools[0]")))
+	})
+
+	It("treats an operation as non-idempotent when the service says so, whatever the class says", func() {
+		set := resource.NewSet().With(
+			put(resource.KindClass, "c", 1, &resource.Class{Tools: []resource.Tool{
+				{Service: "s", Operation: "o", Idempotent: true, MaxCost: 1, Retry: resource.Retry{Attempts: 5}},
+			}}),
+			put(resource.KindService, "s", 2, &resource.Service{Operations: []resource.Operation{{Name: "o", Cost: 7}}}),
+		)
+		rule, ok := set.Operation("c", "s", "o")
+		Expect(ok).To(BeTrue())
+		Expect(rule.Idempotent).To(BeFalse())
+		Expect(rule.Retry.Attempts).To(Equal(1))
+		Expect(rule.MaxCost).To(BeEquivalentTo(7))
+	})
+})
