Add the program-aware scheduling policy

Cause: the plain policies know neither programs nor caches nor slowed backend servers.

Change: program-aware, the default. Calls wait in heaps per priority and tenant, ranked by arrival delayed by the program's attained service, which ages all calls alike and needs no re-sorting. An eighth of the grants goes to calls beyond the ageing bound. The backend server is chosen by expected time from believed cached blocks, queue, batch and measured slowness; a call waits for a busy warm one only when that is cheaper. Slowed ones get probes, mostly copies of calls that run elsewhere too, within the same 5% of extra work as hedges. Pools above 64 backend servers are split in cells.

--- a/schedule/new.go
+++ b/schedule/new.go
@@ -43,10 +43,22 @@
 	QueueLimit int
 	// TenantWeights holds the fair share of tenants; the default is 1.
 	TenantWeights map[string]float64
+	// AgeingBound is the wait after which a call is served in order of
+	// arrival whatever its rank. The default is 10 s.
+	AgeingBound time.Duration
+	// StartWait is the expected wait above which calls of new programs are
+	// refused. The default is 2 s.
+	StartWait time.Duration
+	// CacheBlocks is the number of prompt blocks that a backend server is
+	// believed to keep. The default is 4,096.
+	CacheBlocks int
 }
 
 const (
-	defaultQueueLimit = 10_000
+	defaultQueueLimit  = 10_000
+	defaultAgeingBound = 10 * time.Second
+	defaultStartWait   = 2 * time.Second
+	defaultCacheBlocks = 4096
 	// retryAfterNoBackend is the suggested wait while a pool has no usable
 	// backend server. The host list lags by seconds.
 	retryAfterNoBackend = 2 * time.Second
@@ -58,12 +70,15 @@
 // New returns the named policy; an empty name means the default. It returns
 // ErrUnknownPolicy for other names.
 func New(policy string, settings Settings) (Scheduler, error) {
-	if settings.QueueLimit <= 0 {
-		settings.QueueLimit = defaultQueueLimit
-	}
+	settings.QueueLimit = orDefault(settings.QueueLimit, defaultQueueLimit)
+	settings.CacheBlocks = orDefault(settings.CacheBlocks, defaultCacheBlocks)
+	settings.AgeingBound = orDefault(settings.AgeingBound, defaultAgeingBound)
+	settings.StartWait = orDefault(settings.StartWait, defaultStartWait)
 	switch policy {
 	case RandomFCFS, LeastReportedFCFS, LeastOutstanding:
 		return newPlain(policy, settings), nil
+	case ProgramAware, "":
+		return newAware(settings), nil
 	default:
 		return nil, ErrUnknownPolicy
 	}
@@ -72,3 +87,10 @@
 func refusal(id CallID, reason outcome.Reason, retryAfter time.Duration) Refusal {
 	return Refusal{ID: id, Outcome: outcome.DidNotRun(reason, retryAfter)}
 }
+
+func orDefault[T int | time.Duration](value, fallback T) T {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
