--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -23,6 +23,7 @@
 	"dogwoodline.example/platform/memstore"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
+	"dogwoodline.example/rpc"
 )
 
 // testLease is short, so that tests of takeovers are.
@@ -99,7 +100,7 @@
 func newCluster(ctx context.Context, nodes, engines int) *cluster {
 	c := &cluster{ctx: ctx, store: memstore.New(clockwork.NewRealClock())}
 	for i := range engines {
-		config := engine.Default()
+		config := engine.DefaultConfig()
 		config.Name = fmt.Sprintf("e%d", i+1)
 		config.TimeScale = 20
 		started, err := engine.Start(ctx, config)
@@ -153,7 +154,7 @@
 		ID: id, Zone: zone, HTTP: "http://" + id, GRPC: listener.Addr().String(), LeaseTTL: testLease, Shards: 64,
 		CallWorkers: 64, AddressKeep: 50 * time.Millisecond,
 	}, node.Dependencies{
-		Store: m.store, Resources: func() *resource.Set { return c.set }, Listener: listener,
+		Store: node.Stores{Lease: m.store, Journal: m.store, Placement: m.store}, Links: rpc.NewLinks(nil), Resources: func() *resource.Set { return c.set }, Listener: listener,
 		Clock: clockwork.NewRealClock(), Log: slog.New(slog.NewTextHandler(out, nil)).With("node", id),
 		Metrics: metrics.NewSet(), Credentials: func(string) string { return "" },
 	})
--- a/node/incarnation.go
+++ b/node/incarnation.go
@@ -58,12 +58,12 @@
 	}
 	i.living.Store(&livingView{})
 	i.hosts.Store(&hostView{})
-	i.writer = journal.NewWriter(d.Store, d.Clock, d.Log, name, s.Journal)
+	i.writer = journal.NewWriter(d.Store.Journal, d.Clock, d.Log, name, s.Journal)
 	i.detector = membership.NewDetector(d.Clock, d.Log, s.LeaseTTL, pinger{links: n.links, ttl: s.LeaseTTL})
-	i.tracker = membership.NewTracker(d.Store, d.Clock, d.Log, s.LeaseTTL, i.detector.Suspects())
+	i.tracker = membership.NewTracker(d.Store.Lease, d.Clock, d.Log, s.LeaseTTL, i.detector.Suspects())
 	self := membership.Member{ID: s.ID, Incarnation: name, HTTP: s.HTTP, GRPC: s.GRPC, Zone: s.Zone}
-	i.session = membership.NewSession(d.Store, d.Clock, d.Log, self, s.LeaseTTL, i.isFenced)
-	i.placement = placement.New(d.Store, d.Clock, d.Log, name, placement.Settings{Shards: s.Shards}, placement.Inputs{
+	i.session = membership.NewSession(d.Store.Lease, d.Clock, d.Log, self, s.LeaseTTL, i.isFenced)
+	i.placement = placement.New(d.Store.Placement, d.Clock, d.Log, name, placement.Settings{Shards: s.Shards}, placement.Inputs{
 		View: i.tracker.View, Changed: i.tracker.Subscribe(), Suspects: i.detector.Suspects(), Dead: i.detector.Dead(),
 		Appender: journal.NewAppender(i.writer),
 	})
@@ -72,7 +72,7 @@
 }
 
 func (i *incarnation) isFenced(ctx context.Context) (bool, error) {
-	return journal.IsFenced(ctx, i.node.deps.Store, i.name)
+	return journal.IsFenced(ctx, i.node.deps.Store.Lease, i.name)
 }
 
 func (i *incarnation) newPrograms() *programs {
@@ -248,8 +248,8 @@
 	return nil
 }
 
-// leave ends the journal and the membership after a drain.
+// leave ends the journal and the membership.
 func (i *incarnation) leave(ctx context.Context) error {
-	sealed := journal.Seal(ctx, i.node.deps.Store, i.name)
+	sealed := journal.Seal(ctx, i.node.deps.Store.Placement, i.name)
 	return errors.Join(sealed, i.session.Commands().Push(ctx, membership.Leave{}))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"dogwoodline.example/api"
+	"dogwoodline.example/config"
 	"dogwoodline.example/journal"
 	"dogwoodline.example/membership"
 	"dogwoodline.example/placement"
@@ -92,9 +93,6 @@
 	s.CommandSlots = orDefault(s.CommandSlots, 4096)
 	s.ReportInterval = orDefault(s.ReportInterval, 500*time.Millisecond)
 	s.SweepInterval = orDefault(s.SweepInterval, 3*time.Second)
-	if s.Policy == "" {
-		s.Policy = schedule.LeastOutstanding
-	}
 	return s
 }
 
@@ -107,17 +105,19 @@
 
 // Dependencies are what a node needs from outside.
 type Dependencies struct {
-	Store platform.Store
+	Store Stores
 	Hosts platform.HostList
 	// Resources returns the declared resources in force.
 	Resources func() *resource.Set
-	// Config serves other nodes' questions about the configuration. It may be
-	// nil.
+	// Config serves other nodes' questions about the configuration.
 	Config ConfigExchange
 	// Listener accepts the connections of other nodes.
 	Listener net.Listener
-	// TLS encrypts connections between nodes. Nil means no encryption.
-	TLS     credentials.TransportCredentials
+	// TLS encrypts the connections of other nodes to this one. Nil means no
+	// encryption.
+	TLS credentials.TransportCredentials
+	// Links are the connections to the other nodes.
+	Links   *rpc.Links
 	Clock   clockwork.Clock
 	Log     *slog.Logger
 	Metrics *metrics.Set
@@ -127,11 +127,18 @@
 
 // ConfigExchange passes changes of the configuration between nodes.
 type ConfigExchange interface {
-	// Take applies changes of another node and returns the highest revision
-	// known here.
-	Take(ctx context.Context, changes []rpc.Change) int64
-	// After returns the changes after a revision, and the highest one.
-	After(ctx context.Context, revision int64) ([]rpc.Change, int64)
+	// Offer takes changes of another node.
+	Offer(changes []resource.Change) error
+	// Answer returns the changes that another node lacks.
+	Answer(request config.PullRequest) config.PullAnswer
+}
+
+// Stores gives the platform store by the use of it, so that a lease renewal
+// does not wait behind other calls for the node's share of the store's rate.
+type Stores struct {
+	Lease     platform.Store
+	Journal   platform.Store
+	Placement platform.Store
 }
 
 // Node is one node of the system.
@@ -151,7 +158,7 @@
 	if _, err := schedule.New(settings.Policy, settings.Schedule); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	n := &Node{settings: settings, deps: deps, links: rpc.NewLinks(deps.TLS)}
+	n := &Node{settings: settings, deps: deps, links: deps.Links}
 	n.service = &service{clock: deps.Clock, node: n}
 	return n, nil
 }
@@ -232,3 +239,13 @@
 func (n *Node) shardOf(programID string) int {
 	return placement.Shard(programID, n.settings.Shards)
 }
+
+// Leave ends the journal and the membership, after Drain. Programs that could
+// not be handed over are taken over by other nodes once there are any.
+func (n *Node) Leave(ctx context.Context) error {
+	current := n.current.Load()
+	if current == nil {
+		return nil
+	}
+	return current.leave(ctx)
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
+	"sync"
 	"time"
 
+	"dogwoodline.example/config"
 	"dogwoodline.example/membership"
 	"dogwoodline.example/program"
+	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
 	"dogwoodline.example/rpc"
 )
@@ -116,19 +120,57 @@
 }
 
 // PushConfig implements rpc.Handler.
-func (h *peerHandler) PushConfig(ctx context.Context, changes []rpc.Change) int64 {
-	if h.node.deps.Config == nil {
-		return 0
-	}
-	return h.node.deps.Config.Take(ctx, changes)
+func (h *peerHandler) PushConfig(_ context.Context, changes []resource.Change) {
+	_ = h.node.deps.Config.Offer(changes) // a pull brings what finds no room
 }
 
 // PullConfig implements rpc.Handler.
-func (h *peerHandler) PullConfig(ctx context.Context, after int64) ([]rpc.Change, int64) {
-	if h.node.deps.Config == nil {
-		return nil, 0
+func (h *peerHandler) PullConfig(_ context.Context, request config.PullRequest) config.PullAnswer {
+	return h.node.deps.Config.Answer(request)
+}
+
+// ConfigPeers is the way of the configuration to the other nodes.
+type ConfigPeers struct {
+	Links *rpc.Links
+	Log   *slog.Logger
+}
+
+var _ config.Peers = ConfigPeers{}
+
+// List implements config.Peers.
+func (p ConfigPeers) List() []string {
+	var names []string
+	for _, link := range p.Links.All() {
+		names = append(names, link.Incarnation)
+	}
+	return names
+}
+
+// Push implements config.Peers. The goroutines end with the calls that they
+// make, as those do that grpc starts for a call.
+func (p ConfigPeers) Push(ctx context.Context, peers []string, changes []resource.Change) {
+	var calls sync.WaitGroup
+	for _, name := range peers {
+		calls.Go(func() {
+			link, err := p.Links.To(name)
+			if err == nil {
+				err = link.PushConfig(ctx, changes)
+			}
+			if err != nil {
+				p.Log.Info("peers: configuration not delivered, left to the next pull", "to", name, "error", err)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// Pull implements config.Peers.
+func (p ConfigPeers) Pull(ctx context.Context, peer string, request config.PullRequest) (config.PullAnswer, error) {
+	link, err := p.Links.To(peer)
+	if err != nil {
+		return config.PullAnswer{}, err
 	}
-	return h.node.deps.Config.After(ctx, after)
+	return link.PullConfig(ctx, request)
 }
 
 // NoteCrashes implements rpc.Handler.
--- a/rpc/links.go
+++ b/rpc/links.go
@@ -10,7 +10,10 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"dogwoodline.example/config"
+	"dogwoodline.example/platform"
 	"dogwoodline.example/program"
+	"dogwoodline.example/resource"
 	"dogwoodline.example/rpc/peerpb"
 )
 
@@ -175,20 +178,30 @@
 	}
 }
 
-// PushConfig hands changes to the node and returns its highest revision.
-func (k *Link) PushConfig(ctx context.Context, changes []Change) (int64, error) {
+// PushConfig hands accepted changes of resources to the node.
+func (k *Link) PushConfig(ctx context.Context, changes []resource.Change) error {
 	ctx, done := k.joined(ctx)
 	defer done()
-	ack, err := k.client.PushConfig(ctx, &peerpb.ConfigChanges{Changes: encodeChanges(changes)})
-	return ack.GetRevision(), Error.Wrap(err)
+	_, err := k.client.PushConfig(ctx, &peerpb.ConfigChanges{Changes: encodeChanges(changes)})
+	return Error.Wrap(err)
 }
 
-// PullConfig asks the node for the changes after a revision.
-func (k *Link) PullConfig(ctx context.Context, after int64) ([]Change, int64, error) {
+// PullConfig asks the node for the changes that this one lacks.
+func (k *Link) PullConfig(ctx context.Context, request config.PullRequest) (config.PullAnswer, error) {
 	ctx, done := k.joined(ctx)
 	defer done()
-	answer, err := k.client.PullConfig(ctx, &peerpb.ConfigPull{After: after})
-	return decodeChanges(answer.GetChanges()), answer.GetRevision(), Error.Wrap(err)
+	answer, err := k.client.PullConfig(ctx, &peerpb.ConfigPull{Complete: int64(request.Complete), Digest: request.Digest})
+	if err != nil {
+		return config.PullAnswer{}, Error.Wrap(err)
+	}
+	changes, err := decodeChanges(answer.GetChanges())
+	if err != nil {
+		return config.PullAnswer{}, err
+	}
+	return config.PullAnswer{
+		Ready: answer.GetReady(), Changes: changes,
+		Complete: platform.Version(answer.GetComplete()), Digest: answer.GetDigest(),
+	}, nil
 }
 
 // NoteCrashes hands on which requests crashed backend servers.
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -11,7 +11,9 @@
 
 	"github.com/zeebo/errs"
 
+	"dogwoodline.example/config"
 	"dogwoodline.example/program"
+	"dogwoodline.example/resource"
 	"dogwoodline.example/rpc/peerpb"
 )
 
@@ -59,25 +61,16 @@
 	StoreSilent time.Duration
 }
 
-// Change is a change of a declared resource in its stored form.
-type Change struct {
-	Kind    string
-	Name    string
-	Version int64
-	Deleted bool
-	Value   []byte
-}
-
 // Handler serves the requests of other nodes.
 type Handler interface {
 	Ping(ctx context.Context) PingAnswer
 	// Forward serves a request that belongs to a program of this node. Parts
 	// of a streamed answer are handed to chunk.
 	Forward(ctx context.Context, request Forwarded, chunk func(program.Chunk) error) program.Reply
-	// PushConfig takes changes and returns the highest revision known here.
-	PushConfig(ctx context.Context, changes []Change) int64
-	// PullConfig returns the changes after a revision, and the highest one.
-	PullConfig(ctx context.Context, after int64) ([]Change, int64)
+	// PushConfig takes accepted changes of resources.
+	PushConfig(ctx context.Context, changes []resource.Change)
+	// PullConfig answers with the changes that the other node lacks.
+	PullConfig(ctx context.Context, request config.PullRequest) config.PullAnswer
 	// NoteCrashes takes which requests crashed backend servers.
 	NoteCrashes(ctx context.Context, crashes []program.Crash)
 	// Schedule serves the owner of programs that asks for slots of a pool. It
@@ -104,22 +97,26 @@
 	return reply, nil
 }
 
-func encodeChanges(changes []Change) []*peerpb.ConfigChange {
-	encoded := make([]*peerpb.ConfigChange, 0, len(changes))
+func encodeChanges(changes []resource.Change) [][]byte {
+	encoded := make([][]byte, 0, len(changes))
 	for _, c := range changes {
-		encoded = append(encoded, &peerpb.ConfigChange{
-			Kind: c.Kind, Name: c.Name, Version: c.Version, Deleted: c.Deleted, Value: c.Value,
-		})
+		data, err := json.Marshal(c)
+		if err != nil {
+			panic("rpc: change of plain values failed to encode: " + err.Error())
+		}
+		encoded = append(encoded, data)
 	}
 	return encoded
 }
 
-func decodeChanges(encoded []*peerpb.ConfigChange) []Change {
-	changes := make([]Change, 0, len(encoded))
-	for _, c := range encoded {
-		changes = append(changes, Change{
-			Kind: c.GetKind(), Name: c.GetName(), Version: c.GetVersion(), Deleted: c.GetDeleted(), Value: c.GetValue(),
-		})
+func decodeChanges(encoded [][]byte) ([]resource.Change, error) {
+	changes := make([]resource.Change, 0, len(encoded))
+	for _, data := range encoded {
+		var c resource.Change
+		if err := json.Unmarshal(data, &c); err != nil {
+			return nil, errs.Combine(ErrUndecodable, err)
+		}
+		changes = append(changes, c)
 	}
-	return changes
+	return changes, nil
 }
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -6,9 +6,13 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
+	"dogwoodline.example/config"
+	"dogwoodline.example/platform"
 	"dogwoodline.example/program"
 	"dogwoodline.example/rpc/peerpb"
 )
@@ -73,13 +77,22 @@
 	return stream.Send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Reply{Reply: encodeReply(reply)}})
 }
 
-func (s *service) PushConfig(ctx context.Context, changes *peerpb.ConfigChanges) (*peerpb.ConfigAck, error) {
-	return &peerpb.ConfigAck{Revision: s.handler.PushConfig(ctx, decodeChanges(changes.GetChanges()))}, nil
+func (s *service) PushConfig(ctx context.Context, message *peerpb.ConfigChanges) (*peerpb.ConfigAck, error) {
+	changes, err := decodeChanges(message.GetChanges())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	s.handler.PushConfig(ctx, changes)
+	return &peerpb.ConfigAck{}, nil
 }
 
-func (s *service) PullConfig(ctx context.Context, pull *peerpb.ConfigPull) (*peerpb.ConfigChanges, error) {
-	changes, revision := s.handler.PullConfig(ctx, pull.GetAfter())
-	return &peerpb.ConfigChanges{Revision: revision, Changes: encodeChanges(changes)}, nil
+func (s *service) PullConfig(ctx context.Context, pull *peerpb.ConfigPull) (*peerpb.ConfigAnswer, error) {
+	answer := s.handler.PullConfig(ctx, config.PullRequest{
+		Complete: platform.Version(pull.GetComplete()), Digest: pull.GetDigest(),
+	})
+	return &peerpb.ConfigAnswer{
+		Ready: answer.Ready, Changes: encodeChanges(answer.Changes), Complete: int64(answer.Complete), Digest: answer.Digest,
+	}, nil
 }
 
 func (s *service) NoteCrashes(ctx context.Context, crashes *peerpb.Crashes) (*peerpb.CrashesAck, error) {
