Run nodes and stand-ins as separate processes

Cause: the path ran inside one process only.

Change: the daemon module joins settings, platform client, configuration, node and HTTP interface; the commands node and emulate are wired.

Ruled out: failing a drain when the last node of a deployment stops.

--- a/cmd/dogwoodline/emulate.go
+++ b/cmd/dogwoodline/emulate.go
@@ -11,6 +11,9 @@
 	"github.com/pelletier/go-toml/v2"
 	"github.com/zeebo/errs"
 
+	"dogwoodline.example/emulator/engine"
+	"dogwoodline.example/emulator/platformserver"
+	"dogwoodline.example/emulator/service"
 	"dogwoodline.example/platform"
 	"dogwoodline.example/settings"
 )
@@ -42,21 +45,28 @@
 }
 
 // startPlatform serves until ctx ends.
-func startPlatform(context.Context, emulatePlatform, []platform.Host) error {
-	// TODO(lead): call platformserver.New(settings), SetHosts(hosts) and Listen(ctx, listen, admin).
-	return errNotBuilt
+func startPlatform(ctx context.Context, e emulatePlatform, hosts []platform.Host) error {
+	server := platformserver.New(platformserver.Settings{Seed: 1})
+	server.SetHosts(hosts)
+	_, _, err := server.Listen(ctx, e.Listen, e.Admin)
+	return err
 }
 
 // startEngine serves until ctx ends.
-func startEngine(context.Context, emulateEngine) error {
-	// TODO(lead): call engine.Start(ctx, config) with engine.Default() and the flags.
-	return errNotBuilt
+func startEngine(ctx context.Context, e emulateEngine) error {
+	config := engine.DefaultConfig()
+	config.Name, config.Address, config.Slots, config.ObeyFencing = e.Name, e.Listen, e.Slots, e.ObeyFencing
+	if e.Model != "" {
+		config.Models = []string{e.Model}
+	}
+	_, err := engine.Start(ctx, config)
+	return err
 }
 
 // startService serves until ctx ends.
-func startService(context.Context, emulateService) error {
-	// TODO(lead): call service.Start(ctx, config) with the flags.
-	return errNotBuilt
+func startService(ctx context.Context, e emulateService) error {
+	_, err := service.Start(ctx, service.Config{Name: e.Name, Address: e.Listen, Lookup: e.Lookup})
+	return err
 }
 
 // Run runs the platform stand-in.
--- a/cmd/dogwoodline/node.go
+++ b/cmd/dogwoodline/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"dogwoodline.example/daemon"
 	"dogwoodline.example/settings"
 )
 
@@ -28,9 +29,8 @@
 }
 
 // newNode assembles a node.
-func newNode(settings.Settings, *slog.Logger) (runner, error) {
-	// TODO(lead): return node.New(settings, log).
-	return nil, errNotBuilt
+func newNode(s settings.Settings, log *slog.Logger) (runner, error) {
+	return daemon.New(s, log)
 }
 
 // Run runs a node until a signal drains it.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -165,8 +165,11 @@
 // the membership. Callers that still use the old address are served meanwhile.
 func (d *Daemon) Drain(ctx context.Context) error {
 	err := d.node.Drain(ctx)
-	if err != nil {
-		d.log.Warn("node: drain is not complete", "error", err)
+	if errors.Is(err, node.ErrLeftOver) {
+		// The last node of a deployment. Its programs are in its journal, and
+		// the next node that starts takes them over.
+		d.log.Warn("node: some programs stay in the journal", "error", err)
+		err = nil
 	}
 	d.stopping()
 	shutdown := d.http.Shutdown(ctx)
