--- /dev/null
+++ b/cmd/dogwoodline/emulate.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/zeebo/errs"
+
+	"dogwoodline.example/emulator/engine"
+	"dogwoodline.example/emulator/platformserver"
+	"dogwoodline.example/emulator/service"
+	"dogwoodline.example/platform"
+	"dogwoodline.example/settings"
+)
+
+type emulateCommand struct {
+	Platform emulatePlatform `cmd:"" help:"Run the stand-in for the platform store, the host list and the weight store."`
+	Engine   emulateEngine   `cmd:"" help:"Run the stand-in for a model engine."`
+	Service  emulateService  `cmd:"" help:"Run the stand-in for a tool service."`
+}
+
+type emulatePlatform struct {
+	Listen string `default:"127.0.0.1:7001" help:"IP number and port to listen on."`
+	Admin  string `default:"127.0.0.1:7002" help:"IP number and port of the fault switches."`
+	Hosts  string `placeholder:"FILE" help:"TOML file with [[hosts]] tables of name, address, zone and state."`
+}
+
+type emulateEngine struct {
+	Listen      string `default:"127.0.0.1:7301" help:"IP number and port to listen on."`
+	Name        string `default:"engine-1" help:"Name of the backend server."`
+	Slots       int    `default:"16" help:"Calls that run at the same time."`
+	Model       string `help:"Model that is loaded. Any model when missing."`
+	ObeyFencing bool   `help:"Refuse orders that carry an old fencing number."`
+}
+
+type emulateService struct {
+	Listen string `default:"127.0.0.1:7401" help:"IP number and port to listen on."`
+	Name   string `default:"ledger" help:"Name of the service."`
+	Lookup bool   `help:"Answer what became of a request id."`
+}
+
+// startPlatform serves until ctx ends.
+func startPlatform(ctx context.Context, e emulatePlatform, hosts []platform.Host) error {
+	server := platformserver.New(platformserver.Settings{Seed: 1})
+	server.SetHosts(hosts)
+	_, _, err := server.Listen(ctx, e.Listen, e.Admin)
+	return err
+}
+
+// startEngine serves until ctx ends.
+func startEngine(ctx context.Context, e emulateEngine) error {
+	config := engine.DefaultConfig()
+	config.Name, config.Address, config.Slots, config.ObeyFencing = e.Name, e.Listen, e.Slots, e.ObeyFencing
+	if e.Model != "" {
+		config.Models = []string{e.Model}
+	}
+	_, err := engine.Start(ctx, config)
+	return err
+}
+
+// startService serves until ctx ends.
+func startService(ctx context.Context, e emulateService) error {
+	_, err := service.Start(ctx, service.Config{Name: e.Name, Address: e.Listen, Lookup: e.Lookup})
+	return err
+}
+
+// Run runs the platform stand-in.
+func (e emulatePlatform) Run(c *console) error {
+	hosts, err := readHosts(e.Hosts)
+	if err != nil {
+		return errs.Combine(errUsage, err)
+	}
+	start := func(ctx context.Context) error { return startPlatform(ctx, e, hosts) }
+	return serveStandIn(c, "platform", e.Listen, start)
+}
+
+// Run runs the engine stand-in.
+func (e emulateEngine) Run(c *console) error {
+	start := func(ctx context.Context) error { return startEngine(ctx, e) }
+	return serveStandIn(c, e.Name, e.Listen, start)
+}
+
+// Run runs the service stand-in.
+func (e emulateService) Run(c *console) error {
+	start := func(ctx context.Context) error { return startService(ctx, e) }
+	return serveStandIn(c, e.Name, e.Listen, start)
+}
+
+// serveStandIn starts a stand-in and waits for a signal.
+func serveStandIn(c *console, name, listen string, start func(context.Context) error) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := start(ctx); err != nil {
+		return err
+	}
+	log := newLog(c.errOut, settings.Default().Log)
+	log.Info("emulator: listening", "name", name, "address", listen)
+	<-ctx.Done()
+	return nil
+}
+
+func readHosts(path string) ([]platform.Host, error) {
+	var file struct {
+		Hosts []platform.Host `toml:"hosts"`
+	}
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&file); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return file.Hosts, nil
+}
--- a/emulator/engine/engine.go
+++ b/emulator/engine/engine.go
@@ -22,7 +22,8 @@
 // address is not free.
 func Start(ctx context.Context, config Config) (*Engine, error) {
 	settings := standin.Config{
-		Address: config.Address, Credential: config.Credential, RestartDelay: config.real(config.RestartDelay),
+		Name: config.Name, Address: config.Address,
+		Credential: config.Credential, RestartDelay: config.real(config.RestartDelay),
 	}
 	e := &Engine{config: config}
 	var err error
--- a/emulator/internal/standin/standin.go
+++ b/emulator/internal/standin/standin.go
@@ -56,6 +56,8 @@
 
 // Config holds the settings of a Server.
 type Config struct {
+	// Name appears in log lines.
+	Name string
 	// Address is the loopback address, empty for a free port.
 	Address string
 	// Credential is the bearer token that clients must send, empty for none.
@@ -73,7 +75,7 @@
 		admin:      ring.New[Step[S]](adminSlots),
 		delay:      config.RestartDelay,
 		credential: config.Credential,
-		duties:     duty.NewGroup(ctx, slog.Default(), metrics.NewSet()),
+		duties:     duty.NewGroup(ctx, slog.Default().With("standin", config.Name), metrics.NewSet()),
 	}
 	var err error
 	if s.listener, err = listen(config.Address, s.handler(routes(s))); err != nil {
--- a/emulator/service/service.go
+++ b/emulator/service/service.go
@@ -25,6 +25,8 @@
 
 // Config holds the settings of a service.
 type Config struct {
+	// Name appears in log lines.
+	Name string
 	// Address is the loopback address, empty for a free port.
 	Address string
 	// Credential is the bearer token that callers must send, empty for none.
@@ -90,7 +92,8 @@
 // address is not free.
 func Start(ctx context.Context, config Config) (*Service, error) {
 	settings := standin.Config{
-		Address: config.Address, Credential: config.Credential, RestartDelay: config.RestartDelay,
+		Name: config.Name, Address: config.Address,
+		Credential: config.Credential, RestartDelay: config.RestartDelay,
 	}
 	s := &Service{}
 	var err error
