--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,7 @@
 	engines []*engine.Engine
 	ledger  *service.Service
 	set     *resource.Set
+	mu      sync.Mutex // guards nodes
 	nodes   []*member
 }
 
@@ -166,6 +168,8 @@
 		m.kill()
 		Eventually(m.ended, "5s").Should(Receive())
 	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.nodes = append(c.nodes, m)
 	return m
 }
