--- /dev/null
+++ b/journal/codec_test.go
@@ -0,0 +1,80 @@
+package journal
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+func exampleHead() head {
+	h := head{incarnation: "a1", commit: 9, sealed: true, first: 2, open: 4}
+	h.body = appendRecord(h.body, Record{Shard: 7, Program: "p", Seq: 3, Ended: true, Data: []byte("x")})
+	h.body = appendRecord(h.body, AdoptionBegin(7, 12, true))
+	return h
+}
+
+// Guards against a decoder that accepts values it cannot represent, and
+// against one that panics on a damaged value.
+func FuzzDecode(f *testing.F) {
+	f.Add(appendHead(nil, exampleHead()))
+	f.Add([]byte{})
+	f.Add(appendHead(nil, head{incarnation: "b", body: []byte{0xff}}))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		h, err := decodeHead(value)
+		if err != nil {
+			if !errors.Is(err, ErrMalformed) && !errors.Is(err, ErrFormat) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		records, err := decodeRecords(h.body)
+		if err != nil {
+			if !errors.Is(err, ErrMalformed) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		var body []byte
+		for _, r := range records {
+			body = appendRecord(body, r)
+		}
+		h.body = body
+		again, err := decodeHead(appendHead(nil, h))
+		if err != nil || !bytes.Equal(again.body, h.body) || again.incarnation != h.incarnation || again.commit != h.commit {
+			t.Fatalf("not stable: %v, %+v, %+v", err, h, again)
+		}
+	})
+}
+
+// Guards against a build that misreads the value of a newer one, or a value
+// that was cut or has been extended.
+func TestDecodeRejects(t *testing.T) {
+	good := appendHead(nil, exampleHead())
+	if h, err := decodeHead(good); err != nil || h.commit != 9 || !h.sealed || h.first != 2 || h.open != 4 {
+		t.Fatalf("good value: %+v, %v", h, err)
+	}
+	unknownField := protowire.AppendVarint(protowire.AppendTag(bytes.Clone(good), 99, protowire.VarintType), 1)
+	noRecordProgram := append(bytes.Clone(good), appendRecord(nil, Record{Shard: 1, Seq: 1})...)
+	for name, test := range map[string]struct {
+		value []byte
+		want  error
+	}{
+		"empty":               {nil, ErrFormat},
+		"cut":                 {good[:len(good)-1], ErrMalformed},
+		"unknown field":       {unknownField, ErrMalformed},
+		"format of a newer":   {bytes.Replace(good, []byte{8, 1}, []byte{8, 2}, 1), ErrFormat},
+		"no incarnation":      {appendHead(nil, head{commit: 1}), ErrMalformed},
+		"first after open":    {appendHead(nil, head{incarnation: "a", first: 2, open: 1}), ErrMalformed},
+		"record without name": {noRecordProgram, ErrMalformed},
+	} {
+		h, err := decodeHead(test.value)
+		if err == nil {
+			_, err = decodeRecords(h.body)
+		}
+		if !errors.Is(err, test.want) {
+			t.Errorf("%s: got %v, want %v", name, err, test.want)
+		}
+	}
+}
--- a/journal/commit.go
+++ b/journal/commit.go
@@ -40,6 +40,7 @@
 	if compacted > 0 {
 		return w.deleteOldest(ctx, compacted-1)
 	}
+	w.query(ctx)
 	return nil
 }
 
@@ -132,7 +133,6 @@
 	}
 	w.head.open++
 	w.head.body = nil
-	w.query(ctx)
 	w.publish()
 	return nil
 }
--- a/journal/compact.go
+++ b/journal/compact.go
@@ -43,7 +43,7 @@
 }
 
 // query starts the compaction of the oldest segment if the journal is long
-// enough. A failed read is not retried; the next closed segment asks again.
+// enough. A failed read is not retried here; the next commit asks again.
 func (w *Writer) query(ctx context.Context) {
 	closed := int(w.head.open - w.head.first)
 	if closed <= w.settings.CompactAbove || w.index.asked {
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -1,43 +1,395 @@
 package journal_test
 
 import (
-	"testing"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
-
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
+	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 
 	"dogwoodline.example/journal"
+	"dogwoodline.example/journal/storefault"
+	"dogwoodline.example/platform"
 	"dogwoodline.example/platform/memstore"
 )
 
 func TestJournal(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "journal")
+	suite, reporter := GinkgoConfiguration()
+	suite.Timeout = 2 * time.Minute
+	RunSpecs(t, "journal", suite, reporter)
 }
 
-var quiet = slog.New(slog.DiscardHandler)
+var (
+	quiet = slog.New(slog.DiscardHandler)
+	// fast removes the waits of the write budget and the backoff, and closes
+	// segments early so that few records exercise them.
+	fast = journal.Settings{
+		WritesPerSecond: 1e6,
+		RetryMin:        10 * time.Microsecond,
+		RetryMax:        50 * time.Microsecond,
+		SegmentBytes:    256,
+		CompactAbove:    2,
+	}
+	clock = clockwork.NewRealClock()
+)
 
 func all(int) bool { return true }
 
+func record(program string, seq uint64) journal.Record {
+	return journal.Record{Shard: 1, Program: program, Seq: seq, Data: []byte(fmt.Sprint(program, "/", seq))}
+}
+
+func names(records []journal.Record) []string {
+	found := []string{}
+	for _, r := range records {
+		Expect(string(r.Data)).To(Equal(fmt.Sprint(r.Program, "/", r.Seq)))
+		found = append(found, string(r.Data))
+	}
+	return found
+}
+
+// owner consumes the completions of a writer. It answers queries by live and
+// ends with the writer, or when it is fenced.
+type owner struct {
+	acked  []uint64
+	fenced bool
+}
+
+func (o *owner) take(w *journal.Writer, c journal.Completion, live func(journal.Record) bool) {
+	switch c := c.(type) {
+	case journal.Committed:
+		o.acked = append(o.acked, c.Tags...)
+	case journal.Fenced:
+		o.fenced = true
+	case journal.Query:
+		verdict := journal.Verdict{Segment: c.Segment}
+		for _, r := range c.Records {
+			verdict.Live = append(verdict.Live, live(r))
+		}
+		_ = w.Verdicts().TryPush(verdict)
+	}
+}
+
+// writeAll appends records 1 to n of one program one by one, waits for each,
+// and returns the tags that were committed.
+func writeAll(ctx context.Context, w *journal.Writer, n uint64, live func(journal.Record) bool) *owner {
+	o := &owner{}
+	for seq := uint64(1); seq <= n; seq++ {
+		if w.Appends().TryPush(journal.Append{Tag: seq, Records: []journal.Record{record("p", seq)}}) != nil {
+			break
+		}
+		for acked := len(o.acked); len(o.acked) == acked && !o.fenced; {
+			c, err := w.Completions().Pop(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			o.take(w, c, live)
+		}
+	}
+	return o
+}
+
 var _ = Describe("Writer", func() {
-	It("returns in a replay what it reported as committed", func(ctx SpecContext) {
-		store := memstore.New(clockwork.NewRealClock())
-		w := journal.NewWriter(store, clockwork.NewRealClock(), quiet, "a1", journal.Settings{})
-		go w.Run(ctx)
-		Expect(w.Appends().TryPush(journal.Append{Tag: 7, Records: []journal.Record{
-			{Shard: 3, Program: "p", Seq: 1, Data: []byte("x")}}})).To(Succeed())
-		Expect(w.Completions().Pop(ctx)).To(Equal(journal.Committed{Tags: []uint64{7}}))
+	It("does not commit after a seal: a holder that was paused finds itself fenced", func(ctx SpecContext) {
+		store := memstore.New(clock)
+		w := journal.NewWriter(store, clock, quiet, "a1", fast)
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
+		Expect(writeAll(ctx, w, 3, nil).acked).To(HaveLen(3))
+
+		Expect(journal.Seal(ctx, store, "a1")).To(Succeed())
 		Expect(journal.Seal(ctx, store, "a1")).To(Succeed())
-		records, err := journal.Replay(context.Background(), store, "a1", all)
+		o := writeAll(ctx, w, 1, nil)
+		Expect(o.fenced).To(BeTrue())
+		Expect(o.acked).To(BeEmpty())
+		Eventually(ended).Should(Receive(MatchError(journal.ErrFenced)))
+		Expect(w.State().Fenced).To(BeTrue())
+		Expect(w.Appends().TryPush(journal.Append{})).NotTo(Succeed())
+		Expect(journal.NewAppender(w).Append(ctx, []journal.Record{record("p", 9)})).To(MatchError(journal.ErrFenced))
+
+		records, err := journal.Replay(ctx, store, "a1", all)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(names(records)).To(Equal([]string{"p/1", "p/2", "p/3"}))
+	})
+
+	It("cannot begin a journal that was sealed before its first write, also after its deletion", func(ctx SpecContext) {
+		store := memstore.New(clock)
+		Expect(journal.Seal(ctx, store, "late")).To(Succeed())
+		Expect(journal.Delete(ctx, store, "late")).To(Succeed())
+		Expect(journal.NewWriter(store, clock, quiet, "late", fast).Open(ctx)).To(MatchError(journal.ErrFenced))
+	})
+
+	It("does not take over the journal of an earlier process with the same name", func(ctx SpecContext) {
+		store := memstore.New(clock)
+		w := journal.NewWriter(store, clock, quiet, "a1", fast)
+		Expect(w.Open(ctx)).To(Succeed())
+		go w.Run(ctx)
+		writeAll(ctx, w, 1, nil)
+		Expect(journal.NewWriter(store, clock, quiet, "a1", fast).Open(ctx)).To(MatchError(journal.ErrFenced))
+	})
+
+	// Fails each store call in turn, in each way, through commits, closed
+	// segments and compaction.
+	for _, fault := range []storefault.Fault{storefault.Unavailable, storefault.LostBefore, storefault.LostAfter} {
+		It(fmt.Sprintf("reports each record once although the k-th call fails (fault %d)", fault), func(ctx SpecContext) {
+			const records = 30
+			total := int64(1)
+			for k := int64(1); k <= total; k++ {
+				base := memstore.New(clock)
+				store := storefault.New(base, func(c storefault.Call) storefault.Fault {
+					if c.N == k {
+						return fault
+					}
+					return storefault.None
+				})
+				w := journal.NewWriter(store, clock, quiet, "a1", fast)
+				ended := make(chan error, 1)
+				go func() { ended <- w.Run(ctx) }()
+				o := writeAll(ctx, w, records, func(r journal.Record) bool { return r.Seq%3 == 0 })
+				w.Appends().Close()
+				Eventually(ended).Should(Receive(BeNil()))
+				total = store.Calls()
+
+				Expect(o.acked).To(HaveLen(records))
+				Expect(journal.Seal(ctx, base, "a1")).To(Succeed())
+				replayed, err := journal.Replay(ctx, base, "a1", all)
+				Expect(err).NotTo(HaveOccurred())
+				for seq := uint64(3); seq <= records; seq += 3 {
+					Expect(names(replayed)).To(ContainElement(fmt.Sprint("p/", seq)), "fault at call %d", k)
+				}
+				items, _, err := base.List(ctx, "journal/a1/seg/")
+				Expect(err).NotTo(HaveOccurred())
+				Expect(len(items)).To(BeNumerically("<", total/2), "fault at call %d", k)
+			}
+			Expect(total).To(BeNumerically(">", records))
+		})
+	}
+
+	It("holds a bounded tail while the store is down, shows it, and commits it afterwards", func(ctx SpecContext) {
+		down := make(chan struct{})
+		store := storefault.New(memstore.New(clock), func(storefault.Call) storefault.Fault {
+			select {
+			case <-down:
+				return storefault.None
+			default:
+				return storefault.Unavailable
+			}
+		})
+		bounded := fast
+		bounded.TailRecords, bounded.RingSlots = 8, 4
+		w := journal.NewWriter(store, clock, quiet, "a1", bounded)
+		go w.Run(ctx)
+		var accepted uint64
+		Eventually(func() error { // pushes until the tail and the ring are full
+			var err error
+			for err == nil {
+				err = w.Appends().TryPush(journal.Append{Tag: accepted, Records: []journal.Record{record("p", accepted)}})
+				if err == nil {
+					accepted++
+				}
+			}
+			if accepted < 12 {
+				return nil
+			}
+			return err
+		}).Should(HaveOccurred())
+		Consistently(func() error { return w.Appends().TryPush(journal.Append{}) }, "20ms").ShouldNot(Succeed())
+		Expect(w.State().TailRecords).To(Equal(8))
+		Expect(w.State().FailingSince).NotTo(BeZero())
+		Expect(w.State().LastCommit).To(BeZero())
+
+		close(down)
+		o := &owner{}
+		for uint64(len(o.acked)) < accepted {
+			c, err := w.Completions().Pop(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			o.take(w, c, nil)
+		}
+		for i, tag := range o.acked {
+			Expect(tag).To(Equal(uint64(i)), "order of completions")
+		}
+		Expect(accepted).To(Equal(uint64(12)))
+		Eventually(func() time.Time { return w.State().FailingSince }).Should(BeZero())
+	})
+
+	It("commits at once when idle, then one group for each share of the write budget", func(ctx SpecContext) {
+		fake := clockwork.NewFakeClock()
+		store := memstore.New(fake)
+		w := journal.NewWriter(store, fake, quiet, "a1", journal.Settings{WritesPerSecond: 30})
+		go w.Run(ctx)
+		for tag := range uint64(100) {
+			Expect(w.Appends().TryPush(journal.Append{Tag: tag, Records: []journal.Record{record("p", tag)}})).To(Succeed())
+		}
+		var acked []uint64
+		for len(acked) < 100 {
+			c, ok := w.Completions().TryPop()
+			if !ok {
+				if w.State().TailRecords > 0 {
+					Expect(fake.BlockUntilContext(ctx, 1)).To(Succeed())
+					fake.Advance(time.Second / 30)
+				}
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			acked = append(acked, c.(journal.Committed).Tags...)
+		}
+		Expect(w.State().Commits).To(BeNumerically("<=", 4), "100 appends, grouped")
+	})
+
+	It("rejects a record above its limit and keeps every value below the store's", func(ctx SpecContext) {
+		store := memstore.New(clock)
+		settings := fast
+		settings.SegmentBytes = 128 << 10
+		w := journal.NewWriter(store, clock, quiet, "a1", settings)
+		go w.Run(ctx)
+		appender := journal.NewAppender(w)
+		big := journal.Record{Program: "p", Seq: 1, Data: make([]byte, journal.MaxRecordBytes+1)}
+		Expect(appender.Append(ctx, []journal.Record{big})).To(MatchError(journal.ErrInvalidRecord))
+		Expect(appender.Append(ctx, []journal.Record{{Program: ""}})).To(MatchError(journal.ErrInvalidRecord))
+		var records []journal.Record
+		for seq := range uint64(12) {
+			records = append(records, journal.Record{Program: "p", Seq: seq, Data: make([]byte, journal.MaxRecordBytes)})
+		}
+		Expect(appender.Append(ctx, records)).To(Succeed())
+		replayed, err := journal.Replay(ctx, store, "a1", all)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(replayed).To(Equal(records))
+	})
+
+	It("compacts: live records survive, dead ones go, and an ended program never looks like a running one", func(ctx SpecContext) {
+		store := memstore.New(clock)
+		w := journal.NewWriter(store, clock, quiet, "a1", fast)
+		go w.Run(ctx)
+		ended, dead := map[string]bool{}, map[string]bool{}
+		o := &owner{}
+		live := func(r journal.Record) bool { return !dead[r.Program] }
+		tag := uint64(0)
+		push := func(r journal.Record) {
+			tag++
+			Expect(w.Appends().TryPush(journal.Append{Tag: tag, Records: []journal.Record{r}})).To(Succeed())
+			for uint64(len(o.acked)) < tag {
+				c, err := w.Completions().Pop(ctx)
+				Expect(err).NotTo(HaveOccurred())
+				o.take(w, c, live)
+			}
+		}
+		end := func(program string, seq uint64) {
+			last := record(program, seq)
+			last.Ended = true
+			push(last)
+			ended[program] = true
+		}
+		push(record("long", 1))
+		for i := range 60 {
+			// Needed for late repeats for a while after their end, so that a
+			// copy of the first record comes to lie behind the end.
+			switch kept := fmt.Sprint("kept", i%20); i / 20 {
+			case 0:
+				push(record(kept, 1))
+			case 1:
+				end(kept, 2)
+			default:
+				dead[kept] = true
+			}
+			program := fmt.Sprint("short", i)
+			push(record(program, 1))
+			if i > 5 {
+				push(record(fmt.Sprint("short", i-5), 2)) // lives across segments
+				end(fmt.Sprint("short", i-5), 3)
+				dead[fmt.Sprint("short", i-5)] = true
+			}
+			replayed, err := journal.Replay(ctx, store, "a1", all)
+			Expect(err).NotTo(HaveOccurred())
+			found := map[string]bool{}
+			for _, r := range replayed {
+				found[r.Program] = found[r.Program] || r.Ended
+			}
+			Expect(found).To(HaveKey("long"))
+			for name, foundEnded := range found {
+				Expect(foundEnded).To(Equal(ended[name]), "program %s in round %d", name, i)
+			}
+		}
+		replayed, err := journal.Replay(ctx, store, "a1", all)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(replayed)).To(BeNumerically("<", 60), "of 170 written")
+		items, _, err := store.List(ctx, "journal/a1/seg/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(items)).To(BeNumerically("<", 12))
+	})
+})
+
+var _ = Describe("Seal and Delete", func() {
+	It("resolve a lost answer at each call", func(ctx SpecContext) {
+		for _, fault := range []storefault.Fault{storefault.LostBefore, storefault.LostAfter} {
+			for k := int64(1); k <= 8; k++ {
+				base := memstore.New(clock)
+				w := journal.NewWriter(base, clock, quiet, "a1", fast)
+				Expect(w.Open(ctx)).To(Succeed())
+				store := storefault.New(base, func(c storefault.Call) storefault.Fault {
+					if c.N == k {
+						return fault
+					}
+					return storefault.None
+				})
+				Expect(journal.Delete(ctx, base, "a1")).To(MatchError(journal.ErrNotSealed))
+				try := func(do func(context.Context, platform.Store, string) error) {
+					if err := do(ctx, store, "a1"); err != nil { // a refused read
+						Expect(errors.Is(err, platform.ErrUnavailable)).To(BeTrue(), "%v", err)
+						Expect(do(ctx, store, "a1")).To(Succeed())
+					}
+				}
+				try(journal.Seal)
+				Expect(journal.IsFenced(ctx, base, "a1")).To(BeTrue())
+				try(journal.Delete)
+				items, _, err := base.List(ctx, "journal/")
+				Expect(err).NotTo(HaveOccurred())
+				Expect(items).To(BeEmpty())
+			}
+		}
+	})
+})
+
+var _ = Describe("Replay", func() {
+	write := func(ctx context.Context, groups ...[]journal.Record) []string {
+		store := memstore.New(clock)
+		w := journal.NewWriter(store, clock, quiet, "a1", fast)
+		go w.Run(ctx)
+		for _, group := range groups {
+			Expect(journal.NewAppender(w).Append(ctx, group)).To(Succeed())
+		}
+		records, err := journal.Replay(ctx, store, "a1", all)
+		Expect(err).NotTo(HaveOccurred())
+		return names(records)
+	}
+	old := []journal.Record{record("old", 1)}
+	copied := []journal.Record{record("new", 2), record("new", 1), record("new", 2)}
+
+	It("drops what an adoption has superseded, so that an ended program does not come back", func(ctx SpecContext) {
+		begin := []journal.Record{journal.AdoptionBegin(1, 5, false)}
+		Expect(write(ctx, old, begin, copied)).To(Equal([]string{"new/1", "new/2"}))
+	})
+
+	It("keeps the own records as long as their adoption is not complete", func(ctx SpecContext) {
+		begin := []journal.Record{journal.AdoptionBegin(1, 5, true)}
+		end := []journal.Record{journal.AdoptionEnd(1, 5)}
+		Expect(write(ctx, old, begin, copied)).To(Equal([]string{"new/1", "new/2", "old/1"}))
+		Expect(write(ctx, old, begin, copied, end)).To(Equal([]string{"new/1", "new/2"}))
+		Expect(write(ctx, old, begin, copied, []journal.Record{journal.AdoptionEnd(1, 4)})).To(HaveLen(3))
+	})
+
+	It("returns only the wanted shards and fails on a journal that does not exist", func(ctx SpecContext) {
+		store := memstore.New(clock)
+		_, err := journal.Replay(ctx, store, "none", all)
+		Expect(err).To(MatchError(platform.ErrNotFound))
+		w := journal.NewWriter(store, clock, quiet, "a1", fast)
+		go w.Run(ctx)
+		writeAll(ctx, w, 2, nil)
+		records, err := journal.Replay(ctx, store, "a1", func(shard int) bool { return shard != 1 })
 		Expect(err).NotTo(HaveOccurred())
-		Expect(records).To(HaveLen(1))
-		Expect(w.Appends().TryPush(journal.Append{Tag: 8, Records: []journal.Record{
-			{Shard: 3, Program: "p", Seq: 2}}})).To(Succeed())
-		Expect(w.Completions().Pop(ctx)).To(Equal(journal.Fenced{}))
+		Expect(records).To(BeEmpty())
 	})
 })
--- /dev/null
+++ b/journal/storefault/storefault.go
@@ -0,0 +1,133 @@
+// Package storefault wraps a platform store for tests and makes chosen calls
+// fail or wait.
+package storefault
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"dogwoodline.example/platform"
+)
+
+// Fault is how one call fails.
+type Fault int
+
+const (
+	// None lets the call through.
+	None Fault = iota
+	// Unavailable refuses the call.
+	Unavailable
+	// LostBefore loses the answer of a write that had no effect. A read is
+	// refused.
+	LostBefore
+	// LostAfter loses the answer of a write that took effect. A read is
+	// refused.
+	LostAfter
+)
+
+// Call describes one call.
+type Call struct {
+	N   int64 // number of the call, from 1
+	Op  string
+	Key string // or prefix
+}
+
+// Store is a platform store with faults.
+type Store struct {
+	inner  platform.Store
+	decide func(Call) Fault
+	calls  atomic.Int64
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New returns a store whose calls fail as decide says. Decide may block to hold
+// a call back; it is called from many goroutines.
+func New(inner platform.Store, decide func(Call) Fault) *Store {
+	return &Store{inner: inner, decide: decide}
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int64 { return s.calls.Load() }
+
+func (s *Store) write(op, key string, do func() error) error {
+	switch s.decide(Call{s.calls.Add(1), op, key}) {
+	case Unavailable:
+		return platform.ErrUnavailable
+	case LostBefore:
+		return platform.ErrAmbiguous
+	case LostAfter:
+		_ = do()
+		return platform.ErrAmbiguous
+	default:
+		return do()
+	}
+}
+
+func (s *Store) read(op, key string, do func() error) error {
+	if s.decide(Call{s.calls.Add(1), op, key}) != None {
+		return platform.ErrUnavailable
+	}
+	return do()
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (item platform.Item, err error) {
+	err = s.read("get", key, func() error {
+		item, err = s.inner.Get(ctx, key)
+		return err
+	})
+	return item, err
+}
+
+// Put implements platform.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (version platform.Version, err error) {
+	err = s.write("put", key, func() error {
+		version, err = s.inner.Put(ctx, key, value, expected, lease)
+		return err
+	})
+	return version, err
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected platform.Version) error {
+	return s.write("delete", key, func() error { return s.inner.Delete(ctx, key, expected) })
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) (items []platform.Item, revision platform.Version, err error) {
+	err = s.read("list", prefix, func() error {
+		items, revision, err = s.inner.List(ctx, prefix)
+		return err
+	})
+	return items, revision, err
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) (events []platform.Event, revision platform.Version, err error) {
+	err = s.read("watch", prefix, func() error {
+		events, revision, err = s.inner.Watch(ctx, prefix, after, wait)
+		return err
+	})
+	return events, revision, err
+}
+
+// Grant implements platform.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (lease platform.LeaseID, err error) {
+	err = s.write("grant", "", func() error {
+		lease, err = s.inner.Grant(ctx, ttl)
+		return err
+	})
+	return lease, err
+}
+
+// Renew implements platform.Store.
+func (s *Store) Renew(ctx context.Context, lease platform.LeaseID) error {
+	return s.write("renew", "", func() error { return s.inner.Renew(ctx, lease) })
+}
+
+// Revoke implements platform.Store.
+func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
+	return s.write("revoke", "", func() error { return s.inner.Revoke(ctx, lease) })
+}
