--- a/journal/history_test.go
+++ b/journal/history_test.go
@@ -41,7 +41,7 @@
 			if random.IntN(5) > 0 {
 				return storefault.None
 			}
-			return storefault.Fault(1 + random.IntN(3))
+			return storefault.Fault(1 + random.IntN(4))
 		})
 	}
 	w := journal.NewWriter(faulty(1), clock, quiet, "a1", fast)
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -134,7 +134,7 @@
 
 	// Fails each store call in turn, in each way, through commits, closed
 	// segments and compaction.
-	for _, fault := range []storefault.Fault{storefault.Unavailable, storefault.LostBefore, storefault.LostAfter} {
+	for _, fault := range []storefault.Fault{storefault.Unavailable, storefault.LostBefore, storefault.LostAfter, storefault.LostLate} {
 		It(fmt.Sprintf("reports each record once although the k-th call fails (fault %d)", fault), func(ctx SpecContext) {
 			const records = 30
 			total := int64(1)
--- a/journal/storefault/storefault.go
+++ b/journal/storefault/storefault.go
@@ -3,6 +3,7 @@
 package storefault
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"time"
@@ -24,8 +25,14 @@
 	// LostAfter loses the answer of a write that took effect. A read is
 	// refused.
 	LostAfter
+	// LostLate loses the answer of a write that takes effect lateBy after the
+	// caller has its error. A read is refused.
+	LostLate
 )
 
+// lateBy is the delay of LostLate. Retries within it race with the write.
+const lateBy = 2 * time.Millisecond
+
 // Call describes one call.
 type Call struct {
 	N   int64 // number of the call, from 1
@@ -51,7 +58,9 @@
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int64 { return s.calls.Load() }
 
-func (s *Store) write(op, key string, do func() error) error {
+// write does one write, or has it done later by late, which changes no variable
+// of the caller.
+func (s *Store) write(op, key string, do, late func() error) error {
 	switch s.decide(Call{s.calls.Add(1), op, key}) {
 	case Unavailable:
 		return platform.ErrUnavailable
@@ -60,6 +69,9 @@
 	case LostAfter:
 		_ = do()
 		return platform.ErrAmbiguous
+	case LostLate:
+		time.AfterFunc(lateBy, func() { _ = late() })
+		return platform.ErrAmbiguous
 	default:
 		return do()
 	}
@@ -83,16 +95,21 @@
 
 // Put implements platform.Store.
 func (s *Store) Put(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (version platform.Version, err error) {
+	copied := bytes.Clone(value)
 	err = s.write("put", key, func() error {
 		version, err = s.inner.Put(ctx, key, value, expected, lease)
 		return err
+	}, func() error {
+		_, err := s.inner.Put(context.WithoutCancel(ctx), key, copied, expected, lease)
+		return err
 	})
 	return version, err
 }
 
 // Delete implements platform.Store.
 func (s *Store) Delete(ctx context.Context, key string, expected platform.Version) error {
-	return s.write("delete", key, func() error { return s.inner.Delete(ctx, key, expected) })
+	do := func() error { return s.inner.Delete(context.WithoutCancel(ctx), key, expected) }
+	return s.write("delete", key, do, do)
 }
 
 // List implements platform.Store.
@@ -118,16 +135,18 @@
 	err = s.write("grant", "", func() error {
 		lease, err = s.inner.Grant(ctx, ttl)
 		return err
-	})
+	}, func() error { return nil })
 	return lease, err
 }
 
 // Renew implements platform.Store.
 func (s *Store) Renew(ctx context.Context, lease platform.LeaseID) error {
-	return s.write("renew", "", func() error { return s.inner.Renew(ctx, lease) })
+	do := func() error { return s.inner.Renew(context.WithoutCancel(ctx), lease) }
+	return s.write("renew", "", do, do)
 }
 
 // Revoke implements platform.Store.
 func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
-	return s.write("revoke", "", func() error { return s.inner.Revoke(ctx, lease) })
+	do := func() error { return s.inner.Revoke(context.WithoutCancel(ctx), lease) }
+	return s.write("revoke", "", do, do)
 }
--- /dev/null
+++ b/placement/plan_test.go
@@ -0,0 +1,184 @@
+package placement_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"dogwoodline.example/placement"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+// Guards against a decoder that panics or accepts a map with indices out of
+// range.
+func FuzzDecode(f *testing.F) {
+	m := placement.NewMap(16)
+	m.Assign([]string{"a", "b", "c"})
+	m.Takeover("a", []string{"b", "c"})
+	value, _ := m.Encode()
+	f.Add(value)
+	f.Add([]byte(`{"format":2,"owners":"AA=="}`))
+	f.Add([]byte(`{"format":1,"owners":"AQ==","sources":{"3":[1]}}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		m, err := placement.Decode(value)
+		if err != nil {
+			if !errors.Is(err, placement.ErrMalformed) && !errors.Is(err, placement.ErrFormat) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		first, err := m.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := placement.Decode(first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if second, _ := again.Encode(); !bytes.Equal(first, second) {
+			t.Fatalf("not stable: %s, %s", first, second)
+		}
+	})
+}
+
+func nodes(n int) []string {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint("node", i))
+	}
+	return names
+}
+
+func apply(m *placement.Map, moves []placement.Move) {
+	for _, move := range moves {
+		Expect(m.Handoff(move)).To(BeTrue())
+		Expect(m.RemoveSources(move.Shard, move.To, []string{move.From})).To(BeTrue())
+	}
+}
+
+func spread(m placement.Map, names []string) (least, most int) {
+	least = len(m.Shards)
+	for _, name := range names {
+		least, most = min(least, m.Owned(name)), max(most, m.Owned(name))
+	}
+	return least, most
+}
+
+var _ = Describe("Plans", func() {
+	const shards = placement.DefaultShards
+
+	It("give no node more than the rounded-up average", func() {
+		for n := 1; n <= 40; n++ {
+			m := placement.NewMap(shards)
+			Expect(m.Assign(nodes(n))).To(BeTrue())
+			_, most := spread(m, nodes(n))
+			Expect(most).To(BeNumerically("<=", (shards+n-1)/n))
+			Expect(m.Assign(nodes(n))).To(BeFalse())
+		}
+	})
+
+	It("move only what balance needs when a node joins, and then nothing more", func() {
+		for n := 1; n < 20; n++ {
+			m := placement.NewMap(shards)
+			m.Assign(nodes(n))
+			apply(&m, m.Rebalance(nodes(n)))
+			moves := m.Rebalance(nodes(n + 1))
+			for _, move := range moves {
+				Expect(move.To).To(Equal(fmt.Sprint("node", n)))
+			}
+			Expect(len(moves)).To(BeNumerically("<=", (shards+n)/(n+1)))
+			apply(&m, moves)
+			least, most := spread(m, nodes(n+1))
+			Expect(most - least).To(BeNumerically("<=", 1))
+			Expect(m.Rebalance(nodes(n + 1))).To(BeEmpty())
+		}
+	})
+
+	It("move only the shards of the dead node in a takeover, and keep earlier sources", func() {
+		m := placement.NewMap(shards)
+		m.Assign(nodes(7))
+		before := m.Clone()
+		Expect(m.Takeover("node3", []string{"node0", "node1"})).To(BeTrue())
+		for shard, e := range m.Shards {
+			if before.Shards[shard].Owner == "node3" {
+				Expect(e.Sources).To(Equal([]string{"node3"}))
+				Expect(e.Owner).To(BeElementOf("node0", "node1"))
+			} else {
+				Expect(e).To(Equal(before.Shards[shard]))
+			}
+		}
+		Expect(m.Takeover("node3", []string{"node5"})).To(BeFalse(), "the second taker changes nothing")
+		Expect(m.Unused()).To(BeEmpty(), "its journal is a source")
+
+		m.Takeover("node0", []string{"node1"})
+		for shard, e := range m.Shards {
+			if before.Shards[shard].Owner == "node3" && len(e.Sources) > 1 {
+				Expect(e).To(Equal(placement.Entry{Owner: "node1", Sources: []string{"node0", "node3"}}))
+			}
+			m.RemoveSources(shard, "node1", e.Sources)
+		}
+		Expect(m.Unused()).To(ConsistOf("node0", "node3"))
+		Expect(m.Forget([]string{"node0", "node3"})).To(BeTrue())
+		Expect(m.Unused()).To(BeEmpty())
+	})
+
+	It("keep the balance and one owner for each shard through random joins, deaths and drains", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			m := placement.NewMap(64)
+			live := []string{"n0"}
+			m.Assign(live)
+			for i := range rapid.IntRange(1, 12).Draw(t, "steps") {
+				victim := rapid.IntRange(0, len(live)-1).Draw(t, "victim")
+				switch action := rapid.IntRange(0, 2).Draw(t, "action"); {
+				case action == 0 || len(live) == 1:
+					live = append(live, fmt.Sprint("n", i+1))
+				case action == 1:
+					dead := live[victim]
+					live = append(append([]string(nil), live[:victim]...), live[victim+1:]...)
+					m.Takeover(dead, live)
+					for shard, e := range m.Shards {
+						m.RemoveSources(shard, e.Owner, e.Sources)
+					}
+				default: // drained, then gone
+					live = append(append([]string(nil), live[:victim]...), live[victim+1:]...)
+				}
+				for _, move := range m.Rebalance(live) {
+					if !m.Handoff(move) || !m.RemoveSources(move.Shard, move.To, []string{move.From}) {
+						t.Fatalf("move %v not possible", move)
+					}
+				}
+				least, most := spread(m, live)
+				total := 0
+				for _, name := range live {
+					total += m.Owned(name)
+				}
+				if most-least > 1 || total != len(m.Shards) {
+					t.Fatalf("%d to %d shards, %d in all, at %v", least, most, total, live)
+				}
+			}
+		})
+	})
+
+	It("keep a program and its descendants in one shard", func() {
+		Expect(placement.Shard("root.1.2", shards)).To(Equal(placement.Shard("root", shards)))
+		Expect(placement.Shard("other", shards)).NotTo(Equal(placement.Shard("root", shards)))
+	})
+
+	It("encode 1,024 shards of 420 nodes compactly", func() {
+		m := placement.NewMap(shards)
+		m.Assign(nodes(420))
+		value, err := m.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(placement.Decode(value)).To(Equal(m))
+		Expect(len(value)).To(BeNumerically("<", 9<<10))
+	})
+})
