Bound the time for request bodies and take policy names from schedule

Cause: a caller that sends its body slowly held a connection for ever, and settings knew fewer scheduling policies than module schedule. Change: a body has 10 s to arrive; settings uses schedule.Policies. Ruled out: clearing the read deadline after a failed read. A trial with a body that never arrives then hung, because the server reads on to its end.

--- a/api/programs.go
+++ b/api/programs.go
@@ -15,6 +15,9 @@
 
 const eventStream = "text/event-stream"
 
+// bodyReadTimeout ends requests whose body does not arrive.
+const bodyReadTimeout = 10 * time.Second
+
 func (s *Server) address(w http.ResponseWriter, r *http.Request) {
 	id := r.URL.Query().Get("program")
 	if problem := badID(id); problem != "" {
@@ -103,6 +106,8 @@
 
 // body reads the request body, or answers why it cannot.
 func (s *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout)) // not all readers have deadlines
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -111,6 +116,9 @@
 	case err != nil:
 		s.refuse(w, outcome.Malformed, "body: connection broke while it was read")
 	default:
+		// A deadline that stayed would cancel the request while its call runs.
+		// After a failure it stays: the server reads on to the body's end.
+		_ = control.SetReadDeadline(time.Time{})
 		return data, true
 	}
 	return nil, false
--- a/settings/check.go
+++ b/settings/check.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"os"
 	"strings"
+
+	"dogwoodline.example/schedule"
 )
 
 // Problem is a setting with a value that is not allowed.
@@ -21,10 +23,6 @@
 	return fmt.Sprintf("%s = %s: allowed is %s", p.Key, p.Value, p.Allowed)
 }
 
-// Policies are the scheduling policies. The last two exist to measure the
-// first against.
-var Policies = []string{"program-aware", "least-reported-load-fcfs", "random-fcfs"}
-
 // maxIDBytes bounds names, which become parts of keys in the platform store.
 const maxIDBytes = 64
 
@@ -52,7 +50,7 @@
 	}
 	c.baseURL("platform.address", s.Platform.Address)
 	c.numbers(s)
-	c.oneOf("schedule.policy", s.Schedule.Policy, Policies...)
+	c.oneOf("schedule.policy", s.Schedule.Policy, schedule.Policies()...)
 	c.tls(s.TLS)
 	if key := s.Operator.Key; key != "" {
 		c.operatorKey(key)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,6 +14,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/zeebo/errs"
+
+	"dogwoodline.example/schedule"
 )
 
 // Error is the class of all errors of this package.
@@ -131,7 +133,7 @@
 		Rings: Rings{
 			Commands: 4096, Completions: 16384, Journal: 4096, Scheduler: 4096, Peer: 1024, Reply: 64,
 		},
-		Schedule: Schedule{Policy: "program-aware", CallWorkers: 256},
+		Schedule: Schedule{Policy: schedule.ProgramAware, CallWorkers: 256},
 		Log:      Log{Level: "info", Format: "text"},
 	}
 }
