Give and accept no empty address

Cause: a node that knows no live node answered the address question with an empty address and HTTP 200. The client then failed to send and counted the call as lost, so a call that never left ended as unknown instead of with ErrUnreachable. Conclusion: tests of api and client cover both sides.

--- a/api/api_test.go
+++ b/api/api_test.go
@@ -36,6 +36,9 @@
 var unknownProgram = program.Reply{Outcome: outcome.Refuse(outcome.UnknownProgram, "no such program")}
 
 func (f *fakeService) Address(id string) api.Address {
+	if id == "nobody" {
+		return api.Address{}
+	}
 	return api.Address{Address: "http://127.0.0.1:1/" + id, KeepMS: 5}
 }
 
@@ -212,6 +215,11 @@
 		Entry("an outcome that the table lacks", outcome.Code("new"), outcome.Reason(""), 500),
 	)
 
+	It("gives no empty address, which a caller would keep and fail with", func() {
+		Expect(newSetup().do("GET", "/v1/address?program=nobody", "", "").Code).To(Equal(503))
+		Expect(newSetup().do("GET", "/v1/address?program=p", "", "").Code).To(Equal(200))
+	})
+
 	It("tells in whole seconds when to come back", func() {
 		s := newSetup()
 		s.service.call = func(api.CallRequest, func(program.Chunk) error) program.Reply {
--- a/api/client/client.go
+++ b/api/client/client.go
@@ -111,22 +111,19 @@
 	if ok && time.Now().Before(kept.until) {
 		return kept.Address, nil
 	}
-	var address api.Address
 	path := "/v1/address?program=" + url.QueryEscape(programID)
-	ctx, cancel := context.WithTimeout(ctx, askTimeout*time.Duration(max(1, len(c.cfg.Nodes))))
-	defer cancel()
-	response, err := c.any(ctx, request{method: http.MethodGet, path: path, timeout: askTimeout})
-	if err != nil {
-		return address, err
-	}
-	if response.status != http.StatusOK {
-		return address, Error.New("address question: %s", refusalOf(response))
-	}
-	if err := json.Unmarshal(response.body, &address); err != nil {
-		return address, Error.Wrap(err)
+	r := request{method: http.MethodGet, path: path, timeout: askTimeout}
+	var address api.Address
+	_, err := c.any(ctx, r, func(answer response) error {
+		if answer.status != http.StatusOK || json.Unmarshal(answer.body, &address) != nil || address.Address == "" {
+			return Error.New("address question: %s", refusalOf(answer))
+		}
+		return nil
+	})
+	if err == nil {
+		c.keep(family, address)
 	}
-	c.keep(family, address)
-	return address, nil
+	return address, err
 }
 
 func (c *Client) keep(family string, address api.Address) {
@@ -163,13 +160,16 @@
 }
 
 // any sends the request to the configured nodes in turn, from a random one
-// on, until one answers.
-func (c *Client) any(ctx context.Context, r request) (response, error) {
+// on, until accept returns nil for an answer.
+func (c *Client) any(ctx context.Context, r request, accept func(response) error) (response, error) {
 	var failures error
 	first := rand.IntN(max(1, len(c.cfg.Nodes)))
 	for i := range c.cfg.Nodes {
 		node := c.cfg.Nodes[(first+i)%len(c.cfg.Nodes)]
 		answer, err := c.fetch(ctx, node, r)
+		if err == nil {
+			err = accept(answer)
+		}
 		if err == nil {
 			return answer, nil
 		}
--- a/api/client/client_test.go
+++ b/api/client/client_test.go
@@ -151,6 +151,23 @@
 		Expect(string(result.Answer)).To(Equal("from the second"))
 	})
 
+	It("asks another node when one has no view, and has then not lost a call", func() {
+		blind := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(503)
+			_ = json.NewEncoder(w).Encode(api.CallReply{Outcome: outcome.DidNotRun(outcome.NoOwner, time.Second)})
+		}))
+		DeferCleanup(blind.Close)
+		n := newNode(reply(200, completed, "a"))
+		both := client.New(client.Config{Nodes: []string{blind.URL, n.URL}})
+		for i := range 8 { // the first node that is asked is a random one
+			_, err := both.Call(context.Background(), fmt.Sprint("p", i), body, nil)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		result, err := client.New(client.Config{Nodes: []string{blind.URL}}).Call(context.Background(), "p", short, nil)
+		Expect(err).To(MatchError(client.ErrUnreachable))
+		Expect(result.Outcome.Code).NotTo(Equal(outcome.Unknown))
+	})
+
 	It("repeats not_run with the same request id and asks for the address again", func() {
 		n := newNode(reply(503, overloaded, ""), reply(503, overloaded, ""), reply(200, completed, "a"))
 		result := call(n, body)
--- a/api/client/programs.go
+++ b/api/client/programs.go
@@ -65,7 +65,7 @@
 }
 
 func (c *Client) once(ctx context.Context, id string, r request, into any) error {
-	opened, err := c.send(ctx, id, r)
+	opened, _, err := c.send(ctx, id, r)
 	if err != nil {
 		return err
 	}
@@ -82,18 +82,19 @@
 
 // send sends a request to the node of a program. When that cannot be
 // connected to, it takes the second choice. A request whose connection broke
-// is not sent to the second choice here, so that the caller learns of it.
-func (c *Client) send(ctx context.Context, id string, r request) (*http.Response, error) {
+// is not sent to the second choice here, so that the caller learns of it. The
+// second result tells whether a node may have got the request.
+func (c *Client) send(ctx context.Context, id string, r request) (*http.Response, bool, error) {
 	r.key = c.cfg.Key
 	address, err := c.Address(ctx, id)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	opened, err := c.open(ctx, address.Address, r)
 	if err != nil && neverSent(err) && address.Second != "" {
-		return c.open(ctx, address.Second, r)
+		opened, err = c.open(ctx, address.Second, r)
 	}
-	return opened, err
+	return opened, err == nil || !neverSent(err), err
 }
 
 // Result is how a call ended.
@@ -171,12 +172,11 @@
 		accept = "text/event-stream"
 	}
 	path := "/v1/programs/" + r.program + "/calls"
-	opened, err := r.client.send(ctx, r.program, request{
+	opened, sent, err := r.client.send(ctx, r.program, request{
 		method: http.MethodPost, path: path, accept: accept, body: encode(r.body),
 	})
 	if err != nil {
-		// An address that nobody answered with means that nothing was sent.
-		r.lost = r.lost || !neverSent(err) && !isUnreachable(err)
+		r.lost = r.lost || sent
 		return Result{}, err
 	}
 	r.tries++
--- a/api/client/resources.go
+++ b/api/client/resources.go
@@ -93,7 +93,7 @@
 	if q.timeout == 0 {
 		q.timeout = resourceTimeout
 	}
-	answer, err := r.client.any(ctx, q)
+	answer, err := r.client.any(ctx, q, func(response) error { return nil })
 	if errors.Is(err, ErrUnreachable) {
 		return errs.Combine(api.ErrUnavailable, err)
 	}
--- a/api/client/stream.go
+++ b/api/client/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -21,8 +20,6 @@
 // is resumed from what was received.
 var errBrokenStream = Error.New("stream broke before its end")
 
-func isUnreachable(err error) bool { return errors.Is(err, ErrUnreachable) }
-
 func isEventStream(opened *http.Response) bool {
 	return strings.HasPrefix(opened.Header.Get("Content-Type"), "text/event-stream")
 }
--- a/api/programs.go
+++ b/api/programs.go
@@ -15,6 +15,9 @@
 
 const eventStream = "text/event-stream"
 
+// addressRetry is the suggested wait while a node has no view of the others.
+const addressRetry = 250 * time.Millisecond
+
 // bodyReadTimeout ends requests whose body does not arrive.
 const bodyReadTimeout = 10 * time.Second
 
@@ -24,7 +27,13 @@
 		s.refuse(w, outcome.Malformed, "program: "+problem)
 		return
 	}
-	writeJSON(w, http.StatusOK, s.cfg.Service.Address(id))
+	address := s.cfg.Service.Address(id)
+	if address.Address == "" { // this node knows no live node yet
+		ending := outcome.DidNotRun(outcome.NoOwner, addressRetry)
+		writeOutcome(w, ending, CallReply{Outcome: ending})
+		return
+	}
+	writeJSON(w, http.StatusOK, address)
 }
 
 func (s *Server) start(w http.ResponseWriter, r *http.Request, tenant string) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -177,6 +177,14 @@
 	}
 }
 
+// HTTPBaseURL returns the base URL that callers use.
+func (s Settings) HTTPBaseURL() string {
+	if s.TLS.CertificateFile != "" {
+		return "https://" + s.Listen.HTTPAdvertised
+	}
+	return "http://" + s.Listen.HTTPAdvertised
+}
+
 func unknownKeys(unknown *toml.StrictMissingError) []string {
 	lines := make([]string, len(unknown.Errors))
 	for i := range unknown.Errors {
