Grant the slots of a pool at one node

Cause: each node filled backend servers by its own view, so seven nodes could send seven times the slots to one backend server.

Change: the scheduler duty asks the node that grants a pool (rendezvous hash over the member view) over a stream; owners carry their calls themselves, ask again when the granting node changes, and grant for themselves while it cannot be reached.

--- a/node/incarnation.go
+++ b/node/incarnation.go
@@ -113,25 +113,6 @@
 	return view.Retains(i.name, shard)
 }
 
-func (i *incarnation) newScheduler() *scheduler {
-	s, d := i.node.settings, i.node.deps
-	return &scheduler{
-		clock:     d.Clock,
-		log:       d.Log,
-		policy:    s.Policy,
-		settings:  s.Schedule,
-		set:       d.Resources,
-		leaving:   func(address string) bool { return i.hosts.Load().leaving(address) },
-		inputs:    i.programs.scheduler,
-		reports:   i.reports,
-		decisions: i.programs.decisions,
-		pools:     map[string]schedule.Scheduler{},
-		poolOf:    map[schedule.CallID]string{},
-		backends:  map[schedule.BackendID]string{},
-		refusing:  map[schedule.BackendID]bool{},
-	}
-}
-
 // run serves until ctx ends or another node takes the journal over.
 func (i *incarnation) run(ctx context.Context) error {
 	d := i.node.deps
--- a/node/peers.go
+++ b/node/peers.go
@@ -181,6 +181,22 @@
 }
 
 // Schedule implements rpc.Handler.
-func (h *peerHandler) Schedule(rpc.ScheduleServer) error {
-	return Error.New("slots are granted by each node for itself")
+func (h *peerHandler) Schedule(server rpc.ScheduleServer) error {
+	current := h.node.current.Load()
+	if current == nil {
+		return ErrNoView
+	}
+	inputs := current.programs.scheduler
+	stream := &askerStream{grants: ring.New[rpc.Grant](grantSlots)}
+	defer func() {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(server.Context()), noteTimeout)
+		defer cancel()
+		_ = inputs.Push(bounded, schedulerInput{kind: streamEnded, stream: stream})
+	}()
+	return rpc.ServeAsks(server, h.node.deps.Clock.Now, stream.grants, func(from string, ask rpc.Ask) error {
+		if stream.from == "" { // set once, before the scheduler duty sees the stream
+			stream.from = from
+		}
+		return inputs.Push(server.Context(), schedulerInput{kind: streamAsk, stream: stream, ask: ask})
+	})
 }
--- a/node/scheduler.go
+++ b/node/scheduler.go
@@ -11,20 +11,38 @@
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
+	"dogwoodline.example/rpc"
 	"dogwoodline.example/schedule"
 )
 
-// schedulerTick is how often waiting calls are looked at without an event,
-// for deadlines and for backend servers that are probed again.
-const schedulerTick = 20 * time.Millisecond
+const (
+	// schedulerTick is how often waiting calls are looked at without an event,
+	// for deadlines and for backend servers that are probed again.
+	schedulerTick = 20 * time.Millisecond
+	// observationSlots bounds the observations that wait. A load report of
+	// each of 64 backend servers and its cache events come twice a second.
+	observationSlots = 1024
+	// backendsCheck is how often the host list is compared with the backend
+	// servers in use. It is well below the 3 s within which a leaving backend
+	// server must get no more work.
+	backendsCheck = 200 * time.Millisecond
+)
 
 type schedulerKind int
 
 const (
+	// Messages of this node's programs duty.
 	submitCall schedulerKind = iota
 	withdrawCall
 	progressCall
 	finishCall
+	// Messages of other nodes that ask this one.
+	streamAsk
+	streamEnded
+	// Messages of the links to nodes that grant.
+	linkGrant
+	linkHeard
+	linkLost
 )
 
 // schedulerInput is a message to the scheduler duty.
@@ -34,18 +52,23 @@
 	request schedule.Request
 	backend schedule.BackendID
 	timing  schedule.Timing
+	stream  *askerStream
+	ask     rpc.Ask
+	link    *askLink
+	grant   rpc.Grant
 }
 
-// decision is the scheduler duty's answer about one call.
+// decision is the answer about one call of this node.
 type decision struct {
 	id      schedule.CallID
 	granted bool
 	backend schedule.BackendID
+	hedge   bool
 	outcome outcome.Outcome
 }
 
-// scheduler is the duty that owns the queues of this node: one scheduler for
-// each pool.
+// scheduler is the duty that brings this node's calls to the granting nodes,
+// and grants slots of the pools that are this node's to grant.
 type scheduler struct {
 	clock    clockwork.Clock
 	log      *slog.Logger
@@ -58,25 +81,43 @@
 	reports   *ring.Ring[dispatch.Observation]
 	decisions *ring.Ring[decision]
 
-	pools    map[string]schedule.Scheduler
-	poolOf   map[schedule.CallID]string
-	backends map[schedule.BackendID]string
+	asks     *asking
+	grants   *granting
+	poolOf   map[schedule.BackendID]string
 	refusing map[schedule.BackendID]bool // backend servers that say they are leaving
 	known    *resource.Set
 	checked  time.Time
-	out      schedule.Decisions
 }
 
-// observationSlots bounds the observations that wait. A load report of each
-// of 64 backend servers and its cache events come twice a second.
-const observationSlots = 1024
-
-// backendsCheck is how often the host list is compared with the backend
-// servers in use. It is well below the 3 s within which a leaving backend
-// server must get no more work.
-const backendsCheck = 200 * time.Millisecond
+func (i *incarnation) newScheduler() *scheduler {
+	s, d := i.node.settings, i.node.deps
+	duty := &scheduler{
+		clock:     d.Clock,
+		log:       d.Log,
+		policy:    s.Policy,
+		settings:  s.Schedule,
+		set:       d.Resources,
+		leaving:   func(address string) bool { return i.hosts.Load().leaving(address) },
+		inputs:    i.programs.scheduler,
+		reports:   i.reports,
+		decisions: i.programs.decisions,
+		poolOf:    map[schedule.BackendID]string{},
+		refusing:  map[schedule.BackendID]bool{},
+	}
+	duty.asks = &asking{
+		log: d.Log, self: i.name, links: i.node.links, view: i.tracker.View, inputs: i.programs.scheduler,
+		known: i.tracker.View(),
+		calls: map[schedule.CallID]*askedCall{},
+		open:  map[string]*askLink{},
+		lost:  map[string]time.Time{},
+	}
+	return duty
+}
 
 func (s *scheduler) run(ctx context.Context) error {
+	s.grants = newGranting(s.log, s.newPool, func(d decision) { s.decide(ctx, "", d) })
+	s.asks.own = s.grants
+	s.asks.ctx = ctx
 	ticker := s.clock.NewTicker(schedulerTick)
 	defer ticker.Stop()
 	for {
@@ -84,40 +125,86 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-s.inputs.Ready():
-			s.takeInputs()
+			s.takeInputs(ctx)
 		case <-s.reports.Ready():
 			s.takeObservations()
 		case <-ticker.Chan():
 		}
-		s.refreshBackends()
-		s.decide(ctx)
+		now := s.clock.Now()
+		s.refreshBackends(now)
+		s.asks.check(now)
+		s.grants.decide(now)
+	}
+}
+
+// decide hands a decision about a call of this node to the programs duty,
+// whose ring has room for every call under way.
+func (s *scheduler) decide(ctx context.Context, from string, d decision) {
+	if s.asks.granted(from, d) {
+		_ = s.decisions.Push(ctx, d)
+		return
+	}
+	if d.granted { // the slot is not used
+		s.giveBack(from, d)
 	}
 }
 
-func (s *scheduler) takeInputs() {
+func (s *scheduler) giveBack(from string, d decision) {
+	now := s.clock.Now()
+	if from == "" {
+		s.grants.finish(now, origin{id: d.id}, d.backend, schedule.Timing{})
+		return
+	}
+	s.asks.send(now, from, rpc.Ask{Finish: &rpc.Measured{ID: d.id, Backend: d.backend}})
+}
+
+func (s *scheduler) takeInputs(ctx context.Context) {
 	for range batchItems {
 		input, ok := s.inputs.TryPop()
 		if !ok {
 			return
 		}
-		s.handle(input)
+		s.handle(ctx, input)
 	}
 }
 
-func (s *scheduler) handle(input schedulerInput) {
+func (s *scheduler) handle(ctx context.Context, input schedulerInput) {
 	now := s.clock.Now()
 	switch input.kind {
 	case submitCall:
-		s.poolOf[input.request.ID] = input.request.Pool
-		s.pool(input.request.Pool).Submit(now, input.request, &s.out)
+		s.asks.submit(now, input.request)
 	case withdrawCall:
-		s.pool(s.poolOf[input.id]).Withdraw(input.id)
-		delete(s.poolOf, input.id)
+		s.asks.withdraw(now, input.id)
 	case progressCall:
-		s.pool(s.poolOf[input.id]).Progress(now, input.id, input.backend, input.timing)
+		s.asks.progress(now, input.id, input.backend, input.timing)
 	case finishCall:
-		s.pool(s.poolOf[input.id]).Finish(now, input.id, input.backend, input.timing)
-		delete(s.poolOf, input.id)
+		s.asks.finish(now, input.id, input.backend, input.timing)
+	case streamAsk:
+		s.serve(now, input.stream, input.ask)
+	case streamEnded:
+		s.grants.endStream(now, input.stream)
+	case linkGrant:
+		input.link.heard = now
+		g := input.grant
+		s.decide(ctx, input.link.to, decision{id: g.ID, granted: g.Granted, backend: g.Backend, hedge: g.Hedge, outcome: g.Outcome})
+	case linkHeard:
+		input.link.heard = now
+	case linkLost:
+		s.asks.lose(now, input.link)
+	}
+}
+
+// serve handles a message of a node that asks this one.
+func (s *scheduler) serve(now time.Time, stream *askerStream, ask rpc.Ask) {
+	switch {
+	case ask.Submit != nil:
+		s.grants.submit(now, origin{stream, ask.Submit.ID}, *ask.Submit, ask.RunningOn)
+	case ask.Progress != nil:
+		s.grants.progress(now, origin{stream, ask.Progress.ID}, ask.Progress.Backend, ask.Progress.Timing)
+	case ask.Finish != nil:
+		s.grants.finish(now, origin{stream, ask.Finish.ID}, ask.Finish.Backend, ask.Finish.Timing)
+	default:
+		s.grants.withdraw(origin{stream, ask.Withdraw})
 	}
 }
 
@@ -133,9 +220,13 @@
 
 // observe takes what a poll of a backend server showed.
 func (s *scheduler) observe(o dispatch.Observation) {
-	pool, ok := s.pools[s.backends[o.Backend]]
+	if o.Kind == dispatch.LeavingChanged {
+		s.refusing[o.Backend] = o.Leaving
+		s.known = nil // hands the change to the schedulers at once
+	}
+	pool, ok := s.grants.pools[s.poolOf[o.Backend]]
 	if !ok {
-		return // no call has asked for the pool yet
+		return // no call has asked for the pool here
 	}
 	now := s.clock.Now()
 	switch o.Kind {
@@ -145,37 +236,23 @@
 		for _, event := range o.Cache {
 			pool.Cache(now, event)
 		}
-	case dispatch.LeavingChanged:
-		s.refusing[o.Backend] = o.Leaving
-		s.known = nil // hands the change to the schedulers at once
-	case dispatch.CacheGap, dispatch.Restarted, dispatch.Unreachable:
+	case dispatch.LeavingChanged, dispatch.CacheGap, dispatch.Restarted, dispatch.Unreachable:
 	}
 }
 
-// pool returns the scheduler of a pool. Pools are made when they are first
-// named, so that a call for a pool without backend servers waits or is
-// refused like any other.
-func (s *scheduler) pool(name string) schedule.Scheduler {
-	if known, ok := s.pools[name]; ok {
-		return known
-	}
+func (s *scheduler) newPool(name string) schedule.Scheduler {
 	made, err := schedule.New(s.policy, s.settings)
 	if err != nil {
 		panic("node: scheduling policy was not checked: " + err.Error())
 	}
-	s.pools[name] = made
-	made.SetBackends(s.clock.Now(), s.backendsOf(name))
-	return made
-}
-
-func (s *scheduler) backendsOf(pool string) []schedule.Backend {
 	var own []schedule.Backend
 	for _, b := range s.allBackends() {
-		if b.Pool == pool {
+		if b.Pool == name {
 			own = append(own, b)
 		}
 	}
-	return own
+	made.SetBackends(s.clock.Now(), own)
+	return made
 }
 
 // allBackends returns the backend servers of all pools. One is leaving when the
@@ -189,8 +266,7 @@
 }
 
 // refreshBackends hands changed resources and host states to the schedulers.
-func (s *scheduler) refreshBackends() {
-	now := s.clock.Now()
+func (s *scheduler) refreshBackends(now time.Time) {
 	set := s.set()
 	if set == s.known && now.Sub(s.checked) < backendsCheck {
 		return
@@ -198,27 +274,12 @@
 	s.known = set
 	s.checked = now
 	byPool := map[string][]schedule.Backend{}
-	clear(s.backends)
+	clear(s.poolOf)
 	for _, b := range s.allBackends() {
 		byPool[b.Pool] = append(byPool[b.Pool], b)
-		s.backends[b.ID] = b.Pool
+		s.poolOf[b.ID] = b.Pool
 	}
-	for name, pool := range s.pools {
+	for name, pool := range s.grants.pools {
 		pool.SetBackends(now, byPool[name])
 	}
 }
-
-func (s *scheduler) decide(ctx context.Context) {
-	now := s.clock.Now()
-	for _, pool := range s.pools {
-		pool.Next(now, &s.out)
-	}
-	for _, grant := range s.out.Grants {
-		_ = s.decisions.Push(ctx, decision{id: grant.ID, granted: true, backend: grant.Backend})
-	}
-	for _, refusal := range s.out.Refusals {
-		delete(s.poolOf, refusal.ID)
-		_ = s.decisions.Push(ctx, decision{id: refusal.ID, outcome: refusal.Outcome})
-	}
-	s.out.Reset()
-}
--- a/node/workload_test.go
+++ b/node/workload_test.go
@@ -43,7 +43,7 @@
 func (w *workload) run(id string, seed, turns int) {
 	start := api.StartRequest{ID: id, Class: "agent", DeadlineMS: 15_000}
 	for try := range 100 {
-		reply := w.entry(seed + try).Start(w.c.ctx, "acme", start)
+		reply := w.entry(seed+try).Start(w.c.ctx, "acme", start)
 		if reply.Outcome.Code == outcome.Completed {
 			break
 		}
--- a/rpc/links.go
+++ b/rpc/links.go
@@ -215,14 +215,3 @@
 	_, err := k.client.NoteCrashes(ctx, message)
 	return Error.Wrap(err)
 }
-
-// Schedule opens a schedule stream. It ends with ctx or with the link.
-func (k *Link) Schedule(ctx context.Context) (peerpb.Peer_ScheduleClient, func(), error) {
-	ctx, done := k.joined(ctx)
-	stream, err := k.client.Schedule(ctx)
-	if err != nil {
-		done()
-		return nil, nil, Error.Wrap(err)
-	}
-	return stream, done, nil
-}
