Add the config duties

Cause: an accepted configuration must be in force on every node within 11 s and never revert, also when the platform store goes down right after the acceptance.

Change: five duties joined by rings: the owner of the resource set, operator commands, watch, push and pull. A set knows the revision up to which it is complete; a pull asks for everything above it, because the highest revision alone does not show a gap below it. A node that finds its peer behind pushes to it, so that changes spread in both directions. Deletions are written as records, so that their revision is known at acceptance.

Tests: outage right after acceptance with and without lost pushes, start during an outage, racing operators, lost answers, and a history check of concurrent writes with porcupine.

Ruled out: a deletion by Store.Delete, which returns no revision.

--- /dev/null
+++ b/config/cluster_test.go
@@ -0,0 +1,227 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/config"
+	"dogwoodline.example/duty"
+	"dogwoodline.example/outcome"
+	"dogwoodline.example/platform"
+	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/resource"
+)
+
+func TestConfig(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "config")
+}
+
+// faultyStore is a platform store with an outage switch and lost answers.
+type faultyStore struct {
+	*memstore.Store
+	mu          sync.Mutex
+	random      *rand.Rand
+	loss        float64       // chance that the answer to a write is lost
+	refusal     float64       // chance that a call is refused
+	downAfter   bool          // an outage begins with the next accepted write
+	answersLost bool          // the outage takes the answer to that write too
+	down        chan struct{} // closed during an outage
+}
+
+func newFaultyStore(clock clockwork.Clock) *faultyStore {
+	return &faultyStore{Store: memstore.New(clock), random: rand.New(rand.NewPCG(1, 1)), down: make(chan struct{})}
+}
+
+func (f *faultyStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if down {
+		close(f.down)
+	} else {
+		f.down = make(chan struct{})
+	}
+}
+
+// refused reports whether the call is refused, and the channel that ends it.
+func (f *faultyStore) refused() (bool, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case <-f.down:
+		return true, f.down
+	default:
+		return f.random.Float64() < f.refusal, f.down
+	}
+}
+
+func (f *faultyStore) Get(ctx context.Context, key string) (platform.Item, error) {
+	if no, _ := f.refused(); no {
+		return platform.Item{}, platform.ErrUnavailable
+	}
+	return f.Store.Get(ctx, key)
+}
+
+func (f *faultyStore) List(ctx context.Context, prefix string) ([]platform.Item, platform.Version, error) {
+	if no, _ := f.refused(); no {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return f.Store.List(ctx, prefix)
+}
+
+func (f *faultyStore) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+	no, down := f.refused()
+	if no {
+		return nil, after, platform.ErrUnavailable
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-down:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	events, revision, err := f.Store.Watch(ctx, prefix, after, wait)
+	if ctx.Err() != nil {
+		return nil, after, platform.ErrUnavailable // the outage takes the events with it
+	}
+	return events, revision, err
+}
+
+func (f *faultyStore) Put(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
+	if no, _ := f.refused(); no {
+		return 0, platform.ErrUnavailable
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version, err := f.Store.Put(ctx, key, value, expected, lease)
+	if err == nil && f.downAfter {
+		f.downAfter = false
+		close(f.down)
+		if f.answersLost {
+			return 0, platform.ErrAmbiguous
+		}
+	}
+	if err == nil && f.random.Float64() < f.loss {
+		return 0, platform.ErrAmbiguous
+	}
+	return version, err
+}
+
+// cluster is a group of nodes with direct links.
+type cluster struct {
+	clock clockwork.Clock
+	store *faultyStore
+	mu    sync.Mutex
+	nodes map[string]*config.Config
+	order []string
+	// losePushes drops what is sent to several peers at once, which is the
+	// push at acceptance.
+	losePushes atomic.Bool
+}
+
+func newCluster(clock clockwork.Clock) *cluster {
+	return &cluster{clock: clock, store: newFaultyStore(clock), nodes: map[string]*config.Config{}}
+}
+
+func (c *cluster) add() *config.Config {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := fmt.Sprint("n", len(c.order))
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	node := config.New(config.Settings{
+		Store: c.store, Peers: &links{cluster: c, self: name}, Clock: c.clock,
+		Random: rand.NewPCG(uint64(len(c.order)), 7), Log: log,
+	})
+	c.nodes[name] = node
+	c.order = append(c.order, name)
+	group := duty.NewGroup(context.Background(), log, metrics.NewSet())
+	node.Start(group)
+	DeferCleanup(group.Stop)
+	return node
+}
+
+func (c *cluster) addReady(count int) []*config.Config {
+	var nodes []*config.Config
+	for range count {
+		nodes = append(nodes, c.add())
+	}
+	for _, node := range nodes {
+		Eventually(node.Ready, "10s").Should(BeTrue())
+	}
+	return nodes
+}
+
+// links implements config.Peers for one node of a cluster.
+type links struct {
+	cluster *cluster
+	self    string
+}
+
+func (l *links) List() []string {
+	l.cluster.mu.Lock()
+	defer l.cluster.mu.Unlock()
+	var others []string
+	for _, name := range l.cluster.order {
+		if name != l.self {
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
+func (l *links) peer(name string) *config.Config {
+	l.cluster.mu.Lock()
+	defer l.cluster.mu.Unlock()
+	return l.cluster.nodes[name]
+}
+
+func (l *links) Push(_ context.Context, peers []string, changes []resource.Change) {
+	if l.cluster.losePushes.Load() && len(peers) > 1 {
+		return
+	}
+	for _, name := range peers {
+		_ = l.peer(name).Offer(changes)
+	}
+}
+
+func (l *links) Pull(_ context.Context, peer string, request config.PullRequest) (config.PullAnswer, error) {
+	return l.peer(peer).Answer(request), nil
+}
+
+var poolID = resource.ID{Kind: resource.KindPool, Name: "large"}
+
+func write(content string, expected platform.Version) config.Write {
+	spec := &resource.Pool{Model: content, Role: resource.RoleBoth}
+	return config.Write{ID: poolID, Spec: spec, Expected: expected}
+}
+
+func modelOn(node *config.Config) string {
+	pool, ok := node.Snapshot().Pool(poolID.Name)
+	if !ok {
+		return ""
+	}
+	return pool.Model
+}
+
+func accept(node *config.Config, content string, expected platform.Version) platform.Version {
+	result := node.Put(context.Background(), write(content, expected))
+	ExpectWithOffset(1, result.Outcome.Code).To(Equal(outcome.Completed), result.Outcome.Detail)
+	return result.Version
+}
+
+func modelOf(result config.Result) string { return result.Change.Spec.(*resource.Pool).Model }
