--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -22,6 +22,7 @@
 	RegisterFailHandler(Fail)
 	suite, reporter := GinkgoConfiguration()
 	suite.Timeout = 2 * time.Minute
+	SetDefaultEventuallyTimeout(20 * time.Second) // generous for a busy machine
 	RunSpecs(t, "journal", suite, reporter)
 }
 
--- a/journal/seal.go
+++ b/journal/seal.go
@@ -24,9 +24,19 @@
 // Seal returns the store's error when the store fails; the journal may then be
 // sealed or not, and the caller calls it again.
 func Seal(ctx context.Context, store platform.Store, incarnation string) error {
+	return seal(ctx, store, incarnation, true)
+}
+
+// SealExisting is Seal for a journal that may have been deleted meanwhile. It
+// returns platform.ErrNotFound, and creates nothing, if there is no head.
+func SealExisting(ctx context.Context, store platform.Store, incarnation string) error {
+	return seal(ctx, store, incarnation, false)
+}
+
+func seal(ctx context.Context, store platform.Store, incarnation string, create bool) error {
 	for range sealAttempts {
 		h, version, err := readHead(ctx, store, incarnation)
-		if errors.Is(err, platform.ErrNotFound) {
+		if create && errors.Is(err, platform.ErrNotFound) {
 			h, version = head{incarnation: incarnation}, platform.Absent
 		} else if err != nil {
 			return err
--- a/journal/storefault/storefault.go
+++ b/journal/storefault/storefault.go
@@ -25,14 +25,11 @@
 	// LostAfter loses the answer of a write that took effect. A read is
 	// refused.
 	LostAfter
-	// LostLate loses the answer of a write that takes effect lateBy after the
+	// LostLate loses the answer of a write that takes effect LateBy after the
 	// caller has its error. A read is refused.
 	LostLate
 )
 
-// lateBy is the delay of LostLate. Retries within it race with the write.
-const lateBy = 2 * time.Millisecond
-
 // Call describes one call.
 type Call struct {
 	N   int64 // number of the call, from 1
@@ -42,6 +39,10 @@
 
 // Store is a platform store with faults.
 type Store struct {
+	// LateBy is the delay of LostLate, 2 ms if not changed before the first
+	// call. Retries within it race with the write.
+	LateBy time.Duration
+
 	inner  platform.Store
 	decide func(Call) Fault
 	calls  atomic.Int64
@@ -52,7 +53,7 @@
 // New returns a store whose calls fail as decide says. Decide may block to hold
 // a call back; it is called from many goroutines.
 func New(inner platform.Store, decide func(Call) Fault) *Store {
-	return &Store{inner: inner, decide: decide}
+	return &Store{LateBy: 2 * time.Millisecond, inner: inner, decide: decide}
 }
 
 // Calls returns the number of calls so far.
@@ -70,7 +71,7 @@
 		_ = do()
 		return platform.ErrAmbiguous
 	case LostLate:
-		time.AfterFunc(lateBy, func() { _ = late() })
+		time.AfterFunc(s.LateBy, func() { _ = late() })
 		return platform.ErrAmbiguous
 	default:
 		return do()
--- a/placement/steps.go
+++ b/placement/steps.go
@@ -234,34 +234,24 @@
 	return d.reconcile(ctx)
 }
 
+// takeOverFrom does one takeover. Another node may have completed it, and even
+// deleted the journal, while this node had an older map: then there is nothing
+// to do, and no head is created that nobody would delete.
 func (d *Duty) takeOverFrom(ctx context.Context, name string) error {
-	needed, err := d.needsTakeover(ctx, name)
-	if err != nil || !needed {
-		return err
+	err := journal.SealExisting(ctx, d.store, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		if err = d.reload(ctx); err != nil || d.current.Owned(name) == 0 {
+			return err
+		}
+		err = journal.Seal(ctx, d.store, name)
 	}
-	if err := journal.Seal(ctx, d.store, name); err != nil {
+	if err != nil {
 		return err
 	}
 	d.log.Info("placement: taking over", "incarnation", name, "shards", d.current.Owned(name))
 	return d.swap(ctx, func(m *Map) bool { return m.Takeover(name, d.eligible()) })
 }
 
-// needsTakeover tells whether the dead incarnation owns shards or has left a
-// journal that must be listed for deletion.
-func (d *Duty) needsTakeover(ctx context.Context, name string) (bool, error) {
-	if d.current.Owned(name) > 0 {
-		return true, nil
-	}
-	if slices.Contains(d.current.Sealed, name) {
-		return false, nil
-	}
-	_, err := d.store.Get(ctx, journal.HeadKey(name))
-	if errors.Is(err, platform.ErrNotFound) {
-		return false, nil
-	}
-	return err == nil, err
-}
-
 // clean deletes the sealed journals that no shard names. The member of the
 // lowest rank does it.
 func (d *Duty) clean(ctx context.Context) error {
