--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -85,6 +85,7 @@
 	if err != nil {
 		return nil, errs.Combine(Error.Wrap(err), peers.Close())
 	}
+	advertise(&s.Listen, d.listener, peers)
 	d.node, err = node.New(nodeSettings(s), node.Dependencies{
 		Store: node.Stores{
 			Lease: budget.Store(budgeted.Lease), Journal: budget.Store(budgeted.Journal), Placement: budget.Store(budgeted.Status),
@@ -99,9 +100,20 @@
 	return d, nil
 }
 
+// advertise fills in the ports that the system chose. A setting of port 0
+// serves tests and demonstrations.
+func advertise(listen *settings.Listen, callers, peers net.Listener) {
+	if _, port, _ := net.SplitHostPort(listen.HTTP); port == "0" {
+		listen.HTTPAdvertised = callers.Addr().String()
+	}
+	if _, port, _ := net.SplitHostPort(listen.GRPC); port == "0" {
+		listen.GRPCAdvertised = peers.Addr().String()
+	}
+}
+
 func nodeSettings(s settings.Settings) node.Settings {
 	return node.Settings{
-		ID: s.Node.ID, Zone: s.Node.AvailabilityZone, HTTP: "http://" + s.Listen.HTTPAdvertised, GRPC: s.Listen.GRPCAdvertised,
+		ID: s.Node.ID, Zone: s.Node.AvailabilityZone, HTTP: s.HTTPBaseURL(), GRPC: s.Listen.GRPCAdvertised,
 		LeaseTTL: time.Duration(s.Platform.LeaseTTLMS) * time.Millisecond, Shards: int(s.Placement.Shards),
 		CallWorkers: int(s.Schedule.CallWorkers), CommandSlots: int(s.Rings.Commands), Policy: s.Schedule.Policy,
 		Journal: journal.Settings{
@@ -127,6 +139,9 @@
 	return handler.HTTPServer(d.settings.Listen.HTTP)
 }
 
+// Ready returns nil when the node can serve, else the reason why not.
+func (d *Daemon) Ready() error { return readyService{d.node.Service(), d.config}.Ready() }
+
 // Address returns the address on which callers are served.
 func (d *Daemon) Address() string { return d.listener.Addr().String() }
 
@@ -136,7 +151,7 @@
 	defer group.Stop()
 	d.config.Start(group)
 	serving := make(chan error, 1)
-	go func() { serving <- d.http.Serve(d.listener) }()
+	go func() { serving <- d.serveHTTP() }()
 	ended := make(chan error, 1)
 	group.Go("node", func(ctx context.Context) error {
 		ended <- d.node.Run(ctx)
@@ -155,6 +170,13 @@
 	return err
 }
 
+func (d *Daemon) serveHTTP() error {
+	if files := d.settings.TLS; files.CertificateFile != "" {
+		return d.http.ServeTLS(d.listener, files.CertificateFile, files.KeyFile)
+	}
+	return d.http.Serve(d.listener)
+}
+
 func (d *Daemon) close() {
 	d.stopping()
 	_ = d.http.Close()
--- a/daemon/resources.go
+++ b/daemon/resources.go
@@ -205,3 +205,6 @@
 		return api.ErrUnavailable
 	}
 }
+
+// Declared returns the number of resources in force on this node.
+func (d *Daemon) Declared() int { return d.config.Snapshot().Len() }
--- a/node/rules.go
+++ b/node/rules.go
@@ -18,6 +18,10 @@
 	defaultMaxTokens = 1024
 	// messageOverheadBytes is what an engine adds to each message of a prompt.
 	messageOverheadBytes = 16
+	// aheadOfLimit bounds the budget that is spent ahead of durable intents
+	// to a tenth of the limit: it counts as spent at a takeover, and a small
+	// program that lost all of its budget so could not go on.
+	aheadOfLimit = 10
 	// maxDeadline bounds how long a caller waits for one call.
 	maxDeadline = time.Hour
 	// defaultDeadline is used for requests that are not calls.
@@ -82,7 +86,7 @@
 	}
 	return program.Spec{
 		ID: request.ID, Tenant: tenant, Class: request.Class, Limit: limit,
-		Ahead:     min(limit, budget.Units(class.BudgetAhead)),
+		Ahead:     min(limit/aheadOfLimit, budget.Units(class.BudgetAhead)),
 		TurnLimit: class.TurnLimit, IdleLease: class.IdleLease(),
 	}, nil
 }
--- a/resource/specs.go
+++ b/resource/specs.go
@@ -28,8 +28,10 @@
 	Priority int `json:"priority"`
 	// BudgetLimit is the default and largest budget of a program, in tokens.
 	BudgetLimit int64 `json:"budget_limit"`
-	// BudgetAhead is the amount by which the durable ceiling is raised at
-	// once, in tokens; default a tenth of the limit.
+	// BudgetAhead is the amount, in tokens, that idempotent calls may spend
+	// before their intent is durable. It counts as spent when the program's
+	// owner is lost, at most a tenth of the program's budget. Default 0:
+	// copies of the journal at peers make intents durable during outages.
 	BudgetAhead int64 `json:"budget_ahead"`
 	// TurnLimit is the largest number of calls of a program; default 260.
 	TurnLimit int `json:"turn_limit"`
@@ -161,7 +163,6 @@
 	defaultBackoffMS        = 100
 	defaultSlots            = 16
 	defaultConcurrency      = 64
-	budgetAheadOfLimit      = 10
 	largestBudget           = 1_000_000_000_000
 	largestShare            = 1000
 	largestTurnLimit        = 100_000
@@ -185,7 +186,6 @@
 }
 
 func (c *Class) setDefaults() {
-	setDefault(&c.BudgetAhead, max(1, c.BudgetLimit/budgetAheadOfLimit))
 	setDefault(&c.TurnLimit, defaultTurnLimit)
 	setDefault(&c.IdleLeaseMS, defaultIdleLeaseMS)
 	setDefault(&c.DeadlineMS, defaultDeadlineMS)
--- a/resource/validate.go
+++ b/resource/validate.go
@@ -83,7 +83,7 @@
 	p.name("spec.pool", c.Pool)
 	between(p, "spec.priority", c.Priority, 0, priorityHighest)
 	between(p, "spec.budget_limit", c.BudgetLimit, 1, largestBudget)
-	between(p, "spec.budget_ahead", c.BudgetAhead, 1, max(1, c.BudgetLimit))
+	between(p, "spec.budget_ahead", c.BudgetAhead, 0, max(1, c.BudgetLimit))
 	between(p, "spec.turn_limit", c.TurnLimit, 1, largestTurnLimit)
 	between(p, "spec.idle_lease_ms", c.IdleLeaseMS, 1, longestIdleLeaseMS)
 	between(p, "spec.deadline_ms", c.DeadlineMS, 1, longestDeadlineMS)
