Test that a handoff waits for the shard's appended records

Cause: removing the handoff mark failed no spec. Change: a spec hands shards off while their records wait for a slow commit. Conclusion: it fails without the mark and passes with it.

--- a/placement/duty_test.go
+++ b/placement/duty_test.go
@@ -154,6 +154,30 @@
 		c.stop()
 	})
 
+	It("hands a shard off only when its appended records are durable", func(ctx SpecContext) {
+		c := newCluster(ctx)
+		var slow atomic.Bool
+		a := c.start("a", noRank, func(call storefault.Call) storefault.Fault {
+			if slow.Load() && call.Key == journal.HeadKey("a") {
+				time.Sleep(20 * time.Millisecond)
+			}
+			return storefault.None
+		})
+		c.start("b", noRank, nil)
+		c.members(live("a")...)
+		c.writeEach()
+		slow.Store(true)
+		done := make(chan bool, 2*len(programs()))
+		for _, program := range programs() {
+			Expect(a.writes.TryPush(write{program: program, done: done})).To(Succeed())
+		}
+		Eventually(a.writes.Len).Should(BeZero())
+		c.members(live("a", "b")...)
+		Eventually(func() int { return len(done) }).Should(Equal(len(programs())))
+		c.settled("", "a", "b")
+		c.stop()
+	})
+
 	It("reports the shards that are left when the last node drains", func(ctx SpecContext) {
 		c := newCluster(ctx)
 		a := c.start("a", noRank, nil)
