Add the load tool and the virtual-time model of backend servers

Cause: policies and later the whole system need to be measured on the same programs, with all randomness from a seed.

Change: load generates the programs of both deployments and the six scenarios, drives a Target in an open loop (one driver duty, caller duties, joined by rings), injects faults through Environment, and writes a table, JSON and an HTML page with plots. load/model runs schedule.Scheduler in virtual time; load/cmd/policybench prints all figures with one command. In schedule, the extra work of hedges is now counted from the copy that lost, because the estimate at the grant let hedges reach 5.2% (stragglers, 3 nodes) and 7.2% (7 nodes) of the work.

Ruled out: the driver first ended its loop only at the next event, so a run whose last program was refused waited for an hour; it now checks after the events of each turn.

--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,264 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/load"
+	"dogwoodline.example/outcome"
+)
+
+func TestLoad(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "load")
+}
+
+// fakeTarget completes calls at once unless answer says otherwise.
+type fakeTarget struct {
+	mu     sync.Mutex
+	calls  []load.CallRequest
+	starts map[string]load.ProgramStart
+	ended  atomic.Int64
+	answer func(load.CallRequest) (load.CallResult, error)
+}
+
+func (f *fakeTarget) StartProgram(_ context.Context, p load.ProgramStart) (outcome.Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.starts == nil {
+		f.starts = map[string]load.ProgramStart{}
+	}
+	f.starts[p.ID] = p
+	return outcome.Outcome{Code: outcome.Completed}, nil
+}
+
+func (f *fakeTarget) Call(_ context.Context, c load.CallRequest) (load.CallResult, error) {
+	f.mu.Lock()
+	f.calls = append(f.calls, c)
+	f.mu.Unlock()
+	if f.answer != nil {
+		return f.answer(c)
+	}
+	return completed, nil
+}
+
+func (f *fakeTarget) EndProgram(context.Context, string) error {
+	f.ended.Add(1)
+	return nil
+}
+
+var completed = load.CallResult{Outcome: outcome.Outcome{Code: outcome.Completed}}
+
+func quickRun(target load.Target) load.Run {
+	s, _ := load.ScenarioByName("steady")
+	s.Warmup, s.Length = 0, 10*time.Second
+	return load.Run{
+		Deployment: load.Deployments()[0], Scenario: s, Rate: 4, Seed: 1, Target: target,
+		TimeScale: 0.01, Callers: 16,
+	}
+}
+
+var _ = Describe("Generate", func() {
+	d := load.Deployments()[0]
+	steady, _ := load.ScenarioByName("steady")
+
+	It("returns the same programs for the same seed, and others for another", func() {
+		Expect(load.Generate(d, steady, 5, 1)).To(Equal(load.Generate(d, steady, 5, 1)))
+		Expect(load.Generate(d, steady, 5, 1)).NotTo(Equal(load.Generate(d, steady, 5, 2)))
+	})
+
+	It("changes only the stragglers in the scenario with stragglers", func() {
+		s, _ := load.ScenarioByName("stragglers")
+		plain, stretched, different := load.Generate(d, steady, 20, 1), load.Generate(d, s, 20, 1), 0
+		Expect(stretched).To(HaveLen(len(plain)))
+		for i, p := range stretched {
+			Expect(p.Start).To(Equal(plain[i].Start))
+			if p.Straggler {
+				different++
+				continue
+			}
+			Expect(p.Steps).To(Equal(plain[i].Steps))
+		}
+		Expect(float64(different) / float64(len(plain))).To(BeNumerically("~", 0.02, 0.01))
+	})
+
+	It("raises the demand four times in the crest", func() {
+		s, _ := load.ScenarioByName("crest")
+		calm, crest := 0, 0
+		for _, p := range load.Generate(d, s, 20, 1) {
+			switch {
+			case s.Phase(p.Start) == load.PhaseCrest && p.Start >= s.CrestStart+s.CrestRise:
+				crest++
+			case p.Start < s.CrestHold:
+				calm++
+			}
+		}
+		Expect(float64(crest) / float64(calm)).To(BeNumerically("~", 4, 0.8))
+	})
+
+	It("knows all scenarios of the design page and refuses others", func() {
+		for _, name := range []string{"steady", "crest", "stragglers", "slowed", "churn", "node-loss"} {
+			_, err := load.ScenarioByName(name)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := load.ScenarioByName("none")
+		Expect(err).To(MatchError(load.ErrUnknownName))
+		_, err = load.DeploymentByName("none")
+		Expect(err).To(MatchError(load.ErrUnknownName))
+	})
+})
+
+var _ = Describe("Run", func() {
+	It("sends the calls of each program in order and ends every program", func() {
+		target := &fakeTarget{}
+		result, err := quickRun(target).Do(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Completed).To(Equal(result.Programs))
+		Expect(result.Programs).To(BeNumerically(">", 10))
+		Expect(result.TimeScale).To(Equal(0.01))
+		orders := map[string]int{}
+		for _, c := range target.calls {
+			orders[c.Program]++
+			Expect(c.Order).To(Equal(orders[c.Program]))
+			Expect(json.Valid(c.Body)).To(BeTrue())
+		}
+		Expect(target.starts).To(HaveLen(len(orders)))
+		Expect(target.ended.Load()).To(BeEquivalentTo(len(orders)))
+	})
+
+	It("counts a refused first call as a refused program and repeats later ones with the same id", func() {
+		var mu sync.Mutex
+		seen := map[string]int{}
+		target := &fakeTarget{answer: func(c load.CallRequest) (load.CallResult, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			seen[c.RequestID]++
+			first := seen[c.RequestID] == 1
+			refuse := first && (c.Order == 1 && strings.HasSuffix(c.Program, "3") || c.Order == 2)
+			if refuse {
+				return load.CallResult{Outcome: outcome.DidNotRun(outcome.Overloaded, time.Millisecond)}, nil
+			}
+			if c.Order == 3 && first {
+				return load.CallResult{}, load.Error.New("connection lost")
+			}
+			return completed, nil
+		}}
+		result, err := quickRun(target).Do(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Refused).To(BeNumerically(">", 0))
+		Expect(result.Failed).To(BeZero())
+		Expect(result.Completed + result.Refused).To(Equal(result.Programs))
+	})
+
+	It("counts latency from the intended start while the target stalls", func() {
+		target := &fakeTarget{answer: func(load.CallRequest) (load.CallResult, error) {
+			time.Sleep(5 * time.Millisecond)
+			return completed, nil
+		}}
+		run := quickRun(target)
+		run.Callers = 1
+		result, err := run.Do(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		// Hundreds of calls of 5 ms one after the other take seconds, which
+		// are hundreds of seconds at the time scale; each call alone takes
+		// half a second at that scale.
+		Expect(result.P95MS).To(BeNumerically(">", 30_000))
+	})
+
+	It("applies the faults of the scenario and stops when its context ends", func() {
+		environment := &fakeEnvironment{}
+		run := quickRun(&fakeTarget{})
+		slowed, _ := load.ScenarioByName("slowed")
+		slowed.Length = 120 * time.Second
+		run.Scenario, run.Environment, run.Rate = slowed, environment, 1
+		_, err := run.Do(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(environment.factors).To(Equal([]float64{5, 5, 1, 1}))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = run.Do(ctx)
+		Expect(err).To(MatchError(context.Canceled))
+	})
+})
+
+type fakeEnvironment struct{ factors []float64 }
+
+func (f *fakeEnvironment) SlowBackend(_ context.Context, _ int, factor float64) error {
+	f.factors = append(f.factors, factor)
+	return nil
+}
+func (f *fakeEnvironment) LeaveBackend(context.Context, int, bool) error { return nil }
+func (f *fakeEnvironment) StopNode(context.Context, int) error           { return nil }
+func (f *fakeEnvironment) StartNode(context.Context, int) error          { return nil }
+
+var _ = Describe("HTTPTarget", func() {
+	It("asks for the address, starts a program, and reads plain and streamed answers", func() {
+		mux := http.NewServeMux()
+		var asked atomic.Int64
+		server := httptest.NewServer(mux)
+		DeferCleanup(server.Close)
+		mux.HandleFunc("GET /v1/address", func(w http.ResponseWriter, _ *http.Request) {
+			asked.Add(1)
+			w.Write([]byte(`{"address":"` + strings.TrimPrefix(server.URL, "http://") + `"}`))
+		})
+		mux.HandleFunc("POST /v1/programs", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusCreated) })
+		mux.HandleFunc("DELETE /v1/programs/{id}", func(http.ResponseWriter, *http.Request) {})
+		mux.HandleFunc("POST /v1/programs/{id}/calls", func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Accept") == "text/event-stream" {
+				w.Write([]byte("data: {\"text\":\"a\"}\n\ndata: {\"outcome\":{\"code\":\"completed\"},\"recorded\":true,\"attempt\":2}\n\n"))
+				return
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+			w.Write([]byte(`{"outcome":{"code":"not_run","reason":"overloaded","retry_after_ms":5}}`))
+		})
+		target := &load.HTTPTarget{Entries: []string{server.URL}, AddressTTL: time.Minute, Client: server.Client()}
+		ctx := context.Background()
+		started, err := target.StartProgram(ctx, load.ProgramStart{ID: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(started.Code).To(Equal(outcome.Completed))
+		refused, err := target.Call(ctx, load.CallRequest{Program: "a.1", Body: []byte("{}")})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(refused.Outcome).To(Equal(outcome.DidNotRun(outcome.Overloaded, 5*time.Millisecond)))
+		streamed, err := target.Call(ctx, load.CallRequest{Program: "a", Body: []byte("{}"), Stream: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(streamed.Attempt).To(Equal(2))
+		Expect(streamed.FirstToken).To(BeNumerically(">", 0))
+		Expect(target.EndProgram(ctx, "a")).To(Succeed())
+		Expect(asked.Load()).To(BeEquivalentTo(1), "a child uses the address of its root")
+		server.Close()
+		_, err = target.Call(ctx, load.CallRequest{Program: "a", Body: []byte("{}")})
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("Reports", func() {
+	It("writes the fixed JSON names, a table, the targets and a self-contained page", func() {
+		results := []load.Result{
+			{Scenario: "steady", Deployment: "satamavirta", Policy: "random-fcfs", Seed: 1, Quantile: load.Quantile{P95MS: 1000}},
+			{Scenario: "steady", Deployment: "satamavirta", Policy: "program-aware", Seed: 1, Quantile: load.Quantile{P95MS: 500}},
+		}
+		var text, table, targets, html bytes.Buffer
+		Expect(load.WriteJSON(&text, results)).To(Succeed())
+		for _, name := range []string{"scenario", "policy", "seed", "programs", "p50_ms", "p95_ms", "p99_ms", "goodput", "refused", "recomputed_tokens", "hedges", "time_scale", "groups"} {
+			Expect(text.String()).To(ContainSubstring(`"` + name + `"`))
+		}
+		Expect(load.WriteTable(&table, results)).To(Succeed())
+		Expect(strings.Count(table.String(), "\n")).To(Equal(3))
+		Expect(load.WriteTargets(&targets, results)).To(Succeed())
+		Expect(targets.String()).To(MatchRegexp(`random p95 +program-aware +0.500 +0.40 +0/1`))
+		Expect(load.WriteHTML(&html, "t", results)).To(Succeed())
+		Expect(html.String()).To(ContainSubstring("<svg"))
+		Expect(html.String()).NotTo(ContainSubstring("src="))
+	})
+})
--- /dev/null
+++ b/load/model/model_test.go
@@ -0,0 +1,63 @@
+package model_test
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodline.example/load"
+	"dogwoodline.example/load/model"
+	"dogwoodline.example/schedule"
+)
+
+func run(t *testing.T, scenario, policy string, nodes int) load.Result {
+	t.Helper()
+	s, err := load.ScenarioByName(scenario)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Warmup, s.Length = 10*time.Second, 85*time.Second // covers the faults and the crest
+	s.StragglerFactor = min(s.StragglerFactor, 10)      // keeps the test short
+	r, err := model.Run(model.Config{
+		Deployment: load.Deployments()[0], Scenario: s, Policy: policy, Seed: 1, Nodes: nodes, SplitSlots: nodes > 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.TimeScale = 0 // depends on the machine
+	return r
+}
+
+// Guards against programs that get lost in a fault, for each scenario and
+// for one and several scheduling nodes.
+func TestEveryProgramEnds(t *testing.T) {
+	for _, s := range load.Scenarios() {
+		for _, nodes := range []int{1, 3} {
+			r := run(t, s.Name, schedule.ProgramAware, nodes)
+			if r.Completed+r.Refused+r.Failed != r.Programs || r.Completed == 0 {
+				t.Errorf("%s with %d nodes: %d completed, %d refused, %d failed of %d",
+					s.Name, nodes, r.Completed, r.Refused, r.Failed, r.Programs)
+			}
+			if r.HedgeShare > 0.05 {
+				t.Errorf("%s with %d nodes: hedges are %.3f of the work", s.Name, nodes, r.HedgeShare)
+			}
+		}
+	}
+}
+
+// Guards against results that depend on map order or on the clock.
+func TestSameSeedSameResult(t *testing.T) {
+	for _, policy := range schedule.Policies() {
+		a, b := run(t, "slowed", policy, 1), run(t, "slowed", policy, 1)
+		if a.Quantile != b.Quantile || a.RecomputedTokens != b.RecomputedTokens || a.Hedges != b.Hedges {
+			t.Errorf("%s: %+v differs from %+v", policy, a, b)
+		}
+	}
+}
+
+// Guards against a model run without programs.
+func TestUnknownPolicy(t *testing.T) {
+	_, err := model.Run(model.Config{Deployment: load.Deployments()[0], Scenario: load.Scenario{Length: time.Second, Load: 1}, Policy: "none"})
+	if err == nil {
+		t.Fatal("no error")
+	}
+}
--- /dev/null
+++ b/load/result.go
@@ -0,0 +1,158 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Result holds the figures of one run. The field names of its JSON form do
+// not change.
+type Result struct {
+	Scenario   string  `json:"scenario"`
+	Deployment string  `json:"deployment"`
+	Policy     string  `json:"policy"`
+	Nodes      int     `json:"nodes"`
+	Seed       uint64  `json:"seed"`
+	TimeScale  float64 `json:"time_scale"` // run time divided by modelled time
+	// Programs counts the measured programs, which completed, were refused
+	// at their first call, or failed later.
+	Programs  int `json:"programs"`
+	Completed int `json:"completed"`
+	Refused   int `json:"refused"`
+	Failed    int `json:"failed"`
+	// Goodput is the work of completed programs as a part of the capacity,
+	// in the crest if there is one and in the whole run otherwise.
+	Goodput float64 `json:"goodput"`
+	// RecomputedTokens are prompt tokens that another live backend server
+	// held; PromptTokens are all.
+	RecomputedTokens int64 `json:"recomputed_tokens"`
+	PromptTokens     int64 `json:"prompt_tokens"`
+	Hedges           int   `json:"hedges"`
+	// HedgeShare is the work of hedges as a part of all work.
+	HedgeShare float64 `json:"hedge_share"`
+	Quantile
+	Groups []Group `json:"groups"`
+}
+
+// Group holds the latencies of the completed programs of one class, tenant
+// and phase; an empty name stands for all. Stragglers form groups of their
+// own.
+type Group struct {
+	Class     string `json:"class"`
+	Tenant    string `json:"tenant"`
+	Phase     string `json:"phase"`
+	Straggler bool   `json:"straggler"`
+	Programs  int64  `json:"programs"`
+	Quantile
+}
+
+// Find returns the group with the given names, or an empty one.
+func (r *Result) Find(class, tenant, phase string, straggler bool) Group {
+	for _, g := range r.Groups {
+		if g.Class == class && g.Tenant == tenant && g.Phase == phase && g.Straggler == straggler {
+			return g
+		}
+	}
+	return Group{}
+}
+
+// Recorder collects the latencies of programs. It has no lock; one goroutine
+// owns it.
+type Recorder struct {
+	all    *hdrhistogram.Histogram
+	groups map[Group]*hdrhistogram.Histogram
+}
+
+// Histograms record tenths of a millisecond up to an hour.
+const (
+	histogramUnit   = 100 * time.Microsecond
+	histogramMax    = int64(time.Hour / histogramUnit)
+	histogramDigits = 3
+)
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{all: newHistogram(), groups: map[Group]*hdrhistogram.Histogram{}}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMax, histogramDigits)
+}
+
+// Record notes the latency of a completed program from its intended start.
+func (r *Recorder) Record(p *Program, phase string, latency time.Duration) {
+	value := min(max(int64(latency/histogramUnit), 1), histogramMax)
+	if !p.Straggler {
+		_ = r.all.RecordValue(value)
+	}
+	for _, tenant := range []string{"", p.Tenant} {
+		for _, phase := range []string{"", phase} {
+			key := Group{Class: p.Class, Tenant: tenant, Phase: phase, Straggler: p.Straggler}
+			if r.groups[key] == nil {
+				r.groups[key] = newHistogram()
+			}
+			_ = r.groups[key].RecordValue(value)
+		}
+	}
+}
+
+// Fill writes the quantiles into a result. The total leaves stragglers out.
+func (r *Recorder) Fill(result *Result) {
+	result.Quantile = quantile(r.all)
+	result.Groups = nil
+	for key, histogram := range r.groups {
+		key.Programs = histogram.TotalCount()
+		key.Quantile = quantile(histogram)
+		result.Groups = append(result.Groups, key)
+	}
+	sort.Slice(result.Groups, func(i, j int) bool {
+		return result.Groups[i].name() < result.Groups[j].name()
+	})
+}
+
+func (g Group) name() string {
+	return fmt.Sprintf("%s/%s/%s/%v", g.Class, g.Tenant, g.Phase, g.Straggler)
+}
+
+func quantile(h *hdrhistogram.Histogram) Quantile {
+	ms := func(q float64) float64 {
+		return float64(h.ValueAtQuantile(q)) * histogramUnit.Seconds() * 1000
+	}
+	return Quantile{P50MS: ms(50), P95MS: ms(95), P99MS: ms(99)}
+}
+
+// WriteJSON writes the results as a JSON array.
+func WriteJSON(w io.Writer, results []Result) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", " ")
+	return Error.Wrap(encoder.Encode(results))
+}
+
+// WriteTable writes one line per result for people.
+func WriteTable(w io.Writer, results []Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "scenario\tpolicy\tnodes\tseed\tprograms\trefused\tfailed\tp50 s\tp95 s\tp99 s\tgoodput\trecomputed\thedges\thedge work\ttime scale\t")
+	for i := range results {
+		r := &results[i]
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f%%\t%d\t%.1f%%\t%.4f\t\n",
+			r.Scenario, r.Policy, r.Nodes, r.Seed, r.Programs, r.Refused, r.Failed,
+			r.P50MS/1000, r.P95MS/1000, r.P99MS/1000, r.Goodput,
+			100*r.RecomputedShare(), r.Hedges, 100*r.HedgeShare, r.TimeScale)
+	}
+	return Error.Wrap(t.Flush())
+}
+
+// RecomputedShare returns the part of the prompt tokens that was recomputed
+// although a live backend server held it.
+func (r *Result) RecomputedShare() float64 {
+	if r.PromptTokens == 0 {
+		return 0
+	}
+	return float64(r.RecomputedTokens) / float64(r.PromptTokens)
+}
--- /dev/null
+++ b/load/target.go
@@ -0,0 +1,80 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"dogwoodline.example/outcome"
+)
+
+// ProgramStart declares a program to a target.
+type ProgramStart struct {
+	ID     string `json:"id"`
+	Tenant string `json:"tenant"`
+	Class  string `json:"class"`
+	Parent string `json:"parent,omitempty"`
+	// Budget is in budget units.
+	Budget int64 `json:"budget"`
+}
+
+// CallRequest is one call of a program. Calls of a program that end not run
+// are sent again with the same request id and order.
+type CallRequest struct {
+	Program      string          `json:"-"`
+	RequestID    string          `json:"request_id"`
+	Order        int             `json:"order"`
+	Kind         Kind            `json:"kind"`
+	Service      string          `json:"service,omitempty"`
+	Operation    string          `json:"operation,omitempty"`
+	Body         json.RawMessage `json:"body"`
+	MaxTokens    int             `json:"max_tokens,omitempty"`
+	PromptTokens int             `json:"prompt_tokens,omitempty"`
+	DeadlineMS   int64           `json:"deadline_ms"`
+	Stream       bool            `json:"-"`
+}
+
+// CallResult is the answer to a call.
+type CallResult struct {
+	Outcome  outcome.Outcome `json:"outcome"`
+	Answer   json.RawMessage `json:"answer,omitempty"`
+	Recorded bool            `json:"recorded"`
+	Attempt  int             `json:"attempt"`
+	// FirstToken is the time to the first event of a streamed answer.
+	FirstToken time.Duration `json:"-"`
+}
+
+// Target is the system under load. An error means that no outcome is known,
+// for example because the connection broke; refusals are outcomes. Methods
+// are called from several goroutines.
+type Target interface {
+	StartProgram(ctx context.Context, program ProgramStart) (outcome.Outcome, error)
+	Call(ctx context.Context, call CallRequest) (CallResult, error)
+	EndProgram(ctx context.Context, id string) error
+}
+
+// Environment injects the faults of a scenario. Indexes count from 0.
+type Environment interface {
+	// SlowBackend multiplies the times of a backend server; 1 is normal.
+	SlowBackend(ctx context.Context, index int, factor float64) error
+	// LeaveBackend lets a backend server leave, or return.
+	LeaveBackend(ctx context.Context, index int, leaving bool) error
+	// StopNode ends a node without warning; StartNode replaces it.
+	StopNode(ctx context.Context, index int) error
+	StartNode(ctx context.Context, index int) error
+}
+
+// apply begins or ends a fault.
+func (f Fault) apply(ctx context.Context, e Environment, begin bool) error {
+	switch {
+	case f.Kind == SlowBackend && begin:
+		return e.SlowBackend(ctx, f.Index, f.Factor)
+	case f.Kind == SlowBackend:
+		return e.SlowBackend(ctx, f.Index, 1)
+	case f.Kind == LeaveBackend:
+		return e.LeaveBackend(ctx, f.Index, begin)
+	case begin:
+		return e.StopNode(ctx, f.Index)
+	}
+	return e.StartNode(ctx, f.Index)
+}
--- /dev/null
+++ b/load/targets.go
@@ -0,0 +1,117 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// TargetLine is one line of the comparison with the targets of the design page.
+type TargetLine struct {
+	Measure string  `json:"measure"`
+	Policy  string  `json:"policy"`
+	Seed    uint64  `json:"seed"`
+	Value   float64 `json:"value"`
+	Limit   float64 `json:"limit"`
+	Met     bool    `json:"met"`
+}
+
+type resultKey struct {
+	scenario, policy string
+	seed             uint64
+}
+
+// Targets compares the results with the targets that a run on one seed can
+// show. Lines whose runs are missing are left out.
+func Targets(results []Result) []TargetLine {
+	byKey := map[resultKey]*Result{}
+	for i := range results {
+		r := &results[i]
+		byKey[resultKey{r.Scenario, r.Policy, r.Seed}] = r
+	}
+	var lines []TargetLine
+	for i := range results {
+		r := &results[i]
+		short := shortClass(r.Deployment)
+		other := func(scenario, policy string) *Result {
+			return byKey[resultKey{scenario, policy, r.Seed}]
+		}
+		add := func(measure string, value, limit float64, atLeast bool) {
+			met := value <= limit
+			if atLeast {
+				met = value >= limit
+			}
+			lines = append(lines, TargetLine{measure, r.Policy, r.Seed, value, limit, met})
+		}
+		steady := other("steady", r.Policy)
+		switch r.Scenario {
+		case "steady":
+			if o := other("steady", "least-reported-load-fcfs"); o != nil {
+				add("steady p95 / least-reported p95", r.P95MS/o.P95MS, 0.6, false)
+			}
+			if o := other("steady", "random-fcfs"); o != nil {
+				add("steady p95 / random p95", r.P95MS/o.P95MS, 0.4, false)
+			}
+			add("steady recomputed", r.RecomputedShare(), 0.05, false)
+		case "slowed":
+			if steady != nil {
+				add("slowed p99 / steady p99", r.P99MS/steady.P99MS, 1.3, false)
+			}
+			add("slowed hedge work", r.HedgeShare, 0.05, false)
+		case "crest":
+			calm, crest := r.Find(short, "", PhaseCalm, false), r.Find(short, "", PhaseCrest, false)
+			add("crest short p95 / calm", crest.P95MS/calm.P95MS, 2, false)
+			add("crest goodput", r.Goodput, 0.95, true)
+			add("crest recomputed", r.RecomputedShare(), 0.05, false)
+		case "stragglers":
+			if steady != nil {
+				a, b := r.Find(short, "", "", false), steady.Find(short, "", "", false)
+				add("stragglers short p95 / steady", a.P95MS/b.P95MS, 1.2, false)
+			}
+			add("stragglers failed", float64(r.Failed), 0, false)
+		}
+	}
+	return lines
+}
+
+func shortClass(deployment string) string {
+	d, err := DeploymentByName(deployment)
+	if err != nil {
+		return ""
+	}
+	for _, c := range d.Classes {
+		if c.Short {
+			return c.Name
+		}
+	}
+	return ""
+}
+
+// WriteTargets writes the comparison with the targets for people, one line
+// per measure and policy with the values of all seeds.
+func WriteTargets(w io.Writer, results []Result) error {
+	type rowKey struct{ measure, policy string }
+	var order []rowKey
+	values := map[rowKey]string{}
+	met := map[rowKey]int{}
+	count := map[rowKey]int{}
+	limits := map[rowKey]float64{}
+	for _, line := range Targets(results) {
+		key := rowKey{line.Measure, line.Policy}
+		if count[key] == 0 {
+			order = append(order, key)
+		}
+		count[key]++
+		limits[key] = line.Limit
+		values[key] += fmt.Sprintf("%.3f ", line.Value)
+		if line.Met {
+			met[key]++
+		}
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "measure\tpolicy\tvalue per seed\ttarget\tmet")
+	for _, key := range order {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.2f\t%d/%d\n", key.measure, key.policy, values[key], limits[key], met[key], count[key])
+	}
+	return Error.Wrap(t.Flush())
+}
--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -101,6 +101,7 @@
 	c.work += seconds
 	if hedge {
 		c.hedged += seconds
+		q.extra = seconds
 	} else {
 		q.state = stateRunning
 		q.work = seconds
@@ -155,6 +156,12 @@
 		c.measure(r, now, timing)
 	}
 	c.endPrefill(r)
+	if timing.Cancelled {
+		// The time of the copy that lost is the real extra work.
+		lost := (now - r.sent).Seconds()
+		c.hedged += lost - q.extra
+		q.extra = lost
+	}
 	if !timing.Failed && !timing.Cancelled {
 		c.learn(r, (now - r.sent).Seconds(), timing)
 	}
@@ -170,6 +177,7 @@
 func (c *cell) learn(r *runCopy, seconds float64, timing Timing) {
 	q, s := r.call, r.server
 	c.speeds.run.add(seconds)
+	c.work += seconds - q.work
 	if q.request.MaxTokens > 0 {
 		q.class.tokens.add(float64(timing.Tokens))
 	} else {
--- a/schedule/hedge.go
+++ b/schedule/hedge.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// hedgeShare bounds the work of hedges and probes to 5% of all work.
-	hedgeShare = 0.05
+	// hedgeShare bounds the work of hedges and probes. The limit is 5% of all
+	// work; the margin covers copies that run longer than expected.
+	hedgeShare = 0.04
 	// hedgeGain is how many times the expected time on another backend
 	// server the expected rest must be before a call is hedged.
 	hedgeGain = 1.3
