--- a/load/model/model.go
+++ b/load/model/model.go
@@ -160,11 +160,12 @@
 	s.result.TimeScale = time.Since(began).Seconds() / s.now
 }
 
-// window returns the time in which goodput is measured.
+// window returns the time in which goodput is measured. The rise of a crest
+// is left out, because its demand is still below the capacity.
 func (s *sim) window() (from, to float64) {
 	sc := s.config.Scenario
 	if sc.CrestFactor > 0 {
-		return sc.CrestStart.Seconds(), sc.CrestEnd().Seconds()
+		return (sc.CrestStart + sc.CrestRise).Seconds(), sc.CrestEnd().Seconds()
 	}
 	return sc.Warmup.Seconds(), sc.Length.Seconds()
 }
