--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -4,8 +4,8 @@
 
 const (
 	// maxHold bounds the wait for a busy backend server. It is the time in
-	// which a common accelerator recomputes a prompt of 20,000 tokens.
-	maxHold = 4 * time.Second
+	// which a common accelerator recomputes a prompt of 10,000 tokens.
+	maxHold = 2 * time.Second
 	// holdGain is the part of the cost elsewhere below which waiting must
 	// stay, because the estimated wait is uncertain.
 	holdGain = 0.8
