Do not take a wrong belief about a cache for slowness

A first token that came late because fewer prompt tokens were cached than believed, or because the prompt tokens ahead were only guessed, made a backend server count as slowed after one sample.

Change: the expectation of a first token uses the measured cached tokens; a first token weighs 0.2 instead of 0.4 in the slowness estimate.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -141,7 +141,11 @@
 	}
 	if !r.gotFirst && timing.FirstToken > 0 {
 		c.endPrefill(r)
-		c.speeds.observeFirst(&s.pace, r.prefill, timing.FirstToken.Seconds())
+		if timing.PromptTokens > 0 {
+			// A wrong belief about the cache must not look like slowness.
+			r.prefill += timing.PromptTokens - timing.CachedTokens - r.uncached
+		}
+		c.speeds.observeFirst(&s.pace, max(r.prefill, 0), timing.FirstToken.Seconds())
 		r.measured = r.sent + timing.FirstToken
 		r.tokens = min(1, timing.Tokens)
 		c.dirty = true
@@ -196,7 +200,7 @@
 		// A service call has no tokens; its whole time is compared with the
 		// other calls of its class.
 		expected := q.class.run.or(seconds)
-		s.pace.first += fastWeight * (min(seconds/expected, sampleCap) - s.pace.first)
+		s.pace.first += firstWeight * (min(seconds/expected, sampleCap) - s.pace.first)
 		q.class.run.addCut(seconds)
 		c.dirty = true
 	}
--- a/schedule/hedge.go
+++ b/schedule/hedge.go
@@ -56,9 +56,9 @@
 	p, raised := &r.server.pace, false
 	switch {
 	case !r.gotFirst && r.call.request.MaxTokens > 0:
-		raised = atLeast(&p.first, (now - r.sent).Seconds(), c.speeds.expectedFirst(r.prefill))
+		raised = atLeast(&p.first, firstWeight, (now - r.sent).Seconds(), c.speeds.expectedFirst(r.prefill))
 	case r.gotFirst && now-r.measured > silence:
-		raised = atLeast(&p.token, (now - r.measured).Seconds(), silence.Seconds()/2)
+		raised = atLeast(&p.token, fastWeight, (now - r.measured).Seconds(), silence.Seconds()/2)
 	}
 	c.dirty = c.dirty || raised
 	if raised && c.judged < now {
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -8,6 +8,9 @@
 	// fastWeight is the weight of a new sample in a backend server's own
 	// estimate: three samples of a slowed backend server exceed slowFactor.
 	fastWeight = 0.4
+	// firstWeight is the same for first tokens, which are noisier: the prompt
+	// tokens that are ahead on the backend server are only guessed.
+	firstWeight = 0.2
 	// poolWeight is the least weight of a new sample in the cell's estimates.
 	poolWeight = 0.01
 	// sampleCap bounds one sample relative to the expectation, so that one
@@ -114,7 +117,7 @@
 // of uncached prompt tokens of the call and of those sent before it.
 func (s *speeds) observeFirst(p *pace, work int, seconds float64) {
 	ratio := min(seconds/s.expectedFirst(work), sampleCap)
-	p.first += fastWeight * (ratio - p.first)
+	p.first += firstWeight * (ratio - p.first)
 	if work < smallPrefill {
 		s.base.addCut(seconds)
 		return
@@ -128,12 +131,12 @@
 
 // atLeast raises an estimate towards a ratio that is already certain, because
 // the awaited token has not come yet. It reports whether it did.
-func atLeast(estimate *float64, seconds, expected float64) bool {
+func atLeast(estimate *float64, weight, seconds, expected float64) bool {
 	ratio := min(seconds/expected, sampleCap)
 	if ratio <= *estimate {
 		return false
 	}
-	*estimate += fastWeight * (ratio - *estimate)
+	*estimate += weight * (ratio - *estimate)
 	return true
 }
 
