--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -32,18 +32,15 @@
 	if best == nil || q.held {
 		return best, nil, 0
 	}
-	// Only seconds that the call itself saves count here: an idle slot does
-	// not delay other calls.
-	elsewhere := c.cost(q, best, c.blocks(held, best))
 	for set := held & usable &^ c.open; set != 0; set &= set - 1 {
 		s := c.servers[lowestBit(set)]
 		if s.pace.slow || s.exclusive || s == c.reserved {
 			continue
 		}
 		queued := c.speeds.run.or(runSecondsInit) * float64(len(s.parked)+1) / float64(s.Slots)
-		cost := queued + c.cost(q, s, c.blocks(held, s))
-		if queued < maxHold.Seconds()/2 && cost < holdGain*elsewhere {
-			warm, elsewhere = s, cost
+		price := queued + c.price(q, s, c.blocks(held, s))
+		if queued < maxHold.Seconds()/2 && price < holdGain*least {
+			warm, least = s, price
 			wait = min(maxHold, time.Duration(2*queued*float64(time.Second)))
 		}
 	}
