--- a/schedule/hedge.go
+++ b/schedule/hedge.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// hedgeShare bounds the work of hedges and probes to 5% of all work.
-	hedgeShare = 0.05
+	// hedgeShare bounds the work of hedges and probes. The limit is 5% of all
+	// work; the margin covers copies that run longer than expected.
+	hedgeShare = 0.04
 	// hedgeGain is how many times the expected time on another backend
 	// server the expected rest must be before a call is hedged.
 	hedgeGain = 1.3
@@ -55,9 +56,9 @@
 	p, raised := &r.server.pace, false
 	switch {
 	case !r.gotFirst && r.call.request.MaxTokens > 0:
-		raised = atLeast(&p.first, (now - r.sent).Seconds(), c.speeds.expectedFirst(r.prefill))
+		raised = atLeast(&p.first, firstWeight, (now - r.sent).Seconds(), c.speeds.expectedFirst(r.prefill))
 	case r.gotFirst && now-r.measured > silence:
-		raised = atLeast(&p.token, (now - r.measured).Seconds(), silence.Seconds()/2)
+		raised = atLeast(&p.token, fastWeight, (now - r.measured).Seconds(), silence.Seconds()/2)
 	}
 	c.dirty = c.dirty || raised
 	if raised && c.judged < now {
