Retire a drained node in the shard map before it exits

Cause: in one of several runs of the planned-stop test a posting ended as unknown. A node whose member view was old did not know that the other was draining, and handed a shard to it just before it exited.

The cleaner skips journals that are not sealed yet, and leaving does not create a head that was deleted already.

Ruled out: a call that was cut off by the drain itself; the shard duty reports a shard as idle only with no call and no record outstanding.

--- a/node/incarnation.go
+++ b/node/incarnation.go
@@ -12,6 +12,7 @@
 	"dogwoodline.example/journal"
 	"dogwoodline.example/membership"
 	"dogwoodline.example/placement"
+	"dogwoodline.example/platform"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
@@ -231,6 +232,9 @@
 
 // leave ends the journal and the membership.
 func (i *incarnation) leave(ctx context.Context) error {
-	sealed := journal.Seal(ctx, i.node.deps.Store.Placement, i.name)
+	sealed := journal.SealExisting(ctx, i.node.deps.Store.Placement, i.name)
+	if errors.Is(sealed, platform.ErrNotFound) {
+		sealed = nil // the drain sealed it, and another node deleted it since
+	}
 	return errors.Join(sealed, i.session.Commands().Push(ctx, membership.Leave{}))
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -89,6 +89,18 @@
 	return unused
 }
 
+// Retire lists the journal of an owner without shards as sealed, so that it
+// gets no shard any more. It reports whether the owner is retired.
+func (m *Map) Retire(owner string) bool {
+	if m.Owned(owner) > 0 {
+		return false
+	}
+	if !slices.Contains(m.Sealed, owner) {
+		m.Sealed = append(m.Sealed, owner)
+	}
+	return true
+}
+
 // Forget removes deleted journals from the list of sealed ones.
 func (m *Map) Forget(deleted []string) bool {
 	before := len(m.Sealed)
--- a/placement/steps.go
+++ b/placement/steps.go
@@ -259,12 +259,21 @@
 	if len(unused) == 0 || d.in.View().Rank(d.self) != 0 {
 		return nil
 	}
+	var deleted []string
 	for _, name := range unused {
-		if err := journal.Delete(ctx, d.store, name); err != nil {
+		err := journal.Delete(ctx, d.store, name)
+		if errors.Is(err, journal.ErrNotSealed) {
+			continue // its owner retires and seals it next
+		}
+		if err != nil {
 			return err
 		}
+		deleted = append(deleted, name)
+	}
+	if len(deleted) == 0 {
+		return nil
 	}
-	return d.swap(ctx, func(m *Map) bool { return m.Forget(unused) })
+	return d.swap(ctx, func(m *Map) bool { return m.Forget(deleted) })
 }
 
 // suspectOwners tells the detector about owners that are not members, for
@@ -290,6 +299,27 @@
 	if !d.draining || left == d.drained || left > 0 && len(d.eligible()) > 0 {
 		return nil
 	}
+	if left == 0 {
+		if retired, err := d.retire(ctx); err != nil || !retired {
+			return err
+		}
+	}
 	d.drained = left
 	return d.send(ctx, Drained{Left: left})
 }
+
+// retire makes sure that no node gives a shard to this one any more. A node
+// whose member view is old does not know yet that this one is draining, and
+// would hand a shard to a node that is about to exit.
+func (d *Duty) retire(ctx context.Context) (bool, error) {
+	retired := false
+	err := d.swap(ctx, func(m *Map) bool {
+		before := len(m.Sealed)
+		retired = m.Retire(d.self)
+		return len(m.Sealed) > before
+	})
+	if err != nil || !retired {
+		return false, err
+	}
+	return true, journal.Seal(ctx, d.store, d.self)
+}
