--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -86,9 +86,7 @@
 // weight of the delay that it causes to others. It only compares servers.
 func (c *cell) price(q *call, s *server, blocks int) float64 {
 	prefill := float64(q.request.uncached(blocks)) * c.speeds.prefill.or(prefillSecondsInit)
-	batch := s.running + s.foreign
-	slower := c.speeds.expectedToken(batch+1) - c.speeds.expectedToken(batch)
-	return c.cost(q, s, blocks) + prefillWeight*prefill + float64(batch)*slower*q.expectedTokens()
+	return c.cost(q, s, blocks) + prefillWeight*prefill
 }
 
 // start runs a copy of a call on a server.
