Add soak: fault runs over node processes with a check of the history

Cause: faults of separate processes, links and outside systems were only tested inside one process. Change: module soak starts the stand-ins, relays and node processes, runs programs with repeats, injects faults from a seed and records what callers, operators, ledger and engines show. Package soak/check judges that history.

--- a/cmd/dogwoodline/main.go
+++ b/cmd/dogwoodline/main.go
@@ -51,7 +51,7 @@
 	var line commandLine
 	parsed := -1
 	parser, err := kong.New(&line,
-		kong.Name("dogwoodline"), kong.Description(description), kong.Writers(out, errOut),
+		kong.Name("dogwoodline"), kong.Description(description), kong.Writers(out, errOut), soakKinds(),
 		kong.Exit(func(code int) { parsed = code }),
 	)
 	if err != nil {
--- /dev/null
+++ b/cmd/dogwoodline/soak.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/zeebo/errs"
+
+	"dogwoodline.example/settings"
+	"dogwoodline.example/soak"
+)
+
+// soakFlags make the load command run a deployment of its own under faults.
+type soakFlags struct {
+	Faults   []soak.Kind   `help:"Start node processes and inject these kinds of faults: ${soakKinds}."`
+	Script   []soak.Kind   `help:"Inject these faults one after the other in place of random ones."`
+	Check    bool          `help:"Check the observed history. Alone it runs without faults."`
+	Nodes    int           `default:"7" help:"Node processes of a run with faults."`
+	Programs int           `default:"24" help:"Programs side by side in a run with faults."`
+	Together int           `default:"2" help:"Largest number of faults at once."`
+	Binary   string        `help:"Binary of the nodes. This one when missing."`
+	Ledger   time.Duration `name:"ledger-delay" default:"30ms" help:"Time that a posting takes."`
+	JSON     string        `name:"json" placeholder:"FILE" help:"Also write the report of a run with faults as JSON."`
+}
+
+// soakKinds gives the help text the kinds of faults.
+func soakKinds() kong.Option {
+	return kong.Vars{"soakKinds": strings.Trim(fmt.Sprint(soak.Kinds), "[]")}
+}
+
+// asked reports whether the flags ask for a run with faults or checks.
+func (f soakFlags) asked() bool { return f.Check || len(f.Faults)+len(f.Script) > 0 }
+
+// runSoak runs the deployment and reports violations as a failure.
+func runSoak(ctx context.Context, l loadCommand, c *console) error {
+	report, err := soak.Run(ctx, soak.Config{
+		Binary: l.Binary, Nodes: l.Nodes, Programs: l.Programs, Together: l.Together, Duration: l.Duration, Seed: l.Seed,
+		Faults: l.Faults, Scripted: l.Script, LedgerDelay: l.Ledger, Log: newLog(c.errOut, settings.Default().Log),
+	})
+	if err != nil {
+		return err
+	}
+	report.Write(c.out)
+	if l.JSON != "" {
+		data, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(l.JSON, data, 0o600); err != nil {
+			return errs.Combine(errUsage, err)
+		}
+	}
+	if len(report.Violations) > 0 {
+		c.warn(fmt.Sprintf("dogwoodline: %d violations", len(report.Violations)))
+		return errReported
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/check/check_test.go
@@ -0,0 +1,120 @@
+package check_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/emulator/engine"
+	"dogwoodline.example/outcome"
+	"dogwoodline.example/soak/check"
+)
+
+func TestCheck(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "soak check")
+}
+
+const receipt = `{"request_id":"p:r2","operation":"post","state":"done","sequence":1}`
+
+// good returns a history without a violation: a model call, a posting, a
+// planned stop, a kill, a leaving engine, and one accepted write.
+func good() check.History {
+	text := engine.Text("p:r1", 1, 5)
+	return check.History{
+		Calls: []check.Call{
+			{Program: "p", RequestID: "r1", Order: 1, Model: true, Via: "main", Invoked: 1, Returned: 2, Code: outcome.Completed,
+				Answer: text, Attempt: 1, MaxTokens: 5, Recorded: true},
+			{Program: "p", RequestID: "r2", Order: 2, Via: "main", Invoked: 3, Returned: 4, Code: outcome.Completed,
+				Answer: receipt, Attempt: 1, Recorded: true},
+			{Program: "p", RequestID: "r3", Order: 3, Via: "main", Invoked: 5, Returned: 6, Code: outcome.NotRun},
+		},
+		Effects: []check.Effect{{Sequence: 1, Program: "p", RequestID: "r2", Order: 2}},
+		Programs: []check.Program{{ID: "p", Limit: 100, Spent: 20, Entries: []check.Entry{
+			{RequestID: "r1", Order: 1, Model: true, Code: outcome.Completed, Answer: text, Recorded: true},
+			{RequestID: "r2", Order: 2, Code: outcome.Completed, Answer: receipt, Recorded: true},
+		}}},
+		Recoveries: []check.Recovery{{Node: "n", Program: "p", Killed: time.Second, Served: 5 * time.Second}},
+		Stops:      []check.Stop{{Node: "n", Begin: 0, End: 4}},
+		Leaves:     []check.Leave{{Engine: "e", StartedAtBound: 4, StartedAtEnd: 4}},
+		Writes:     []check.Write{{Resource: "x", Expected: 1, Version: 2, Accepted: true, Returned: time.Second}},
+		Seen: []check.Seen{{Node: "n", Resource: "x", Version: 1, Asked: 2 * time.Second, At: 2 * time.Second},
+			{Node: "n", Resource: "x", Version: 2, Asked: 13 * time.Second, At: 13 * time.Second}},
+		Poisons: []check.Poison{{Text: "t", Crashes: 2, Allowed: 2}},
+	}
+}
+
+func guarantees(h check.History) []string {
+	var names []string
+	for _, v := range check.Check(h, check.DefaultBounds(3*time.Second)) {
+		names = append(names, v.Guarantee)
+	}
+	return names
+}
+
+var _ = Describe("Check", func() {
+	It("finds nothing in a good history", func() {
+		Expect(check.Check(good(), check.DefaultBounds(3*time.Second))).To(BeEmpty())
+	})
+
+	// Each entry guards against a checker that overlooks one kind of violation.
+	DescribeTable("finds each violation",
+		func(guarantee string, spoil func(*check.History)) {
+			h := good()
+			spoil(&h)
+			Expect(guarantees(h)).To(ContainElement(guarantee))
+		},
+		Entry("a doubled effect", "G7", func(h *check.History) {
+			h.Effects = append(h.Effects, check.Effect{Sequence: 2, Program: "p", RequestID: "r2", Order: 2})
+		}),
+		Entry("a completed posting without effect", "G7", func(h *check.History) { h.Effects = nil }),
+		Entry("an effect of a request that was told not run", "G6", func(h *check.History) {
+			h.Effects = append(h.Effects, check.Effect{Sequence: 2, Program: "p", RequestID: "r3", Order: 3})
+		}),
+		Entry("effects out of order", "G1", func(h *check.History) {
+			h.Effects = append([]check.Effect{{Sequence: 0, Program: "p", RequestID: "r3", Order: 3}}, h.Effects...)
+		}),
+		Entry("a history out of order", "G1", func(h *check.History) { h.Programs[0].Entries[1].Order = 1 }),
+		Entry("an answer of another request", "G5", func(h *check.History) { h.Calls[0].Answer = engine.Text("p:r9", 1, 5) }),
+		Entry("a cut answer", "G5", func(h *check.History) { h.Calls[0].Answer = h.Calls[0].Answer[:8] }),
+		Entry("an answer mixed from two attempts", "G5", func(h *check.History) {
+			h.Calls[0].Answer = h.Calls[0].Answer[:8] + engine.Text("p:r1", 2, 5)[8:]
+		}),
+		Entry("a receipt of another request", "G5", func(h *check.History) { h.Calls[1].Answer = `{"request_id":"p:r9","state":"done"}` }),
+		Entry("a recorded answer that is lost", "G2", func(h *check.History) { h.Programs[0].Entries = h.Programs[0].Entries[1:] }),
+		Entry("a recorded answer that changed", "G2", func(h *check.History) { h.Programs[0].Entries[0].Answer = "x" }),
+		Entry("a history with a request of another program", "G2", func(h *check.History) {
+			h.Programs[0].Entries = append(h.Programs[0].Entries, check.Entry{RequestID: "q", Order: 3, Model: true})
+		}),
+		Entry("a lost program", "G2", func(h *check.History) { h.Programs[0].Missing = "unknown_program" }),
+		Entry("a correct request that is refused", "refused", func(h *check.History) {
+			h.Calls[2].Code, h.Calls[2].Reason = outcome.Invalid, outcome.UnknownProgram
+		}),
+		Entry("a budget that is exceeded", "G3", func(h *check.History) { h.Programs[0].Reserved = 81 }),
+		Entry("memory of an ended program", "G4", func(h *check.History) { h.Held = []check.Held{{Engine: "e", Program: "p", Tokens: 1}} }),
+		Entry("new work at a leaving engine", "G8", func(h *check.History) { h.Leaves[0].StartedAtEnd = 5 }),
+		Entry("a planned stop that fails", "G9", func(h *check.History) { h.Stops[0].ExitCode = 1 }),
+		Entry("a planned stop that fails a call", "G9", func(h *check.History) {
+			h.Calls[0].Code, h.Calls[0].Recorded = outcome.Unknown, false
+		}),
+		Entry("a configuration that goes back", "G10", func(h *check.History) {
+			h.Seen = append(h.Seen, check.Seen{Node: "n", Resource: "x", Version: 1, Asked: 14 * time.Second, At: 14 * time.Second})
+		}),
+		Entry("a configuration that is late", "G10", func(h *check.History) { h.Seen[1].Version = 1 }),
+		Entry("two writes over one version", "G10", func(h *check.History) {
+			h.Writes = append(h.Writes, check.Write{Resource: "x", Expected: 1, Version: 3, Accepted: true, Returned: 20 * time.Second})
+		}),
+		Entry("a late recovery", "recovery", func(h *check.History) { h.Recoveries[0].Served = 10 * time.Second }),
+		Entry("a missing recovery", "recovery", func(h *check.History) { h.Recoveries[0].Failed = true }),
+		Entry("a request that crashes a third engine", "crashing request", func(h *check.History) { h.Poisons[0].Crashes = 3 }),
+	)
+
+	It("does not blame a planned stop for what another fault does", func() {
+		h := good()
+		h.Calls[0].Code, h.Calls[0].Recorded = outcome.Unknown, false
+		h.Faults = []check.Fault{{Kind: "kill", Target: "n", Begin: 0, End: 3}}
+		Expect(guarantees(h)).NotTo(ContainElement("G9"))
+	})
+})
