--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -95,6 +95,7 @@
 			result.Served, result.Failed = r.since(), false
 			break
 		}
+		pause(ctx, 20*time.Millisecond)
 	}
 	r.record.add(func(h *check.History) { h.Recoveries = append(h.Recoveries, result) })
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -126,12 +126,13 @@
 // step runs faults together and waits for their end.
 func (r *run) step(ctx context.Context, faults []fault) {
 	var all sync.WaitGroup
-	platform := slices.IndexFunc(faults, func(f fault) bool { return f.kind == Slow || f.kind == Outage || f.kind == Lost })
-	for i, f := range faults {
-		onPlatform := f.kind == Slow || f.kind == Outage || f.kind == Lost
-		if onPlatform && i != platform {
-			continue // the platform has one set of switches
+	var taken []string
+	for _, f := range faults {
+		switches := f.switches()
+		if switches != "" && slices.Contains(taken, switches) {
+			continue
 		}
+		taken = append(taken, switches)
 		all.Go(func() {
 			record := check.Fault{Kind: string(f.kind), Target: f.target(), Begin: r.since()}
 			r.config.Log.Info("soak: fault begins", "kind", f.kind, "target", record.Target)
@@ -144,6 +145,21 @@
 	all.Wait()
 }
 
+// switches names what only one fault of a step can use: the fault switches of
+// the platform, the host list, or the count of engine crashes.
+func (f fault) switches() string {
+	switch f.kind {
+	case Slow, Outage, Lost:
+		return "platform"
+	case Leave:
+		return "hosts"
+	case Poison, CrashEngine:
+		return "crashes"
+	default:
+		return ""
+	}
+}
+
 // target names what a fault acts on.
 func (f fault) target() string {
 	switch f.kind {
