Test leaving, crashing and hanging backend servers and held memory

Cause: the guarantees about backend servers had no test with nodes. Change: five specs: leaving within 3 s of the host list, memory of ended programs, a request that crashes engines, engines that crash by themselves, a service that hangs.

--- /dev/null
+++ b/node/backends_test.go
@@ -0,0 +1,155 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/api"
+	"dogwoodline.example/emulator/engine"
+	"dogwoodline.example/emulator/service"
+	"dogwoodline.example/outcome"
+	"dogwoodline.example/platform"
+	"dogwoodline.example/program"
+)
+
+// hostList is the platform's host list, as the test sets it.
+type hostList struct {
+	hosts atomic.Pointer[[]platform.Host]
+}
+
+func (h *hostList) Hosts(context.Context) ([]platform.Host, error) {
+	if hosts := h.hosts.Load(); hosts != nil {
+		return *hosts, nil
+	}
+	return nil, nil
+}
+
+// report reads an engine's load report.
+func report(e *engine.Engine) engine.LoadReport {
+	var r engine.LoadReport
+	read(e.URL()+"/load", &r)
+	return r
+}
+
+func held(e *engine.Engine) map[string]int64 {
+	var h engine.Held
+	read(e.URL()+"/held", &h)
+	return h.Programs
+}
+
+func read(url string, into any) {
+	answer, err := http.Get(url)
+	Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	Expect(json.NewDecoder(answer.Body).Decode(into)).To(Succeed())
+}
+
+var _ = Describe("backend servers", func() {
+	It("get no new call within 3 s after the host list shows them leaving", func(ctx context.Context) {
+		c := newCluster(ctx, 2, 2)
+		s := c.nodes[0].Service()
+		leaving := []platform.Host{{Name: "e1", Address: c.engines[0].Address(), State: platform.HostLeaving}}
+		c.hosts.hosts.Store(&leaving)
+		time.Sleep(3 * time.Second)
+		before := report(c.engines[0]).Totals.Started
+		var wait sync.WaitGroup
+		for i := range 12 {
+			wait.Go(func() {
+				defer GinkgoRecover()
+				id := fmt.Sprintf("p%d", i)
+				Expect(s.Start(ctx, "acme", api.StartRequest{ID: id, Class: "agent"}).Outcome.Code).To(Equal(outcome.Completed))
+				Expect(s.Call(ctx, "acme", id, ask(1, "hello"), nil).Outcome.Code).To(Equal(outcome.Completed))
+			})
+		}
+		wait.Wait()
+		Expect(report(c.engines[0]).Totals.Started).To(Equal(before))
+	}, NodeTimeout(30*time.Second))
+
+	It("hold no memory of programs that ended, and keep that of living ones", func(ctx context.Context) {
+		c := newCluster(ctx, 2, 1)
+		s := c.nodes[0].Service()
+		for _, id := range []string{"gone", "living"} {
+			Expect(s.Start(ctx, "acme", api.StartRequest{ID: id, Class: "agent"}).Outcome.Code).To(Equal(outcome.Completed))
+			Expect(s.Call(ctx, "acme", id, ask(1, strings.Repeat("log line ", 100)), nil).Outcome.Code).To(Equal(outcome.Completed))
+		}
+		Expect(held(c.engines[0])).To(And(HaveKey("gone"), HaveKey("living")))
+		Expect(s.End(ctx, "acme", "gone").Outcome.Code).To(Equal(outcome.Completed))
+		Eventually(func() map[string]int64 { return held(c.engines[0]) }, "10s", "100ms").ShouldNot(HaveKey("gone"))
+		Consistently(func() map[string]int64 { return held(c.engines[0]) }, "1500ms", "100ms").Should(HaveKey("living"))
+	}, NodeTimeout(40*time.Second))
+
+	It("are crashed at most twice by one request, whoever sends it again, and others finish", func(ctx context.Context) {
+		c := newCluster(ctx, 2, 3)
+		marker := "poison pill"
+		restarts := map[string]string{}
+		for i, e := range c.engines {
+			Expect(e.Set(ctx, engine.Switches{CrashMarker: &marker})).To(Succeed())
+			restarts[fmt.Sprint(i)] = report(e).StartID
+		}
+		w := &workload{c: c}
+		w.start(10, 4)
+		replies := make([]program.Reply, 4)
+		for i := range replies { // the caller repeats the request in new programs, at both nodes
+			id := fmt.Sprintf("bad%d", i)
+			s := c.nodes[i%2].Service()
+			Expect(s.Start(ctx, "acme", api.StartRequest{ID: id, Class: "agent"}).Outcome.Code).To(Equal(outcome.Completed))
+			replies[i] = s.Call(ctx, "acme", id, ask(1, marker), nil)
+		}
+		w.wait.Wait()
+		Expect(replies[0].Outcome.Reason).To(Equal(outcome.CrashesBackend), "%+v", replies[0].Outcome)
+		for _, reply := range replies[1:] {
+			Expect(reply.Outcome).To(HaveField("Code", outcome.Invalid), "%+v", reply.Outcome)
+			Expect(reply.Outcome.Reason).To(Equal(outcome.CrashesBackend))
+		}
+		crashed := 0
+		for i, e := range c.engines {
+			Eventually(func() string { return report(e).StartID }, "5s").ShouldNot(BeEmpty())
+			if report(e).StartID != restarts[fmt.Sprint(i)] {
+				crashed++
+			}
+		}
+		Expect(crashed).To(BeNumerically("<=", 2))
+		GinkgoWriter.Println(w.outcomes())
+		w.check()
+		for _, o := range w.seen {
+			Expect(o.reply.Outcome.Reason).NotTo(Equal(outcome.CrashesBackend), "an innocent request was refused")
+		}
+	}, NodeTimeout(60*time.Second))
+
+	It("that crash for their own reasons condemn no request", func(ctx context.Context) {
+		c := newCluster(ctx, 2, 3)
+		w := &workload{c: c}
+		w.start(20, 4)
+		for range 2 {
+			time.Sleep(150 * time.Millisecond)
+			Expect(c.engines[0].Set(ctx, engine.Switches{CrashNow: true})).To(Succeed())
+		}
+		w.wait.Wait()
+		GinkgoWriter.Println(w.outcomes())
+		Expect(w.outcomes()).To(HaveLen(1), "only completed calls: %v", w.outcomes())
+		w.check()
+	}, NodeTimeout(60*time.Second))
+
+	It("that hang hold a call no longer than its deadline, as unknown when it may have run", func(ctx context.Context) {
+		c := newCluster(ctx, 2, 1)
+		s := c.nodes[0].Service()
+		Expect(s.Start(ctx, "acme", api.StartRequest{ID: "p", Class: "agent"}).Outcome.Code).To(Equal(outcome.Completed))
+		on := true
+		Expect(c.ledger.Set(ctx, service.Switches{Hang: &on})).To(Succeed())
+		posting := post(1, `{}`)
+		posting.DeadlineMS = 800
+		begin := time.Now()
+		reply := s.Call(ctx, "acme", "p", posting, nil)
+		Expect(reply.Outcome.Code).To(Equal(outcome.Unknown), "%+v", reply.Outcome)
+		Expect(time.Since(begin)).To(BeNumerically("<", 3*time.Second))
+	}, NodeTimeout(30*time.Second))
+})
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -38,6 +38,7 @@
 	engines []*engine.Engine
 	ledger  *service.Service
 	set     *resource.Set
+	hosts   hostList
 	mu      sync.Mutex // guards nodes
 	nodes   []*member
 }
@@ -154,9 +155,9 @@
 	}
 	m.Node, err = node.New(node.Settings{
 		ID: id, Zone: zone, HTTP: "http://" + id, GRPC: listener.Addr().String(), LeaseTTL: testLease, Shards: 64,
-		CallWorkers: 64, AddressKeep: 50 * time.Millisecond,
+		CallWorkers: 64, AddressKeep: 50 * time.Millisecond, SweepInterval: 1500 * time.Millisecond,
 	}, node.Dependencies{
-		Store: node.Stores{Lease: m.store, Journal: m.store, Placement: m.store}, Links: rpc.NewLinks(nil), Resources: func() *resource.Set { return c.set }, Listener: listener,
+		Store: node.Stores{Lease: m.store, Journal: m.store, Placement: m.store}, Links: rpc.NewLinks(nil), Hosts: &c.hosts, Resources: func() *resource.Set { return c.set }, Listener: listener,
 		Clock: clockwork.NewRealClock(), Log: slog.New(slog.NewTextHandler(out, nil)).With("node", id),
 		Metrics: metrics.NewSet(), Credentials: func(string) string { return "" },
 	})
