Send hedges, confirm crashes by start id, thin prompt hashes

Cause: grants for a second copy of a call were given back, so a call stuck on a slowed backend server stayed there; every broken connection counted as a crash; the cost of a decision grew with the length of the prompt.

Change: a hedge reserves its worst case durably and is then sent; the first copy that answers leads and the other is stopped, so texts are never mixed. After a broken connection the caller duty asks the backend server for its start id. A prompt carries at most 64 hashes.

Ruled out: hedging a call whose answer has begun, because the caller would have to start over; hedges within the ceiling of the first copy, because a takeover could then spend more than the budget.

--- a/dispatch/callers.go
+++ b/dispatch/callers.go
@@ -17,6 +17,7 @@
 type Callers struct {
 	model   Caller
 	service Caller
+	control *Control
 	jobs    *ring.Ring[Job]
 	events  *ring.Ring[Event]
 	log     *slog.Logger
@@ -32,6 +33,7 @@
 	return &Callers{
 		model:   NewModelCaller(transport),
 		service: NewServiceCaller(transport),
+		control: NewControl(transport),
 		jobs:    jobs,
 		events:  events,
 		log:     log,
@@ -62,6 +64,7 @@
 		started := time.Now()
 		parts := partSender{events: c.events, job: job}
 		result := c.call(ctx, job, parts.send)
+		result.Crashed = c.crashed(ctx, job, result)
 		c.finish(ctx, parts.last(result))
 		timer.Observe(started)
 	}
@@ -93,6 +96,22 @@
 	return ended(job, outcome.Refuse(outcome.Malformed, "unknown kind of job"), false)
 }
 
+// crashProbe bounds the question whether a backend server still runs.
+const crashProbe = 500 * time.Millisecond
+
+// crashed looks for evidence that a backend server crashed under a job: it does
+// not answer, or its start id changed. A connection that broke while the
+// backend server runs on is no crash.
+func (c *Callers) crashed(ctx context.Context, job Job, result Result) bool {
+	if job.Kind != Model || result.Outcome.Reason != outcome.ConnectionLost {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashProbe)
+	defer cancel()
+	load, err := c.control.Load(ctx, job.Endpoint)
+	return err != nil || job.StartID != "" && load.StartID != job.StartID
+}
+
 func (c *Callers) finish(ctx context.Context, event Event) {
 	err := c.events.TryPush(event)
 	if errors.Is(err, ring.ErrFull) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -69,6 +69,9 @@
 	// WorstCost is what was reserved for the call, in budget units. It is the
 	// cost of a service call, and of a model call whose usage is not known.
 	WorstCost int64
+	// StartID is the start id of the backend server when the job was made.
+	// Empty means that it is not known.
+	StartID string
 	// Context cancels the job. Nil means that only the deadline ends it.
 	Context context.Context
 }
@@ -103,6 +106,9 @@
 	// StartID is the start id of the backend server that answered. A change
 	// tells that it restarted. It is empty when it is not known.
 	StartID string
+	// Crashed tells that the connection broke and the backend server does not
+	// answer any more, or has restarted.
+	Crashed bool
 	// Leaving tells that the backend server refused because it is leaving.
 	Leaving bool
 }
--- a/node/asking.go
+++ b/node/asking.go
@@ -36,8 +36,16 @@
 // askedCall is a call of this node that waits for a slot or runs.
 type askedCall struct {
 	request schedule.Request
-	granter string // incarnation; empty for this node
-	backend schedule.BackendID
+	granter string               // incarnation; empty for this node
+	copies  []schedule.BackendID // where it runs; a hedged call runs twice
+}
+
+// runningOn returns where the first copy of the call runs, or "".
+func (c *askedCall) runningOn() schedule.BackendID {
+	if len(c.copies) == 0 {
+		return ""
+	}
+	return c.copies[0]
 }
 
 // asking brings the calls of this node to the nodes that grant slots: one node
@@ -88,12 +96,12 @@
 func (a *asking) ask(now time.Time, call *askedCall) {
 	call.granter = a.granterOf(now, call.request.Pool)
 	if call.granter != "" {
-		if a.send(now, call.granter, rpc.Ask{Submit: &call.request, RunningOn: call.backend}) {
+		if a.send(now, call.granter, rpc.Ask{Submit: &call.request, RunningOn: call.runningOn()}) {
 			return
 		}
 		call.granter = ""
 	}
-	a.own.submit(now, origin{id: call.request.ID}, call.request, call.backend)
+	a.own.submit(now, origin{id: call.request.ID}, call.request, call.runningOn())
 }
 
 func (a *asking) withdraw(now time.Time, id schedule.CallID) {
@@ -102,24 +110,33 @@
 		return
 	}
 	delete(a.calls, id)
-	a.leave(now, call, schedule.Timing{})
+	a.leave(now, call)
 }
 
 // leave takes a call back from the node that was asked.
-func (a *asking) leave(now time.Time, call *askedCall, timing schedule.Timing) {
+func (a *asking) leave(now time.Time, call *askedCall) {
 	id := call.request.ID
+	for _, backend := range call.copies {
+		a.release(now, call.granter, id, backend, schedule.Timing{Cancelled: true})
+	}
 	switch {
-	case call.granter == "" && call.backend != "":
-		a.own.finish(now, origin{id: id}, call.backend, timing)
+	case len(call.copies) > 0:
 	case call.granter == "":
 		a.own.withdraw(origin{id: id})
-	case call.backend != "":
-		a.send(now, call.granter, rpc.Ask{Finish: &rpc.Measured{ID: id, Backend: call.backend, Timing: timing}})
 	default:
 		a.send(now, call.granter, rpc.Ask{Withdraw: id})
 	}
 }
 
+// release frees the slot of one copy at the node that granted it.
+func (a *asking) release(now time.Time, granter string, id schedule.CallID, backend schedule.BackendID, timing schedule.Timing) {
+	if granter == "" {
+		a.own.finish(now, origin{id: id}, backend, timing)
+		return
+	}
+	a.send(now, granter, rpc.Ask{Finish: &rpc.Measured{ID: id, Backend: backend, Timing: timing}})
+}
+
 func (a *asking) progress(now time.Time, id schedule.CallID, backend schedule.BackendID, timing schedule.Timing) {
 	call, ok := a.calls[id]
 	if !ok {
@@ -138,20 +155,27 @@
 	if !ok {
 		return
 	}
-	delete(a.calls, id)
-	call.backend = backend
-	a.leave(now, call, timing)
+	for i, name := range call.copies {
+		if name == backend {
+			call.copies = append(call.copies[:i], call.copies[i+1:]...)
+			break
+		}
+	}
+	if len(call.copies) == 0 {
+		delete(a.calls, id)
+	}
+	a.release(now, call.granter, id, backend, timing)
 }
 
 // granted notes a decision and reports whether it still counts: a decision of
 // a node that is not asked any more does not.
 func (a *asking) granted(from string, d decision) bool {
 	call, ok := a.calls[d.id]
-	if !ok || call.granter != from || call.backend != "" {
+	if !ok || call.granter != from || len(call.copies) > 0 && !d.hedge {
 		return false
 	}
 	if d.granted {
-		call.backend = d.backend
+		call.copies = append(call.copies, d.backend)
 	} else {
 		delete(a.calls, d.id)
 	}
@@ -263,7 +287,7 @@
 func (a *asking) move(now time.Time) {
 	for _, call := range a.calls {
 		if a.granterOf(now, call.request.Pool) != call.granter {
-			a.leave(now, call, schedule.Timing{})
+			a.leave(now, call)
 			a.ask(now, call)
 		}
 	}
--- a/node/compose.go
+++ b/node/compose.go
@@ -62,7 +62,7 @@
 	o := composeCommon(d, class.Pool, class.Priority)
 	o.job.Kind = dispatch.Model
 	o.job.Body = body
-	o.request.Prefix = dispatch.PrefixHashes(text, cacheBlockTokens)
+	o.request.Prefix = thin(dispatch.PrefixHashes(text, cacheBlockTokens))
 	o.request.PromptTokens = dispatch.TokenCount(len(text))
 	o.request.MaxTokens = d.Call.MaxTokens
 	return o
@@ -99,6 +99,28 @@
 	return o
 }
 
+// maxPrefixHashes bounds the hashes of one prompt, since the cost of a decision
+// grows with them.
+const maxPrefixHashes = 64
+
+// thin keeps at most maxPrefixHashes hashes: those at multiples of a power of
+// two. As a prompt grows, the hashes kept are among those kept before, so they
+// still match what backend servers are known to have cached.
+func thin(hashes []uint64) []uint64 {
+	stride := 1
+	for len(hashes)/stride > maxPrefixHashes {
+		stride *= 2
+	}
+	if stride == 1 {
+		return hashes
+	}
+	kept := make([]uint64, 0, len(hashes)/stride)
+	for i := stride - 1; i < len(hashes); i += stride {
+		kept = append(kept, hashes[i])
+	}
+	return kept
+}
+
 // outsideID returns the id of a request towards engines and services, which
 // know nothing of programs. Callers choose request ids per program, so the
 // program's id makes them unique.
--- a/node/effects.go
+++ b/node/effects.go
@@ -15,6 +15,9 @@
 	for _, d := range p.out.Dispatches {
 		p.submit(ctx, d)
 	}
+	for _, id := range p.out.Hedges {
+		p.sendHedge(ctx, id)
+	}
 	for _, id := range p.out.Withdrawn {
 		p.withdraw(ctx, id)
 	}
@@ -61,7 +64,6 @@
 func (p *programs) submit(ctx context.Context, d program.Dispatch) {
 	o := &underway{order: compose(p.set(), d)}
 	o.request.Arrived = p.clock.Now()
-	o.job.Context, o.cancel = context.WithCancel(ctx)
 	p.orders[d.ID] = o
 	_ = p.scheduler.Push(ctx, schedulerInput{kind: submitCall, request: o.request})
 }
@@ -72,8 +74,13 @@
 		return
 	}
 	delete(p.orders, id)
-	o.cancel() // a running job ends and its final event frees the slot
-	if !o.granted {
+	for _, c := range o.copies {
+		c.cancel() // the job ends and its final event frees the slot
+	}
+	if o.waitingHedge != "" {
+		p.giveBack(ctx, o.request.ID, o.waitingHedge)
+	}
+	if len(o.copies) == 0 {
 		_ = p.scheduler.Push(ctx, schedulerInput{kind: withdrawCall, id: o.request.ID})
 	}
 }
--- a/node/incarnation.go
+++ b/node/incarnation.go
@@ -43,6 +43,7 @@
 	reports   *ring.Ring[dispatch.Observation]
 	living    atomic.Pointer[livingView]
 	hosts     atomic.Pointer[hostView]
+	starts    atomic.Pointer[startIDs]
 	drained   chan int
 	fenced    chan struct{}
 	left      chan error // the end of the session
@@ -59,6 +60,7 @@
 	}
 	i.living.Store(&livingView{})
 	i.hosts.Store(&hostView{})
+	i.starts.Store(&startIDs{})
 	i.writer = journal.NewWriter(d.Store.Journal, d.Clock, d.Log, name, s.Journal)
 	i.detector = membership.NewDetector(d.Clock, d.Log, s.LeaseTTL, pinger{links: n.links, ttl: s.LeaseTTL})
 	i.tracker = membership.NewTracker(d.Store.Lease, d.Clock, d.Log, s.LeaseTTL, i.detector.Suspects())
@@ -86,6 +88,7 @@
 		credentials: d.Credentials,
 		retains:     i.retains,
 		living:      &i.living,
+		starts:      &i.starts,
 		commands:    ring.New[command](s.CommandSlots),
 		shards:      ring.New[shardChange](2 * s.Shards),
 		events:      ring.New[dispatch.Event](2 * maxCalls),
--- a/node/programs.go
+++ b/node/programs.go
@@ -16,7 +16,6 @@
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
-	"dogwoodline.example/schedule"
 )
 
 const (
@@ -45,6 +44,7 @@
 	// retains reports whether records of a shard that moved away are needed.
 	retains func(shard int) bool
 	living  *atomic.Pointer[livingView]
+	starts  *atomic.Pointer[startIDs]
 
 	commands  *ring.Ring[command]
 	shards    *ring.Ring[shardChange]
@@ -70,14 +70,6 @@
 	verdicts    *ring.Ring[journal.Verdict]
 }
 
-// underway is a dispatched call.
-type underway struct {
-	order
-	cancel  context.CancelFunc
-	backend schedule.BackendID
-	granted bool
-}
-
 // notice is a message of the programs duty to the duties around it.
 type notice struct {
 	kind    noticeKind
@@ -234,20 +226,25 @@
 
 func (p *programs) handleEvent(ctx context.Context, event dispatch.Event) {
 	id := program.CallID(event.ID)
-	if event.Text != "" {
+	o := p.orders[id] // nil when the call was withdrawn
+	if event.Text != "" && o.leads(event.Backend) {
 		p.table.Chunk(id, program.Chunk{Attempt: event.Attempt, Offset: int(event.Offset), Text: event.Text}, &p.out)
 		p.measure(ctx, schedulerInput{kind: progressCall, id: event.ID, backend: event.Backend, timing: event.Timing})
 	}
 	if !event.Final {
 		return
 	}
-	p.measure(ctx, schedulerInput{kind: finishCall, id: event.ID, backend: event.Backend, timing: event.Timing})
-	o, ok := p.orders[id]
-	if !ok {
-		return // withdrawn
+	counts := o != nil && o.finished(event)
+	timing := event.Timing
+	timing.Cancelled = timing.Cancelled || !counts
+	p.measure(ctx, schedulerInput{kind: finishCall, id: event.ID, backend: event.Backend, timing: timing})
+	if !counts {
+		return
 	}
 	delete(p.orders, id)
-	o.cancel()
+	if o.waitingHedge != "" {
+		p.giveBack(ctx, event.ID, o.waitingHedge)
+	}
 	p.table.Finished(p.clock.Now(), id, resultOf(o, event), &p.out)
 }
 
@@ -257,7 +254,10 @@
 		Answer:  event.Result.Answer,
 		Cost:    budget.Units(event.Result.Cost),
 		Backend: string(event.Backend),
-		Crashed: event.Result.Outcome.Reason == outcome.ConnectionLost,
+		Crashed: event.Result.Crashed,
+	}
+	if o.hedged { // what the other copy generated is unknown
+		result.Cost += budget.Units(o.job.WorstCost)
 	}
 	if o.job.Kind == dispatch.Model && result.Outcome.Code == outcome.Completed {
 		result.Answer = []byte(answerText(event.Result.Answer))
@@ -304,15 +304,12 @@
 func (p *programs) handleDecision(ctx context.Context, d decision) {
 	id := program.CallID(d.id)
 	o, ok := p.orders[id]
-	if !ok || o.granted {
-		if d.granted { // withdrawn meanwhile, or granted twice
-			p.measure(ctx, schedulerInput{kind: finishCall, id: d.id, backend: d.backend})
-		}
+	if !ok || len(o.copies) > 0 {
+		p.hedge(ctx, id, o, d)
 		return
 	}
 	if !d.granted {
 		delete(p.orders, id)
-		o.cancel()
 		p.table.Finished(p.clock.Now(), id, program.Result{Outcome: d.outcome}, &p.out)
 		return
 	}
@@ -322,10 +319,7 @@
 		_ = p.scheduler.Push(ctx, schedulerInput{kind: submitCall, request: o.request})
 		return
 	}
-	o.granted = true
-	o.backend = d.backend
-	o.job.Endpoint = endpoint
-	_ = p.jobs.Push(ctx, o.job)
+	p.launch(ctx, o, endpoint)
 }
 
 func (p *programs) takeCompletions(ctx context.Context) {
--- a/node/scheduler.go
+++ b/node/scheduler.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -85,6 +87,7 @@
 	grants   *granting
 	poolOf   map[schedule.BackendID]string
 	refusing map[schedule.BackendID]bool // backend servers that say they are leaving
+	starts   *atomic.Pointer[startIDs]
 	known    *resource.Set
 	checked  time.Time
 }
@@ -103,6 +106,7 @@
 		decisions: i.programs.decisions,
 		poolOf:    map[schedule.BackendID]string{},
 		refusing:  map[schedule.BackendID]bool{},
+		starts:    &i.starts,
 	}
 	duty.asks = &asking{
 		log: d.Log, self: i.name, links: i.node.links, view: i.tracker.View, inputs: i.programs.scheduler,
@@ -150,12 +154,7 @@
 }
 
 func (s *scheduler) giveBack(from string, d decision) {
-	now := s.clock.Now()
-	if from == "" {
-		s.grants.finish(now, origin{id: d.id}, d.backend, schedule.Timing{})
-		return
-	}
-	s.asks.send(now, from, rpc.Ask{Finish: &rpc.Measured{ID: d.id, Backend: d.backend}})
+	s.asks.release(s.clock.Now(), from, d.id, d.backend, schedule.Timing{Cancelled: true})
 }
 
 func (s *scheduler) takeInputs(ctx context.Context) {
@@ -220,6 +219,7 @@
 
 // observe takes what a poll of a backend server showed.
 func (s *scheduler) observe(o dispatch.Observation) {
+	s.noteStart(o)
 	if o.Kind == dispatch.LeavingChanged {
 		s.refusing[o.Backend] = o.Leaving
 		s.known = nil // hands the change to the schedulers at once
@@ -240,6 +240,19 @@
 	}
 }
 
+// startIDs is a snapshot of the start ids of the backend servers.
+type startIDs map[schedule.BackendID]string
+
+func (s *scheduler) noteStart(o dispatch.Observation) {
+	known := *s.starts.Load()
+	if o.StartID == "" || known[o.Backend] == o.StartID {
+		return
+	}
+	fresh := maps.Clone(known)
+	fresh[o.Backend] = o.StartID
+	s.starts.Store(&fresh)
+}
+
 func (s *scheduler) newPool(name string) schedule.Scheduler {
 	made, err := schedule.New(s.policy, s.settings)
 	if err != nil {
--- a/program/calls.go
+++ b/program/calls.go
@@ -338,6 +338,25 @@
 	t.crashes[crash.Digest] = max(t.crashes[crash.Digest], crash.Count)
 }
 
+// Hedge reserves the worst case of a second copy of a running call.
+// Effects.Hedges names the call once that is durable. It returns false when
+// the call must not be sent twice: it is not idempotent, part of its answer is
+// out already, or the budget does not allow it.
+func (t *Table) Hedge(id CallID, out *Effects) bool {
+	c, ok := t.running[id]
+	if !ok || !c.Idempotent || c.alone || len(c.partial) > 0 || c.reserved > c.Worst {
+		return false
+	}
+	if c.program.account.Reserve(c.Worst) != nil {
+		return false
+	}
+	c.reserved += c.Worst
+	hedged := c.program.record()
+	hedged.Hedge = &Hedged{RequestID: c.RequestID}
+	t.append(out, appended{kind: hedgeAppend, program: c.program, call: c, attempt: c.attempt}, hedged)
+	return true
+}
+
 // settle replaces what is reserved for the call by its cost. It does nothing
 // for a call of a former owner, whose reservation counts as spent already.
 func (c *call) settle(cost budget.Units) {
--- a/program/durable.go
+++ b/program/durable.go
@@ -31,6 +31,10 @@
 		t.endDurable(what.program, out)
 	case handoffAppend:
 		what.shard.settled = true
+	case hedgeAppend:
+		if c := what.call; c.phase == callRunning && c.attempt == what.attempt {
+			out.Hedges = append(out.Hedges, c.id)
+		}
 	case noteAppend:
 	}
 	t.checkIdle(what.shard, out)
@@ -247,7 +251,7 @@
 	case r.Closed != nil:
 		delete(p.children, r.Closed.ID)
 		p.account.Settle(r.Closed.Limit, r.Closed.Spent)
-	case r.Handoff != nil: // carries a ceiling only
+	case r.Handoff != nil, r.Hedge != nil: // carry a ceiling only
 	case r.Final != nil:
 		p.ended = true
 		p.endedAt = time.UnixMilli(r.Final.UnixMS)
--- a/program/program.go
+++ b/program/program.go
@@ -193,6 +193,8 @@
 type Effects struct {
 	Appends    []Append
 	Dispatches []Dispatch
+	// Hedges lists running calls whose second copy may be sent now.
+	Hedges []CallID
 	// Withdrawn lists calls that were dispatched and must stop.
 	Withdrawn []CallID
 	Replies   []WaiterReply
@@ -207,6 +209,7 @@
 func (e *Effects) Reset() {
 	e.Appends = e.Appends[:0]
 	e.Dispatches = e.Dispatches[:0]
+	e.Hedges = e.Hedges[:0]
 	e.Withdrawn = e.Withdrawn[:0]
 	e.Replies = e.Replies[:0]
 	e.Chunks = e.Chunks[:0]
--- a/program/record.go
+++ b/program/record.go
@@ -30,6 +30,7 @@
 	Child   *ChildOpened `json:"child,omitempty"`
 	Closed  *ChildClosed `json:"closed,omitempty"`
 	Handoff *Handoff     `json:"handoff,omitempty"`
+	Hedge   *Hedged      `json:"hedge,omitempty"`
 	Final   *Final       `json:"final,omitempty"`
 }
 
@@ -72,6 +73,12 @@
 // budget.
 type Handoff struct{}
 
+// Hedged is recorded before a second copy of a running call is sent. Its
+// ceiling covers both copies.
+type Hedged struct {
+	RequestID string `json:"request_id"`
+}
+
 // Final ends a program.
 type Final struct {
 	UnixMS int64 `json:"unix_ms"`
@@ -103,7 +110,7 @@
 	set := 0
 	for _, present := range []bool{
 		r.Started != nil, r.Intent != nil, r.Ended != nil, r.Crash != nil,
-		r.Child != nil, r.Closed != nil, r.Handoff != nil, r.Final != nil,
+		r.Child != nil, r.Closed != nil, r.Handoff != nil, r.Hedge != nil, r.Final != nil,
 	} {
 		if present {
 			set++
--- a/program/table.go
+++ b/program/table.go
@@ -127,6 +127,7 @@
 	crashAppend
 	endAppend
 	handoffAppend
+	hedgeAppend
 	noteAppend
 )
 
--- a/program/table_test.go
+++ b/program/table_test.go
@@ -340,6 +340,27 @@
 		Expect(r.last().Alone).To(BeFalse())
 	})
 
+	It("sends a second copy only when its worst case is durable, and counts both", func() {
+		r.call(question(1, "a"))
+		r.commit()
+		Expect(r.table.Hedge(r.last().ID, &r.out)).To(BeTrue())
+		Expect(r.out.Hedges).To(BeEmpty())
+		r.take()
+		batch := r.uncommitted[0]
+		r.table.Committed(r.now, batch.Tag, &r.out)
+		Expect(r.out.Hedges).To(Equal([]program.CallID{r.last().ID}))
+		Expect(r.table.Hedge(r.last().ID, &r.out)).To(BeFalse(), "a third copy")
+		r.uncommitted = nil
+		r.take()
+		r.finish(r.last(), done("x", 15))
+		r.commit()
+		w := r.waiter()
+		r.table.History("p", "t", w, &r.out)
+		r.take()
+		Expect(r.replies[w].Info.Account.Spent).To(BeEquivalentTo(15))
+		Expect(r.replies[w].Info.Account.Reserved).To(BeZero())
+	})
+
 	It("keeps tenants apart", func() {
 		c := posting(1, "a")
 		c.Tenant = "other"
--- a/rpc/schedule.go
+++ b/rpc/schedule.go
@@ -160,7 +160,7 @@
 	return &peerpb.Measured{
 		Id: uint64(m.ID), Backend: string(m.Backend), FirstTokenUs: m.Timing.FirstToken.Microseconds(),
 		TotalUs: m.Timing.Total.Microseconds(), Tokens: int32(m.Timing.Tokens), PromptTokens: int32(m.Timing.PromptTokens),
-		CachedTokens: int32(m.Timing.CachedTokens), Failed: m.Timing.Failed,
+		CachedTokens: int32(m.Timing.CachedTokens), Failed: m.Timing.Failed, Cancelled: m.Timing.Cancelled,
 	}
 }
 
@@ -193,7 +193,7 @@
 func decodeMeasured(m *peerpb.Measured) *Measured {
 	return &Measured{ID: schedule.CallID(m.GetId()), Backend: schedule.BackendID(m.GetBackend()), Timing: schedule.Timing{
 		FirstToken: time.Duration(m.GetFirstTokenUs()) * time.Microsecond, Total: time.Duration(m.GetTotalUs()) * time.Microsecond,
-		Tokens: int(m.GetTokens()), PromptTokens: int(m.GetPromptTokens()), CachedTokens: int(m.GetCachedTokens()), Failed: m.GetFailed(),
+		Tokens: int(m.GetTokens()), PromptTokens: int(m.GetPromptTokens()), CachedTokens: int(m.GetCachedTokens()), Failed: m.GetFailed(), Cancelled: m.GetCancelled(),
 	}}
 }
 
