Take the class of a call's histogram from its owner's reply

Cause: a node remembered the classes of programs that were started through it, so calls through other nodes were counted under the class 'other'. Change: the reply names the class; the memory of program ids is gone. Conclusion: histograms per tenant and class are right at every node.

--- a/api/metrics.go
+++ b/api/metrics.go
@@ -8,7 +8,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"dogwoodline.example/outcome"
-	"dogwoodline.example/program"
 )
 
 const (
@@ -17,10 +16,7 @@
 	shownTenants = 200
 	// shownClasses bounds the classes with histograms of their own.
 	shownClasses = 100
-	// knownPrograms bounds each of the two generations of programs whose
-	// class is remembered. A label is lost when it is exceeded, nothing else.
-	knownPrograms = 16384
-	otherLabel    = "other"
+	otherLabel   = "other"
 )
 
 // callMetrics counts endings and measures calls. Its lock is held for map
@@ -31,10 +27,6 @@
 	mu      sync.Mutex
 	tenants map[string]struct{}
 	shown   map[string]struct{}
-	// classes and older map program ids to classes. A call does not name its
-	// class; the start of its program does.
-	classes map[string]string
-	older   map[string]string
 }
 
 func newCallMetrics(set *metrics.Set) *callMetrics {
@@ -42,33 +34,17 @@
 		set:     set,
 		tenants: map[string]struct{}{},
 		shown:   map[string]struct{}{},
-		classes: map[string]string{},
 	}
 }
 
-func (m *callMetrics) started(request StartRequest, reply program.Reply) {
-	m.ended(reply.Outcome)
-	if reply.Outcome.Code != outcome.Completed {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.classes) >= knownPrograms {
-		m.older, m.classes = m.classes, map[string]string{}
-	}
-	m.classes[request.ID] = request.Class
-}
-
-func (m *callMetrics) called(tenant, id string, begin time.Time, o outcome.Outcome) {
+// called measures a call. Refusals that no owner of the program gave have no
+// class.
+func (m *callMetrics) called(tenant, class string, begin time.Time, o outcome.Outcome) {
 	m.ended(o)
-	m.mu.Lock()
-	class, ok := m.classes[id]
-	if !ok {
-		class, ok = m.older[id]
-	}
-	if !ok {
+	if class == "" {
 		class = otherLabel
 	}
+	m.mu.Lock()
 	tenant = bounded(m.tenants, tenant, shownTenants)
 	class = bounded(m.shown, class, shownClasses)
 	m.mu.Unlock()
--- a/api/programs.go
+++ b/api/programs.go
@@ -49,7 +49,7 @@
 	ctx, cancel := waitFor(r.Context(), request.DeadlineMS)
 	defer cancel()
 	reply := s.cfg.Service.Start(ctx, tenant, request)
-	s.calls.started(request, reply)
+	s.calls.ended(reply.Outcome)
 	writeOutcome(w, reply.Outcome, programReply(reply))
 }
 
@@ -79,7 +79,7 @@
 		reply = s.cfg.Service.Call(ctx, tenant, id, body.CallRequest, nil)
 		writeOutcome(w, reply.Outcome, callReply(body.Kind, reply))
 	}
-	s.calls.called(tenant, id, begin, reply.Outcome)
+	s.calls.called(tenant, reply.Class, begin, reply.Outcome)
 }
 
 func (s *Server) history(w http.ResponseWriter, r *http.Request, tenant string) {
--- a/program/calls.go
+++ b/program/calls.go
@@ -420,7 +420,7 @@
 }
 
 func (c *call) reply() Reply {
-	return Reply{Outcome: c.outcome, Answer: c.answer, Recorded: c.recorded, Attempt: c.attempt, Spent: c.spent}
+	return Reply{Outcome: c.outcome, Answer: c.answer, Recorded: c.recorded, Attempt: c.attempt, Spent: c.spent, Class: c.program.spec.Class}
 }
 
 func (t *Table) answer(c *call, out *Effects) {
--- a/program/program.go
+++ b/program/program.go
@@ -152,6 +152,8 @@
 	Recorded bool
 	Attempt  int
 	Spent    budget.Units
+	// Class is the program's class, in answers about a call.
+	Class string
 	// Info describes the program, in answers that are not about a call.
 	Info *Info
 	// Moved tells that this node does not own the program's shard.
