--- /dev/null
+++ b/journal/example_test.go
@@ -0,0 +1,48 @@
+package journal_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"github.com/jonboulle/clockwork"
+
+	"dogwoodline.example/journal"
+	"dogwoodline.example/platform/memstore"
+)
+
+// A writer records group-committed facts. Another node seals its journal and
+// replays it; from then on the writer is fenced, however late it comes back.
+func Example() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clock := clockwork.NewRealClock()
+	store := memstore.New(clock)
+	quiet := slog.New(slog.DiscardHandler)
+
+	writer := journal.NewWriter(store, clock, quiet, "node-1-run-1", journal.Settings{})
+	if err := writer.Open(ctx); err != nil {
+		fmt.Println(err)
+		return
+	}
+	go func() { _ = writer.Run(ctx) }()
+	record := journal.Record{Shard: 7, Program: "invoice-1", Seq: 1, Data: []byte("intent")}
+	fmt.Println("recorded:", journal.NewAppender(writer).Append(ctx, []journal.Record{record}) == nil)
+
+	if err := journal.Seal(ctx, store, "node-1-run-1"); err != nil {
+		fmt.Println(err)
+		return
+	}
+	everyShard := func(int) bool { return true }
+	records, err := journal.Replay(ctx, store, "node-1-run-1", everyShard)
+	fmt.Println("replayed:", len(records), string(records[0].Data), err)
+
+	record.Seq = 2
+	err = journal.NewAppender(writer).Append(ctx, []journal.Record{record})
+	fmt.Println("fenced:", errors.Is(err, journal.ErrFenced))
+	// Output:
+	// recorded: true
+	// replayed: 1 intent <nil>
+	// fenced: true
+}
--- /dev/null
+++ b/placement/example_test.go
@@ -0,0 +1,24 @@
+package placement_test
+
+import (
+	"fmt"
+
+	"dogwoodline.example/placement"
+)
+
+// The plans are pure functions on a map: assign the shards, take over those of
+// a dead owner, and see which journals the new owners have to replay.
+func Example() {
+	m := placement.NewMap(4)
+	m.Assign([]string{"node-1", "node-2"})
+	dead := m.Shards[0].Owner
+	alive := map[string]string{"node-1": "node-2", "node-2": "node-1"}[dead]
+	m.Takeover(dead, []string{alive})
+	fmt.Println("shards of the survivor:", m.Owned(alive))
+	fmt.Println("shard 0 replays the journal of the dead owner:", m.Shards[0].Sources[0] == dead)
+	fmt.Println("one family, one shard:", placement.Shard("invoice-1", 4) == placement.Shard("invoice-1.2", 4))
+	// Output:
+	// shards of the survivor: 4
+	// shard 0 replays the journal of the dead owner: true
+	// one family, one shard: true
+}
--- /dev/null
+++ b/ring/example_test.go
@@ -0,0 +1,32 @@
+package ring_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"dogwoodline.example/ring"
+)
+
+// Two duties joined by a ring. A producer learns that the ring is full and
+// decides what that means; here it refuses the item.
+func Example() {
+	requests := ring.New[string](2)
+	for _, item := range []string{"a", "b", "c"} {
+		if err := requests.TryPush(item); err != nil {
+			fmt.Println(item, "refused:", errors.Is(err, ring.ErrFull))
+		}
+	}
+	requests.Close()
+	for {
+		item, err := requests.Pop(context.Background())
+		if err != nil {
+			break // closed and drained
+		}
+		fmt.Println("handled", item)
+	}
+	// Output:
+	// c refused: true
+	// handled a
+	// handled b
+}
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -1,7 +1,7 @@
 // Package ring provides the bounded queue that joins two duties.
 //
-// A Ring has any number of producers and one consumer. It never grows: a
-// full ring is reported to the producer, which turns it into an outcome.
+// A Ring has any number of producers. It has one consumer, or several that do
+// the same duty, such as a fixed pool of callers. It never grows: a full ring is reported to the producer, which turns it into an outcome.
 // Waiting uses channels, so no goroutine spins, and a steady flow of items
 // allocates nothing.
 package ring
@@ -24,8 +24,7 @@
 	ErrClosed = Error.New("closed")
 )
 
-// Ring is a bounded first-in, first-out queue for many producers and one
-// consumer.
+// Ring is a bounded first-in, first-out queue between duties.
 type Ring[T any] struct {
 	mu     sync.Mutex
 	slots  []T
