Remove settings that nothing reads; measure the time per item of duties

Cause: the settings of four rings, a data folder and the wait of a watch were checked but used by nothing, so changing them had no effect.

Change: they are gone; the rings for completions are sized by what can be outstanding. The programs and scheduler duties measure each item.

--- a/node/incarnation.go
+++ b/node/incarnation.go
@@ -144,8 +144,9 @@
 	d := i.node.deps
 	transport := dispatch.NewTransport()
 	group.Go("journal", i.writer.Run)
+	i.programs.timer = group.Timer("programs")
 	group.Go("programs", i.programs.run)
-	group.Go("scheduler", i.newScheduler().run)
+	group.Go("scheduler", i.newScheduler(group.Timer("scheduler")).run)
 	dispatch.NewCallers(transport, i.programs.jobs, i.programs.events, d.Log).Start(group, i.node.settings.CallWorkers)
 	dispatch.NewReports(transport, dispatch.ReportsConfig{
 		Interval: i.node.settings.ReportInterval, Timeout: pollTimeout, SweepInterval: i.node.settings.SweepInterval,
--- a/node/programs.go
+++ b/node/programs.go
@@ -11,6 +11,7 @@
 
 	"dogwoodline.example/budget"
 	"dogwoodline.example/dispatch"
+	"dogwoodline.example/duty"
 	"dogwoodline.example/journal"
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/program"
@@ -45,6 +46,7 @@
 	retains func(shard int) bool
 	living  *atomic.Pointer[livingView]
 	starts  *atomic.Pointer[startIDs]
+	timer   duty.Timer
 
 	commands  *ring.Ring[command]
 	shards    *ring.Ring[shardChange]
@@ -155,8 +157,10 @@
 		if !ok {
 			return
 		}
+		begin := time.Now()
 		p.handleCommand(c)
 		p.flush(ctx)
+		p.timer.Observe(begin)
 	}
 }
 
@@ -219,8 +223,10 @@
 		if !ok {
 			return
 		}
+		begin := time.Now()
 		p.handleEvent(ctx, event)
 		p.flush(ctx)
+		p.timer.Observe(begin)
 	}
 }
 
--- a/node/scheduler.go
+++ b/node/scheduler.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"dogwoodline.example/dispatch"
+	"dogwoodline.example/duty"
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
@@ -90,11 +91,12 @@
 	starts   *atomic.Pointer[startIDs]
 	known    *resource.Set
 	checked  time.Time
+	timer    duty.Timer
 }
 
-func (i *incarnation) newScheduler() *scheduler {
+func (i *incarnation) newScheduler(timer duty.Timer) *scheduler {
 	s, d := i.node.settings, i.node.deps
-	duty := &scheduler{
+	made := &scheduler{
 		clock:     d.Clock,
 		log:       d.Log,
 		policy:    s.Policy,
@@ -107,15 +109,16 @@
 		poolOf:    map[schedule.BackendID]string{},
 		refusing:  map[schedule.BackendID]bool{},
 		starts:    &i.starts,
+		timer:     timer,
 	}
-	duty.asks = &asking{
+	made.asks = &asking{
 		log: d.Log, self: i.name, links: i.node.links, view: i.tracker.View, inputs: i.programs.scheduler,
 		known: i.tracker.View(),
 		calls: map[schedule.CallID]*askedCall{},
 		open:  map[string]*askLink{},
 		lost:  map[string]time.Time{},
 	}
-	return duty
+	return made
 }
 
 func (s *scheduler) run(ctx context.Context) error {
@@ -138,6 +141,7 @@
 		s.refreshBackends(now)
 		s.asks.check(now)
 		s.grants.decide(now)
+		s.timer.Observe(now)
 	}
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -38,9 +38,6 @@
 	c.name("node.availability_zone", s.Node.AvailabilityZone)
 	c.name("node.region", s.Node.Region)
 	between(&c, "node.drain_timeout_ms", s.Node.DrainTimeoutMS, 0, 3_600_000)
-	if s.Node.DataFolder != "" {
-		c.folder("node.data_folder", s.Node.DataFolder)
-	}
 	c.address("listen.http", s.Listen.HTTP, false)
 	c.address("listen.grpc", s.Listen.GRPC, false)
 	c.address("listen.http_advertised", s.Listen.HTTPAdvertised, true)
@@ -62,24 +59,14 @@
 
 func (c *checker) numbers(s Settings) {
 	between(c, "platform.timeout_ms", s.Platform.TimeoutMS, 50, 30_000)
-	between(c, "platform.watch_wait_ms", s.Platform.WatchWaitMS, 1_000, 60_000)
 	between(c, "platform.lease_ttl_ms", s.Platform.LeaseTTLMS, 1_000, 60_000)
 	between(c, "journal.journal_writes_per_second", s.Journal.WritesPerSecond, 1, 200)
 	between(c, "journal.journal_tail_records", s.Journal.TailRecords, 100, 1_000_000)
 	between(c, "journal.journal_tail_bytes", s.Journal.TailBytes, 1<<20, 1<<30)
 	between(c, "placement.shards", s.Placement.Shards, 1, 65_536)
 	between(c, "rings.commands", s.Rings.Commands, 16, 1<<20)
-	between(c, "rings.completions", s.Rings.Completions, 16, 1<<20)
 	between(c, "rings.journal", s.Rings.Journal, 16, 1<<20)
-	between(c, "rings.scheduler", s.Rings.Scheduler, 16, 1<<20)
-	between(c, "rings.peer", s.Rings.Peer, 16, 1<<20)
-	between(c, "rings.reply", s.Rings.Reply, 1, 1<<16)
 	between(c, "schedule.call_workers", s.Schedule.CallWorkers, 1, 16_384)
-	// Completions never block, so everything that can be outstanding must fit.
-	if s.Rings.Completions < s.Schedule.CallWorkers {
-		c.refuse("rings.completions", s.Rings.Completions,
-			fmt.Sprintf("at least schedule.call_workers (%d)", s.Schedule.CallWorkers))
-	}
 }
 
 func (c *checker) refuse(key string, value any, allowed string) {
@@ -153,9 +140,3 @@
 		})
 	}
 }
-
-func (c *checker) folder(key, path string) {
-	if info, err := os.Stat(path); err != nil || !info.IsDir() {
-		c.refuse(key, path, "a folder that exists, or empty")
-	}
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,8 +43,6 @@
 	Region           string `toml:"region"`
 	// DrainTimeoutMS is how long a planned stop waits for calls in progress.
 	DrainTimeoutMS int64 `toml:"drain_timeout_ms"`
-	// DataFolder holds bulk data on hosts with a disk. Empty means none.
-	DataFolder string `toml:"data_folder"`
 }
 
 // Listen holds the addresses of the node, by IP number and port.
@@ -62,8 +60,6 @@
 	// Address is the base URL, by IP number.
 	Address   string `toml:"address"`
 	TimeoutMS int64  `toml:"timeout_ms"`
-	// WatchWaitMS is how long one long poll waits for a change.
-	WatchWaitMS int64 `toml:"watch_wait_ms"`
 	// LeaseTTLMS is how long the node counts as live without a renewal.
 	LeaseTTLMS int64 `toml:"lease_ttl_ms"`
 }
@@ -83,15 +79,14 @@
 	Shards int64 `toml:"shards"`
 }
 
-// Rings holds the slots of the rings between duties.
+// Rings holds the slots of the rings where requests wait. The rings for
+// completions have room for everything that can be outstanding and are not
+// settings.
 type Rings struct {
-	Commands    int64 `toml:"commands"`
-	Completions int64 `toml:"completions"`
-	Journal     int64 `toml:"journal"`
-	Scheduler   int64 `toml:"scheduler"`
-	Peer        int64 `toml:"peer"`
-	// Reply is per request.
-	Reply int64 `toml:"reply"`
+	// Commands holds requests for the programs duty.
+	Commands int64 `toml:"commands"`
+	// Journal holds records for the journal duty.
+	Journal int64 `toml:"journal"`
 }
 
 // Schedule says how calls are queued and carried.
@@ -125,16 +120,14 @@
 func Default() Settings {
 	return Settings{
 		Node:     Node{DrainTimeoutMS: 60_000},
-		Platform: Platform{TimeoutMS: 2_000, WatchWaitMS: 10_000, LeaseTTLMS: 3_000},
+		Platform: Platform{TimeoutMS: 2_000, LeaseTTLMS: 3_000},
 		// 30 writes a second for each of 7 nodes, with a lease renewal a
 		// second each, stay at 217 of the store's several hundred.
 		Journal:   Journal{WritesPerSecond: 30, TailRecords: 20_000, TailBytes: 32 << 20},
 		Placement: Placement{Shards: 1024},
-		Rings: Rings{
-			Commands: 4096, Completions: 16384, Journal: 4096, Scheduler: 4096, Peer: 1024, Reply: 64,
-		},
-		Schedule: Schedule{Policy: schedule.ProgramAware, CallWorkers: 256},
-		Log:      Log{Level: "info", Format: "text"},
+		Rings:     Rings{Commands: 4096, Journal: 4096},
+		Schedule:  Schedule{Policy: schedule.ProgramAware, CallWorkers: 256},
+		Log:       Log{Level: "info", Format: "text"},
 	}
 }
 
