--- a/rpc/server.go
+++ b/rpc/server.go
@@ -17,9 +17,10 @@
 	"dogwoodline.example/rpc/peerpb"
 )
 
-// maxMessageBytes bounds a message between nodes. A history reply holds a
-// program of up to 590,000 tokens, about 2.4 MB, in JSON with base64.
-const maxMessageBytes = 8 << 20
+// maxMessageBytes bounds a message between nodes. The largest is the whole
+// configuration, for a node that starts: 39,000 tenants make about 20 MB. A
+// history of 590,000 tokens is about 3 MB.
+const maxMessageBytes = 64 << 20
 
 // Server accepts the connections of other nodes.
 type Server struct {
