Test the links between nodes, with and without certificates

Cause: module rpc had no test of its own. Conclusion: a peer without a certificate of the authority is refused.

--- /dev/null
+++ b/rpc/rpc_test.go
@@ -0,0 +1,171 @@
+package rpc_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc/credentials"
+
+	"dogwoodline.example/config"
+	"dogwoodline.example/outcome"
+	"dogwoodline.example/program"
+	"dogwoodline.example/resource"
+	"dogwoodline.example/rpc"
+)
+
+func TestRPC(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rpc")
+}
+
+// fakeNode answers forwards with two parts and a reply.
+type fakeNode struct {
+	seen    rpc.Forwarded
+	changes []resource.Change
+}
+
+func (*fakeNode) Ping(context.Context) rpc.PingAnswer {
+	return rpc.PingAnswer{Incarnation: "n1", StoreSilent: 1500 * time.Millisecond}
+}
+
+func (f *fakeNode) Forward(ctx context.Context, request rpc.Forwarded, chunk func(program.Chunk) error) program.Reply {
+	f.seen = request
+	if request.Program == "hangs" {
+		<-ctx.Done()
+	}
+	_ = chunk(program.Chunk{Attempt: 2, Offset: 0, Text: "ab"})
+	_ = chunk(program.Chunk{Attempt: 2, Offset: 2, Text: "c"})
+	return program.Reply{Outcome: outcome.Outcome{Code: outcome.Completed}, Answer: []byte("abc"), Recorded: true, Attempt: 2, Spent: 7}
+}
+
+func (f *fakeNode) PushConfig(_ context.Context, changes []resource.Change) { f.changes = changes }
+
+func (f *fakeNode) PullConfig(_ context.Context, request config.PullRequest) config.PullAnswer {
+	return config.PullAnswer{Ready: true, Changes: f.changes, Complete: request.Complete + 1, Digest: request.Digest}
+}
+
+func (*fakeNode) NoteCrashes(context.Context, []program.Crash) {}
+
+func (*fakeNode) Schedule(rpc.ScheduleServer) error { return nil }
+
+// serve starts a server and returns its address.
+func serve(handler rpc.Handler, tls credentials.TransportCredentials) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := rpc.NewServer(handler, tls)
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(func() { server.Stop(time.Second) })
+	return listener.Addr().String()
+}
+
+func linkTo(address string, tls credentials.TransportCredentials) (*rpc.Links, *rpc.Link) {
+	links := rpc.NewLinks(tls)
+	Expect(links.Update(map[string]string{"n1": address})).To(Succeed())
+	DeferCleanup(links.Close)
+	link, err := links.To("n1")
+	Expect(err).NotTo(HaveOccurred())
+	return links, link
+}
+
+var _ = Describe("Links", func() {
+	var ctx context.Context
+	BeforeEach(func() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.Background(), 5*time.Second)
+		DeferCleanup(cancel)
+	})
+
+	It("carry a forwarded call, its parts in order and its reply unchanged", func() {
+		node := &fakeNode{}
+		_, link := linkTo(serve(node, nil), nil)
+		text := ""
+		reply, err := link.Forward(ctx, rpc.Forwarded{Method: rpc.Call, Tenant: "t", Program: "p", Request: []byte("{}"),
+			Body: []byte{0, 1}, Stream: true, Deadline: 3 * time.Second},
+			func(c program.Chunk) error { text += c.Text; return nil })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(Equal("abc"))
+		Expect(reply.Recorded).To(BeTrue())
+		Expect(reply.Spent).To(BeEquivalentTo(7))
+		Expect(node.seen.Body).To(Equal([]byte{0, 1}))
+		Expect(node.seen.Deadline).To(Equal(3 * time.Second))
+	})
+
+	It("end a waiting request when its node leaves the member view", func() {
+		links, link := linkTo(serve(&fakeNode{}, nil), nil)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := link.Forward(ctx, rpc.Forwarded{Method: rpc.Call, Program: "hangs"}, nil)
+			ended <- err
+		}()
+		Consistently(ended, "100ms").ShouldNot(Receive())
+		Expect(links.Update(nil)).To(Succeed())
+		Eventually(ended, "2s").Should(Receive(HaveOccurred()))
+		_, err := links.To("n1")
+		Expect(err).To(MatchError(rpc.ErrNoLink))
+	})
+
+	It("carry configuration with its versions and deletions", func() {
+		node := &fakeNode{}
+		_, link := linkTo(serve(node, nil), nil)
+		changes := []resource.Change{
+			{ID: resource.ID{Kind: resource.KindPool, Name: "m"}, Version: 4, Spec: &resource.Pool{Model: "m", Role: resource.RoleBoth}},
+			{ID: resource.ID{Kind: resource.KindPool, Name: "old"}, Version: 5, Deleted: true},
+		}
+		Expect(link.PushConfig(ctx, changes)).To(Succeed())
+		answer, err := link.PullConfig(ctx, config.PullRequest{Complete: 5, Digest: 1 << 63})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Changes).To(Equal(changes))
+		Expect(answer.Complete).To(BeEquivalentTo(6))
+		Expect(answer.Digest).To(BeEquivalentTo(uint64(1) << 63))
+	})
+
+	It("refuse a peer without a certificate of the authority", func() {
+		inbound, outbound, stranger := certificates()
+		address := serve(&fakeNode{}, inbound)
+		_, known := linkTo(address, outbound)
+		answer, err := known.Ping(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Incarnation).To(Equal("n1"))
+		Expect(answer.StoreSilent).To(Equal(1500 * time.Millisecond))
+		_, unknown := linkTo(address, stranger)
+		_, err = unknown.Ping(ctx)
+		Expect(err).To(HaveOccurred())
+		_, plain := linkTo(address, nil)
+		_, err = plain.Ping(ctx)
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+// certificates returns credentials for a server, for a client with a
+// certificate of the authority, and for one without.
+func certificates() (inbound, outbound, stranger credentials.TransportCredentials) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	Expect(err).NotTo(HaveOccurred())
+	parsed, err := x509.ParseCertificate(der)
+	Expect(err).NotTo(HaveOccurred())
+	pool := x509.NewCertPool()
+	pool.AddCert(parsed)
+	own := []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}
+	inbound = credentials.NewTLS(&tls.Config{Certificates: own, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13})
+	outbound = credentials.NewTLS(&tls.Config{Certificates: own, RootCAs: pool, MinVersion: tls.VersionTLS13})
+	stranger = credentials.NewTLS(&tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13})
+	return inbound, outbound, stranger
+}
