--- a/journal/codec.go
+++ b/journal/codec.go
@@ -19,6 +19,7 @@
 	fieldFirst
 	fieldOpen
 	fieldRecord
+	fieldHolder // absent in heads of builds without copies at peers
 )
 
 // Field numbers of a record.
@@ -37,9 +38,10 @@
 	incarnation string
 	commit      uint64 // number of the last commit; 0 if the owner never wrote
 	sealed      bool
-	first       uint64 // oldest closed segment that exists
-	open        uint64 // number of the segment that the head holds
-	body        []byte // encoded records
+	first       uint64   // oldest closed segment that exists
+	open        uint64   // number of the segment that the head holds
+	holders     []string // incarnations that hold copies
+	body        []byte   // encoded records
 }
 
 func appendHead(dst []byte, h head) []byte {
@@ -50,6 +52,10 @@
 	dst = appendUint(dst, fieldSealed, protowire.EncodeBool(h.sealed))
 	dst = appendUint(dst, fieldFirst, h.first)
 	dst = appendUint(dst, fieldOpen, h.open)
+	for _, holder := range h.holders {
+		dst = protowire.AppendTag(dst, fieldHolder, protowire.BytesType)
+		dst = protowire.AppendString(dst, holder)
+	}
 	return append(dst, h.body...)
 }
 
@@ -126,6 +132,8 @@
 			h.body = append(h.body, whole[:len(whole)-len(rest)]...)
 		case f.id == fieldIncarnation && f.kind == protowire.BytesType:
 			h.incarnation = string(f.bytes)
+		case f.id == fieldHolder && f.kind == protowire.BytesType:
+			h.holders = append(h.holders, string(f.bytes))
 		case f.id == fieldFormat && f.kind == protowire.VarintType:
 			format = f.number
 		case f.id == fieldCommit && f.kind == protowire.VarintType:
--- a/journal/commit.go
+++ b/journal/commit.go
@@ -15,7 +15,7 @@
 	if err := w.waitForBudget(ctx); err != nil {
 		return err
 	}
-	batch := w.tail.batch(MaxAppendBytes)
+	batch := w.tail.batch(0, MaxAppendBytes)
 	if err := w.commitHead(ctx, batch); err != nil {
 		return err
 	}
@@ -25,7 +25,7 @@
 		w.index.add(e)
 		compacted = max(compacted, e.first)
 		switch {
-		case e.copied:
+		case e.compacted:
 		case e.reply != nil:
 			w.deliver(ctx, e.reply, Committed{Tags: []uint64{e.tag}})
 		default:
@@ -33,6 +33,7 @@
 		}
 	}
 	w.tail.drop(len(batch))
+	w.copier.noteCommit(w.tail.dropped)
 	if tags != nil {
 		w.deliver(ctx, nil, Committed{Tags: tags})
 	}
@@ -50,6 +51,7 @@
 func (w *Writer) commitHead(ctx context.Context, batch []entry) error {
 	next := w.head
 	next.commit++
+	next.holders = w.nextHolders()
 	for _, e := range batch {
 		next.first = max(next.first, e.first)
 	}
@@ -57,9 +59,11 @@
 		next.body = append(next.body, e.body...)
 	}
 	w.value = appendHead(w.value[:0], next)
+	w.beginSwap(len(batch), next)
 	if err := w.swap(ctx, w.value, next.commit); err != nil {
 		return err
 	}
+	w.endWrite()
 	w.head = next
 	w.now.Commits++
 	w.now.LastCommit = w.clock.Now()
@@ -118,6 +122,8 @@
 	if err := w.waitForBudget(ctx); err != nil {
 		return err
 	}
+	w.beginWrite()
+	defer w.endWrite()
 	closed := head{incarnation: w.incarnation, open: w.head.open, body: w.head.body}
 	value := appendHead(nil, closed)
 	key := segmentKey(w.incarnation, closed.open)
@@ -137,18 +143,18 @@
 	return nil
 }
 
-func (w *Writer) put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.settings.CallTimeout)
-	defer cancel()
-	version, err := w.store.Put(ctx, key, value, expected, 0)
+func (w *Writer) put(ctx context.Context, key string, value []byte, expected platform.Version) (version platform.Version, err error) {
+	w.call(ctx, func(ctx context.Context) {
+		version, err = w.store.Put(ctx, key, value, expected, 0)
+	})
 	w.note(err)
 	return version, err
 }
 
-func (w *Writer) readOwnHead(ctx context.Context) (head, platform.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.settings.CallTimeout)
-	defer cancel()
-	h, version, err := readHead(ctx, w.store, w.incarnation)
+func (w *Writer) readOwnHead(ctx context.Context) (h head, version platform.Version, err error) {
+	w.call(ctx, func(ctx context.Context) {
+		h, version, err = readHead(ctx, w.store, w.incarnation)
+	})
 	w.note(err)
 	return h, version, err
 }
@@ -185,7 +191,8 @@
 	return w.pause(ctx, w.settings.RetryMin/2+rand.N(limit))
 }
 
-// pause waits and meanwhile moves appends into the tail.
+// pause waits and meanwhile serves the rings. It returns ErrFenced or the error
+// of ctx.
 func (w *Writer) pause(ctx context.Context, wait time.Duration) error {
 	if wait <= 0 {
 		return ctx.Err()
@@ -193,17 +200,13 @@
 	timer := w.clock.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		w.collect(ctx)
-		ready := w.appends.Ready()
-		if !w.roomInTail() {
-			ready = nil
-		}
-		select {
-		case <-ready:
-		case <-timer.Chan():
-			return nil
-		case <-ctx.Done():
+		switch {
+		case ctx.Err() != nil:
 			return ctx.Err()
+		case w.fencedByHolder() != nil:
+			return w.fencedByHolder()
+		case serve(ctx, w, timer.Chan(), ctx.Done()):
+			return nil
 		}
 	}
 }
--- a/journal/compact.go
+++ b/journal/compact.go
@@ -25,7 +25,7 @@
 	for _, program := range e.programs {
 		x.programs[program]++
 	}
-	if !e.copied {
+	if !e.compacted {
 		x.fresh += len(e.body)
 	}
 }
@@ -52,9 +52,13 @@
 	if w.index.fresh < w.settings.SegmentBytes/freshShare {
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, w.settings.CallTimeout)
-	defer cancel()
-	records, err := readSegment(call, w.store, w.incarnation, w.head.first)
+	var records []Record
+	var err error
+	w.beginWrite()
+	w.call(ctx, func(ctx context.Context) {
+		records, err = readSegment(ctx, w.store, w.incarnation, w.head.first)
+	})
+	w.endWrite()
 	w.note(err)
 	if err != nil {
 		w.log.Warn("journal: oldest segment not readable, compaction postponed", "error", err)
@@ -110,11 +114,11 @@
 // copies groups records into entries. The last one removes the segment from
 // the head in the same commit; there is always one.
 func copies(records []Record, segment uint64) []entry {
-	entries := []entry{{copied: true}}
+	entries := []entry{{compacted: true}}
 	for _, r := range records {
 		e := &entries[len(entries)-1]
 		if len(e.body) >= MaxAppendBytes/2 {
-			entries = append(entries, entry{copied: true})
+			entries = append(entries, entry{compacted: true})
 			e = &entries[len(entries)-1]
 		}
 		e.add(r)
@@ -132,9 +136,13 @@
 	if err := w.waitForBudget(ctx); err != nil {
 		return err
 	}
-	call, cancel := context.WithTimeout(ctx, w.settings.CallTimeout)
-	defer cancel()
-	if err := remove(call, w.store, segmentKey(w.incarnation, segment)); err != nil {
+	var err error
+	w.beginWrite()
+	w.call(ctx, func(ctx context.Context) {
+		err = remove(ctx, w.store, segmentKey(w.incarnation, segment))
+	})
+	w.endWrite()
+	if err != nil {
 		w.log.Warn("journal: compacted segment not deleted", "segment", segment, "error", err)
 	}
 	return nil
--- a/journal/seal.go
+++ b/journal/seal.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"dogwoodline.example/platform"
 )
@@ -62,13 +63,14 @@
 }
 
 // Replay returns the records of the wanted shards, sorted by program and
-// sequence number, without copies. It is meaningful on a sealed journal, on the
+// sequence number, without repetitions. Copies are what a holder of a sealed
+// journal has; those that the head contains are left out. Replay is meaningful on a sealed journal, on the
 // own one, and for a shard that the owner has handed off. It returns
 // platform.ErrNotFound if the journal has no head, because a journal that is
 // still named as a source is never deleted: an empty result would hide a loss.
-func Replay(ctx context.Context, store platform.Store, incarnation string, want func(shard int) bool) ([]Record, error) {
+func Replay(ctx context.Context, store platform.Store, incarnation string, want func(shard int) bool, copies ...Copy) ([]Record, error) {
 	for range readAttempts {
-		records, err := read(ctx, store, incarnation)
+		records, err := read(ctx, store, incarnation, copies)
 		if errors.Is(err, errMoved) {
 			continue
 		}
@@ -121,7 +123,7 @@
 var errMoved = Error.New("segment deleted during the read")
 
 // read returns all records in journal order.
-func read(ctx context.Context, store platform.Store, incarnation string) ([]Record, error) {
+func read(ctx context.Context, store platform.Store, incarnation string, copies []Copy) ([]Record, error) {
 	h, version, err := readHead(ctx, store, incarnation)
 	if err != nil {
 		return nil, err
@@ -138,7 +140,11 @@
 		records = append(records, closed...)
 	}
 	last, err := decodeRecords(h.body)
-	return append(records, last...), err
+	if err != nil {
+		return nil, err
+	}
+	held, err := uncommitted(h, copies)
+	return slices.Concat(records, last, held), err
 }
 
 func movedOrMissing(ctx context.Context, store platform.Store, incarnation string, n uint64, version platform.Version) error {
--- a/journal/tail.go
+++ b/journal/tail.go
@@ -10,8 +10,9 @@
 	body     []byte // encoded records
 	programs []string
 	records  int
-	copied   bool   // written by compaction; nobody waits for it
-	first    uint64 // if not zero, the oldest segment after this commit
+	// compacted is set if compaction wrote the entry. Nobody waits for it.
+	compacted bool
+	first     uint64 // if not zero, the oldest segment after this commit
 }
 
 // newEntry encodes the records of an append. It returns ErrInvalidRecord.
@@ -41,6 +42,7 @@
 	entries []entry
 	records int
 	bytes   int
+	dropped uint64 // entries that were removed; the position of the oldest one
 }
 
 func (t *tail) empty() bool { return len(t.entries) == 0 }
@@ -60,16 +62,18 @@
 	return e, true
 }
 
-// batch returns the oldest entries that fit into one commit, at least one.
-func (t *tail) batch(limit int) []entry {
+// batch returns the oldest entries after the first skipped ones that fit into
+// one commit, at least one if there are any.
+func (t *tail) batch(skip, limit int) []entry {
 	size := 0
-	for i, e := range t.entries {
+	rest := t.entries[skip:]
+	for i, e := range rest {
 		size += len(e.body)
 		if i > 0 && size > limit {
-			return t.entries[:i]
+			return rest[:i]
 		}
 	}
-	return t.entries
+	return rest
 }
 
 // drop removes the n oldest entries.
@@ -80,6 +84,7 @@
 	}
 	clear(t.entries[:n]) // lets the garbage collector free the records
 	t.entries = t.entries[n:]
+	t.dropped += uint64(n) //nolint:gosec // a length
 	if t.empty() {
 		t.entries = nil
 	}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -68,14 +68,20 @@
 	Reply *ring.Ring[Completion]
 }
 
-// Completion is a message from the Writer: Committed, Rejected, Fenced or
-// Query.
+// Completion is a message from the Writer: Committed, Copied, Rejected, Fenced
+// or Query.
 type Completion interface{ completion() }
 
 // Committed lists the tags of the appends that one commit made durable, in
 // their order.
 type Committed struct{ Tags []uint64 }
 
+// Copied lists the tags of appends that are recorded although the store does
+// not have them yet, in their order: both holders have acknowledged a copy.
+// Committed follows for the same tags when the store is back. An append with a
+// Reply ring gets no Copied, because its sender acts on the store itself.
+type Copied struct{ Tags []uint64 }
+
 // Rejected tells that an append had an invalid record and changed nothing.
 type Rejected struct {
 	Tag uint64
@@ -94,6 +100,7 @@
 }
 
 func (Committed) completion() {}
+func (Copied) completion()    {}
 func (Rejected) completion()  {}
 func (Fenced) completion()    {}
 func (Query) completion()     {}
@@ -146,15 +153,17 @@
 	value   []byte // scratch space for the value of a commit
 	index   index
 	opened  bool
+	calls   storeCalls
+	copier  *copier // nil without CopyTo
 }
 
 // NewWriter returns the writer of a new incarnation, whose name was never used
 // before.
 func NewWriter(store platform.Store, clock clockwork.Clock, log *slog.Logger, incarnation string, settings Settings) *Writer {
 	settings = settings.withDefaults()
-	// Everything outstanding: what waits in the ring and the tail, one Query
-	// and one Fenced.
-	outstanding := settings.RingSlots + settings.TailRecords + 2
+	// Everything outstanding: what waits in the ring and the tail, each of it
+	// with a Copied and a Committed, one Query and one Fenced.
+	outstanding := 2*(settings.RingSlots+settings.TailRecords) + 2
 	w := &Writer{
 		store:       store,
 		clock:       clock,
@@ -167,6 +176,7 @@
 		verdicts:    ring.New[Verdict](1),
 		head:        head{incarnation: incarnation},
 		index:       newIndex(),
+		calls:       newStoreCalls(),
 	}
 	w.state.Store(&State{})
 	return w
@@ -206,6 +216,9 @@
 // ends, or the journal is fenced, when it returns ErrFenced. It opens the
 // journal if Open was not called.
 func (w *Writer) Run(ctx context.Context) error {
+	duties := w.startDuties(ctx)
+	defer duties.Stop()
+	defer w.calls.requests.Close()
 	if err := w.Open(ctx); err != nil {
 		return err
 	}
@@ -214,9 +227,11 @@
 		w.collect(ctx)
 		var err error
 		switch {
+		case w.fencedByHolder() != nil:
+			err = w.fencedByHolder()
 		case len(w.head.body) >= w.settings.SegmentBytes:
 			err = w.closeSegment(ctx)
-		case !w.tail.empty():
+		case !w.tail.empty(), w.holdersDiffer():
 			err = w.commit(ctx)
 		default:
 			if done := w.idle(ctx); done {
@@ -231,9 +246,18 @@
 
 // idle waits for work. It reports true when there will be none.
 func (w *Writer) idle(ctx context.Context) bool {
+	var check <-chan time.Time
+	if w.copier != nil {
+		w.stepCopies(ctx)
+		timer := w.clock.NewTimer(holdersCheck)
+		defer timer.Stop()
+		check = timer.Chan()
+	}
 	select {
 	case <-w.appends.Ready():
 	case <-w.verdicts.Ready():
+	case <-w.copyResults():
+	case <-check:
 	case <-w.appends.Done():
 		return w.appends.Len() == 0
 	case <-ctx.Done():
