--- a/placement/cluster_test.go
+++ b/placement/cluster_test.go
@@ -34,6 +34,8 @@
 	base  *memstore.Store
 	view  atomic.Pointer[membership.View]
 	nodes map[string]*testNode
+	// collector is that of the nodes started from now on.
+	collector placement.Collector
 
 	mu    sync.Mutex
 	acked map[string]map[uint64]string // program -> sequence number -> data
@@ -111,6 +113,8 @@
 		Suspects: ring.New[membership.Lapsed](64),
 		Dead:     n.dead,
 		Appender: journal.NewAppender(n.writer),
+
+		Collector: c.collector,
 	})
 	n.wait.Go(func() { _ = n.writer.Run(ctx) })
 	n.wait.Go(func() { _ = n.duty.Run(ctx) })
--- a/placement/duty.go
+++ b/placement/duty.go
@@ -62,6 +62,8 @@
 	Suspects *ring.Ring[membership.Lapsed]
 	Dead     *ring.Ring[membership.Dead]
 	Appender Appender
+	// Collector may be nil, when journals have no copies.
+	Collector Collector
 }
 
 // Duty carries out the placement of one node. It does blocking I/O and nothing
--- a/placement/steps.go
+++ b/placement/steps.go
@@ -77,9 +77,13 @@
 	if replayed[source] != nil {
 		return nil
 	}
+	copies, err := d.collect(ctx, source)
+	if err != nil {
+		return err
+	}
 	records, err := journal.Replay(ctx, d.store, source, func(shard int) bool {
 		return shard < len(d.current.Shards) && d.current.Shards[shard].Owner == d.self
-	})
+	}, copies...)
 	if err != nil {
 		return err
 	}
