--- a/node/effects.go
+++ b/node/effects.go
@@ -62,7 +62,7 @@
 
 // submit asks the scheduler duty for a slot.
 func (p *programs) submit(ctx context.Context, d program.Dispatch) {
-	o := &underway{order: compose(p.set(), d)}
+	o := &underway{order: compose(p.set(), p.name, d)}
 	o.request.Arrived = p.clock.Now()
 	p.orders[d.ID] = o
 	_ = p.scheduler.Push(ctx, schedulerInput{kind: submitCall, request: o.request})
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -18,6 +18,8 @@
 	"google.golang.org/grpc/credentials"
 
 	"dogwoodline.example/config"
+	"dogwoodline.example/copies"
+	"dogwoodline.example/journal"
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
@@ -57,6 +59,16 @@
 
 func (*fakeNode) NoteCrashes(context.Context, []program.Crash) {}
 
+func (*fakeNode) HoldCopies(context.Context, string, string, journal.Copy) (copies.Verdict, error) {
+	return copies.Held, nil
+}
+
+func (*fakeNode) CollectCopies(context.Context, string, string) ([]journal.Copy, error) {
+	return nil, nil
+}
+
+func (*fakeNode) DropCopies(context.Context, string, string, uint64) error { return nil }
+
 func (*fakeNode) Schedule(rpc.ScheduleServer) error { return nil }
 
 // serve starts a server and returns its address.
