Stop the example deployment when its start fails; one gauge for the job ring

Cause: the ERR trap of local.sh was not inherited by functions; the ring of jobs was shown under two names. Change: set -E; the second gauge is gone. Conclusion: a failed start leaves no process.

--- a/node/incarnation.go
+++ b/node/incarnation.go
@@ -176,7 +176,6 @@
 	group.Depth("programs", "events", p.events.Len)
 	group.Depth("programs", "decisions", p.decisions.Len)
 	group.Depth("scheduler", "inputs", p.scheduler.Len)
-	group.Depth("callers", "jobs", p.jobs.Len)
 	group.Depth("journal", "appends", p.journal.appends.Len)
 }
 
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -9,7 +9,7 @@
 # The ids of the processes and their start times are kept in run/, so that
 # stop ends exactly these processes, also when an id was given to another
 # process since.
-set -euo pipefail
+set -Eeuo pipefail
 cd "$(dirname "$0")/.."
 
 node_stop_s=130   # the longest drain_timeout_ms of the examples, and a margin
