Measure how costs grow with the size of the system

Cause: docs/CAPACITY.md has to be derived from measured slopes, and nothing in the tree measured any.

Each cost is measured three times at four sizes and fitted by least squares; the report gives the residual, the spread of the repeats, and the factor from the largest measured size to the target. Deployment, daemon and platform stand-in take functions that wrap their listeners, so that bytes are counted on the connections themselves. daemon.TenantOf is the search for a tenant by key, moved out of the handler unchanged so that it can be measured.

Ruled out: a relay in front of each node, which would need addresses that are known before the nodes start; a cluster simulator.

Conclusion: the command gives every slope that the capacity page needs.

--- a/cmd/dogwoodline/load.go
+++ b/cmd/dogwoodline/load.go
@@ -9,6 +9,7 @@
 
 type loadCommand struct {
 	connection
+	slopesOptions
 	Key             string        `env:"DOGWOODLINE_KEY" help:"Key of the tenant."`
 	Scenario        string        `default:"steady" enum:"steady,slowed,crest,stragglers" help:"One of ${enum}."`
 	Duration        time.Duration `default:"10s" help:"How long programs are started."`
@@ -26,5 +27,8 @@
 func (l loadCommand) Run(c *console) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if l.Slopes {
+		return runSlopes(ctx, l.slopesOptions, c)
+	}
 	return runLoad(ctx, l, c)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,9 +54,25 @@
 	stopping context.CancelFunc
 }
 
+// Option changes how New assembles a node.
+type Option func(*options)
+
+type options struct {
+	wrapPeers func(net.Listener) net.Listener
+}
+
+// WrapPeers wraps the listener for other nodes, for example to count bytes.
+func WrapPeers(wrap func(net.Listener) net.Listener) Option {
+	return func(o *options) { o.wrapPeers = wrap }
+}
+
 // New assembles a node and opens its listeners. It returns an error when an
 // address is not free, or a TLS file cannot be read.
-func New(s settings.Settings, log *slog.Logger) (*Daemon, error) {
+func New(s settings.Settings, log *slog.Logger, chosen ...Option) (*Daemon, error) {
+	var o options
+	for _, choose := range chosen {
+		choose(&o)
+	}
 	d := &Daemon{settings: s, log: log, metrics: metrics.NewSet()}
 	timeout := time.Duration(s.Platform.TimeoutMS) * time.Millisecond
 	client, err := httpstore.New(httpstore.Settings{URL: s.Platform.Address, ReadTimeout: timeout, WriteTimeout: timeout})
@@ -86,6 +102,9 @@
 		return nil, errs.Combine(Error.Wrap(err), peers.Close())
 	}
 	advertise(&s.Listen, d.listener, peers)
+	if o.wrapPeers != nil {
+		peers = o.wrapPeers(peers)
+	}
 	d.node, err = node.New(nodeSettings(s), node.Dependencies{
 		Store: node.Stores{
 			Lease: budget.Store(budgeted.Lease), Journal: budget.Store(budgeted.Journal), Placement: budget.Store(budgeted.Status),
--- a/daemon/resources.go
+++ b/daemon/resources.go
@@ -25,11 +25,14 @@
 
 // Authenticate implements api.Tenants. All tenants are compared, each in
 // constant time, so that the time tells nothing about the keys.
-func (t tenants) Authenticate(key string) (string, bool) {
+func (t tenants) Authenticate(key string) (string, bool) { return TenantOf(t.set(), key) }
+
+// TenantOf returns the tenant of a key.
+func TenantOf(set *resource.Set, key string) (string, bool) {
 	sum := sha256.Sum256([]byte(key))
 	given := []byte(hex.EncodeToString(sum[:]))
 	found := ""
-	for _, r := range t.set().List(resource.KindTenant) {
+	for _, r := range set.List(resource.KindTenant) {
 		declared := r.Spec.(*resource.Tenant)
 		if subtle.ConstantTimeCompare(given, []byte(declared.KeySHA256)) == 1 {
 			found = r.Name
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -46,6 +47,10 @@
 	// Seed starts the random numbers of the stand-ins.
 	Seed uint64
 	Log  *slog.Logger
+	// WrapPlatform and WrapPeers, when set, wrap the sockets of the platform
+	// and those of the nodes for other nodes, for example to count bytes.
+	WrapPlatform func(net.Listener) net.Listener
+	WrapPeers    func(net.Listener) net.Listener
 }
 
 // Deployment is a running deployment.
@@ -86,7 +91,7 @@
 }
 
 func (d *Deployment) start() error {
-	d.platform = platformserver.New(platformserver.Settings{Seed: d.config.Seed, Limits: d.config.Limits})
+	d.platform = platformserver.New(platformserver.Settings{Seed: d.config.Seed, Limits: d.config.Limits, Wrap: d.config.WrapPlatform})
 	address, _, err := d.platform.Listen(d.ctx, "127.0.0.1:0", "127.0.0.1:0")
 	if err != nil {
 		return Error.Wrap(err)
@@ -143,7 +148,7 @@
 	s.Listen = settings.Listen{HTTP: "127.0.0.1:0", GRPC: "127.0.0.1:0"}
 	s.Platform.Address = "http://" + d.address
 	d.made++
-	made, err := daemon.New(s, d.config.Log.With("node", s.Node.ID))
+	made, err := daemon.New(s, d.config.Log.With("node", s.Node.ID), daemon.WrapPeers(d.config.WrapPeers))
 	if err != nil {
 		return nil, err
 	}
--- a/emulator/platformserver/listen.go
+++ b/emulator/platformserver/listen.go
@@ -25,6 +25,7 @@
 type listener struct {
 	address string
 	handler http.Handler
+	wrap    func(net.Listener) net.Listener // nil means none
 
 	mu     sync.Mutex
 	server *http.Server // nil while the port is closed
@@ -39,7 +40,7 @@
 	if err := adminPort.open(); err != nil {
 		return "", "", err
 	}
-	port := &listener{address: address, handler: s.platform()}
+	port := &listener{address: address, handler: s.platform(), wrap: s.wrap}
 	if err := port.open(); err != nil {
 		adminPort.close()
 		return "", "", err
@@ -86,6 +87,9 @@
 		return Error.Wrap(err)
 	}
 	l.address = socket.Addr().String()
+	if l.wrap != nil {
+		socket = l.wrap(socket)
+	}
 	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: 10 * time.Second}
 	l.server, l.socket = server, socket
 	// Serve ends when the port is closed, which is no error here.
--- a/emulator/platformserver/server.go
+++ b/emulator/platformserver/server.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -47,6 +48,8 @@
 	// Seed decides which answers LoseProbability loses.
 	Seed   uint64
 	Limits Limits
+	// Wrap, when set, wraps the platform's socket, for example to count bytes.
+	Wrap func(net.Listener) net.Listener
 }
 
 // Server is the stand-in. Its state is shared by the goroutines of the
@@ -57,6 +60,7 @@
 	faults *faults
 	writes *rate.Limiter
 	reads  *rate.Limiter
+	wrap   func(net.Listener) net.Listener
 
 	mu         sync.Mutex
 	limits     Limits
@@ -84,6 +88,7 @@
 		faults:   newFaults(settings.Seed),
 		counters: map[string]int64{},
 		limits:   withDefaults(settings.Limits),
+		wrap:     settings.Wrap,
 	}
 	s.writes = newLimiter(s.limits.WritesPerSecond)
 	s.reads = newLimiter(s.limits.ReadsPerSecond)
--- /dev/null
+++ b/slopes/config.go
@@ -0,0 +1,69 @@
+package slopes
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"runtime"
+	"time"
+
+	"dogwoodline.example/daemon"
+	"dogwoodline.example/platform"
+	"dogwoodline.example/resource"
+)
+
+// targetTenants is the number of organisations of the design page.
+const targetTenants = 39_000
+
+func keyOf(tenant int) string { return fmt.Sprint("key-of-tenant-", tenant) }
+
+func tenantChange(number int, version platform.Version) resource.Change {
+	sum := sha256.Sum256([]byte(keyOf(number)))
+	highest := 9
+	return resource.Change{ID: resource.ID{Kind: resource.KindTenant, Name: fmt.Sprint("tenant-", number)}, Version: version,
+		Spec: &resource.Tenant{KeySHA256: hex.EncodeToString(sum[:]), Share: 1, PriorityMax: &highest, ProgramBudgetMax: 1e9}}
+}
+
+// measureConfig measures a set of tenants: its memory, one more change, the
+// list of a watch, and finding a tenant by its key.
+func measureConfig(ctx context.Context, _ Options) ([]Slope, error) {
+	s := sweep{size: "tenants", target: targetTenants, sizes: []int{1000, 5000, 15_000, targetTenants}, measure: setCosts,
+		series: []series{{"resource set: memory", "B"}, {"resource set: apply one change", "us"},
+			{"resource set: changes after a revision", "us"}, {"tenant of a key", "us"}}}
+	return s.run(ctx)
+}
+
+func setCosts(tenants int) ([]float64, error) {
+	before := heapBytes()
+	changes := make([]resource.Change, tenants)
+	for i := range changes {
+		changes[i] = tenantChange(i, platform.Version(i+1))
+	}
+	set := resource.NewSet().With(changes...)
+	used := heapBytes() - before
+	runtime.KeepAlive(changes)
+
+	const times = 20
+	begin := time.Now()
+	for i := range times {
+		set = set.With(tenantChange(i, platform.Version(tenants+i+1)))
+	}
+	applied := time.Since(begin)
+
+	begin = time.Now()
+	for range times {
+		set.ChangesAfter(set.Revision())
+	}
+	listed := time.Since(begin)
+
+	begin = time.Now()
+	for i := range times {
+		wanted := i * (tenants / times)
+		if name, ok := daemon.TenantOf(set, keyOf(wanted)); !ok || name != fmt.Sprint("tenant-", wanted) {
+			return nil, Error.New("tenant %d not found by its key", wanted)
+		}
+	}
+	found := time.Since(begin)
+	return []float64{used, microseconds(applied, times), microseconds(listed, times), microseconds(found, times)}, nil
+}
