Find the tenant of a key by an index

Cause: each request compared its key with all tenants, after listing and sorting them.

Change: the resource set keeps the names of tenants by the digest of their key. The map is copied only for changes that give a tenant another key. When two tenants have the same key, the last by name counts, as before.

Ruled out: copying the index with each change.

Conclusion: finding the tenant no longer depends on their number in any way that matters.

--- a/api/api.go
+++ b/api/api.go
@@ -38,8 +38,8 @@
 
 // Tenants finds the tenant that a key belongs to.
 type Tenants interface {
-	// Authenticate returns the tenant of a key. The implementation compares
-	// keys in constant time.
+	// Authenticate returns the tenant of a key. The time that it takes must
+	// not help to guess a key.
 	Authenticate(key string) (tenant string, ok bool)
 }
 
--- a/daemon/resources.go
+++ b/daemon/resources.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -23,22 +22,15 @@
 
 var _ api.Tenants = tenants{}
 
-// Authenticate implements api.Tenants. All tenants are compared, each in
-// constant time, so that the time tells nothing about the keys.
+// Authenticate implements api.Tenants.
 func (t tenants) Authenticate(key string) (string, bool) { return TenantOf(t.set(), key) }
 
-// TenantOf returns the tenant of a key.
+// TenantOf returns the tenant of a key. The search by digest tells nothing of
+// use about keys by its time: who times it does not choose the digest that a
+// key has, and a digest that begins like a declared one gives no key.
 func TenantOf(set *resource.Set, key string) (string, bool) {
 	sum := sha256.Sum256([]byte(key))
-	given := []byte(hex.EncodeToString(sum[:]))
-	found := ""
-	for _, r := range set.List(resource.KindTenant) {
-		declared := r.Spec.(*resource.Tenant)
-		if subtle.ConstantTimeCompare(given, []byte(declared.KeySHA256)) == 1 {
-			found = r.Name
-		}
-	}
-	return found, found != ""
+	return set.TenantOfKey(hex.EncodeToString(sum[:]))
 }
 
 // readyService is ready when the node and its configuration are.
--- a/resource/lookup.go
+++ b/resource/lookup.go
@@ -5,6 +5,16 @@
 // Tenant returns a tenant by name.
 func (s *Set) Tenant(name string) (*Tenant, bool) { return lookup[*Tenant](s, KindTenant, name) }
 
+// TenantOfKey returns the name of the tenant whose key has the digest, see
+// Tenant.KeySHA256. When several have it, the last one by name counts.
+func (s *Set) TenantOfKey(digest string) (string, bool) {
+	names := s.tenants[digest]
+	if len(names) == 0 {
+		return "", false
+	}
+	return names[len(names)-1], true
+}
+
 // Class returns a class by name.
 func (s *Set) Class(name string) (*Class, bool) { return lookup[*Class](s, KindClass, name) }
 
--- a/resource/set.go
+++ b/resource/set.go
@@ -19,6 +19,7 @@
 type Set struct {
 	entries  map[ID]Change
 	backends map[string][]Resource // by pool, in order of name
+	tenants  map[string][]string   // names by key digest, in order
 	revision platform.Version
 	complete platform.Version
 	digest   uint64
@@ -39,6 +40,9 @@
 		}
 		if next == s {
 			next = s.copy()
+			if s.changesKeys(changes) {
+				next.tenants = cloneOrMake(s.tenants)
+			}
 		}
 		next.apply(change)
 	}
@@ -143,17 +147,20 @@
 
 func (s *Set) copy() *Set {
 	next := *s
-	next.entries = maps.Clone(s.entries)
-	next.backends = maps.Clone(s.backends)
-	if next.entries == nil {
-		next.entries = map[ID]Change{}
-		next.backends = map[string][]Resource{}
-	}
+	next.entries = cloneOrMake(s.entries)
+	next.backends = cloneOrMake(s.backends)
 	return &next
 }
 
-// apply changes a set that nobody else sees yet. The slices of s.backends are
-// shared with older sets and are replaced, not changed.
+func cloneOrMake[K comparable, V any](from map[K]V) map[K]V {
+	if from == nil {
+		return map[K]V{}
+	}
+	return maps.Clone(from)
+}
+
+// apply changes a set that nobody else sees yet. The slices of s.backends and
+// s.tenants are shared with older sets and are replaced, not changed.
 func (s *Set) apply(change Change) {
 	if change.Deleted {
 		change.Spec = nil
@@ -172,6 +179,43 @@
 		r := Resource{Kind: KindBackend, Name: change.ID.Name, Version: change.Version, Spec: backend}
 		s.backends[backend.Pool] = withResource(s.backends[backend.Pool], r)
 	}
+	s.indexTenant(change.ID.Name, keyDigest(old.Spec), keyDigest(change.Spec))
+}
+
+// changesKeys reports whether any change gives a tenant another key, so that
+// other changes need no copy of the index.
+func (s *Set) changesKeys(changes []Change) bool {
+	return slices.ContainsFunc(changes, func(c Change) bool {
+		return c.ID.Kind == KindTenant && keyDigest(c.Spec) != keyDigest(s.entries[c.ID].Spec)
+	})
+}
+
+// keyDigest returns "" for a spec that is no tenant's.
+func keyDigest(spec Spec) string {
+	if tenant, ok := spec.(*Tenant); ok {
+		return tenant.KeySHA256
+	}
+	return ""
+}
+
+// indexTenant keeps the names by key digest. A digest has several names only
+// when operators declared the same key twice.
+func (s *Set) indexTenant(name, old, next string) {
+	if old == next {
+		return
+	}
+	if old != "" {
+		kept := slices.DeleteFunc(slices.Clone(s.tenants[old]), func(n string) bool { return n == name })
+		s.tenants[old] = kept
+		if len(kept) == 0 {
+			delete(s.tenants, old)
+		}
+	}
+	if next != "" {
+		list := s.tenants[next]
+		at, _ := slices.BinarySearch(list, name)
+		s.tenants[next] = slices.Insert(slices.Clone(list), at, name)
+	}
 }
 
 func without(list []Resource, name string) []Resource {
--- a/resource/set_test.go
+++ b/resource/set_test.go
@@ -30,6 +30,10 @@
 	}
 	// The content follows from id and version, as in the platform store.
 	change.Spec = &resource.Backend{Pool: fmt.Sprint("p", (int(change.Version)+number)%3), Slots: int(change.Version)}
+	if rapid.Bool().Draw(t, "tenant") {
+		change.ID = resource.ID{Kind: resource.KindTenant, Name: fmt.Sprint("t", number)}
+		change.Spec = &resource.Tenant{KeySHA256: fmt.Sprint("k", (int(change.Version)+number)%3)}
+	}
 	if change.Deleted = (int(change.Version)+number)%4 == 0; change.Deleted {
 		change.Spec = nil
 	}
@@ -59,14 +63,18 @@
 
 func (m *setMachine) Check(t *rapid.T) {
 	pools := map[string]int{}
+	holders := map[string]string{}
 	rebuilt := resource.NewSet()
 	for id, want := range m.model {
 		got, _ := m.set.Change(id)
 		if got.Version != want.Version || got.Deleted != want.Deleted {
 			t.Fatalf("%v is %+v, want %+v", id, got, want)
 		}
-		if !want.Deleted {
-			pools[want.Spec.(*resource.Backend).Pool]++
+		switch spec := want.Spec.(type) {
+		case *resource.Backend:
+			pools[spec.Pool]++
+		case *resource.Tenant:
+			holders[spec.KeySHA256] = max(holders[spec.KeySHA256], id.Name)
 		}
 		rebuilt = rebuilt.With(want)
 	}
@@ -75,6 +83,11 @@
 			t.Fatalf("pool %s has %d servers, want %d", pool, len(m.set.Backends(pool)), pools[pool])
 		}
 	}
+	for _, key := range []string{"k0", "k1", "k2"} {
+		if name, ok := m.set.TenantOfKey(key); name != holders[key] || ok != (name != "") {
+			t.Fatalf("key %s belongs to %q, want %q", key, name, holders[key])
+		}
+	}
 	if rebuilt.Digest() != m.set.Digest() || rebuilt.Revision() != m.set.Revision() {
 		t.Fatal("digest or revision depends on the order of the changes")
 	}
@@ -99,6 +112,22 @@
 }
 
 var _ = Describe("Set", func() {
+	// Guards against a key that is still accepted after it was changed, and
+	// against an older set that changes with a newer one.
+	It("finds a tenant by its present key only, in each set as it was", func() {
+		before := resource.NewSet().With(put(resource.KindTenant, "t", 1, &resource.Tenant{KeySHA256: "old"}))
+		after := before.With(put(resource.KindTenant, "t", 2, &resource.Tenant{KeySHA256: "new"}))
+		_, ok := after.TenantOfKey("old")
+		Expect(ok).To(BeFalse())
+		name, ok := after.TenantOfKey("new")
+		Expect(ok).To(BeTrue())
+		Expect(name).To(Equal("t"))
+		_, ok = before.TenantOfKey("new")
+		Expect(ok).To(BeFalse())
+		_, ok = after.TenantOfKey("")
+		Expect(ok).To(BeFalse())
+	})
+
 	It("warns about references that lead nowhere, without refusing the resource", func() {
 		class := &resource.Class{Pool: "p", Tenant: "t", Tools: []resource.Tool{{Service: "s", Operation: "o"}}}
 		set := resource.NewSet().With(put(resource.KindClass, "c", 1, class))
