--- a/cmd/dogwoodline/load.go
+++ b/cmd/dogwoodline/load.go
@@ -10,6 +10,7 @@
 type loadCommand struct {
 	connection
 	soakFlags
+	slopesOptions
 	Key             string        `env:"DOGWOODLINE_KEY" help:"Key of the tenant."`
 	Scenario        string        `default:"steady" enum:"steady,slowed,crest,stragglers" help:"One of ${enum}."`
 	Duration        time.Duration `default:"10s" help:"How long programs are started."`
@@ -30,5 +31,8 @@
 	if l.asked() {
 		return runSoak(ctx, l, c)
 	}
+	if l.Slopes {
+		return runSlopes(ctx, l.slopesOptions, l.JSON, c)
+	}
 	return runLoad(ctx, l, c)
 }
