Run load scenarios on the model, on real nodes and over URLs

Cause: the load command was a stub, and the HTTP target of the load module did not match the interface of the nodes: it sent model messages as a service body, sent no key, and read streams in another form.

Change: the command runs a scenario on the virtual-time model, on a deployment of real nodes in this process (package load/nodes), or against a list of URLs. The HTTP target uses api/client, which gets a setting to make each request once, so that refusals are counted. The driver starts a program by a request of its own, so that sub-agents of the first step find their parent; it sends texts that differ between programs, since equal texts made every prompt cached; faults are applied by a duty of their own, since stopping a node takes longer than the driver may wait. Scenarios can be shortened. The scenario "overhead" compares calls through a node with direct calls.

The test of the HTTP target is replaced: its server answered in the old form. The new one decodes requests with the decoder of the nodes.

Ruled out: repeating refused calls in the client, which hides the refusals that the crest scenario measures.

--- a/api/client/client.go
+++ b/api/client/client.go
@@ -58,6 +58,8 @@
 	// Key is the tenant's key, OperatorKey the operators'.
 	Key         string
 	OperatorKey string
+	// SingleTry makes every request once, so that a caller sees each refusal.
+	SingleTry bool
 	// Transport carries the requests. Nil means a transport with a short dial
 	// timeout and keepalive probes that find half-open connections.
 	Transport http.RoundTripper
@@ -236,12 +238,16 @@
 
 // tries spaces the repetitions of a request.
 type tries struct {
-	next time.Duration
+	single bool // no repetition
+	next   time.Duration
 }
 
 // wait sleeps before the next try. It returns false when the deadline of ctx
 // comes first, so that no try is made that cannot be answered.
 func (t *tries) wait(ctx context.Context, o outcome.Outcome) bool {
+	if t.single {
+		return false
+	}
 	t.next = min(max(2*t.next, firstWait), longestWait)
 	pause := max(t.next, time.Duration(o.RetryAfterMS)*time.Millisecond)
 	// Callers that were refused together must not come back together.
--- a/api/client/programs.go
+++ b/api/client/programs.go
@@ -49,7 +49,7 @@
 func (c *Client) program(ctx context.Context, id string, build func() request) (api.ProgramReply, error) {
 	var reply api.ProgramReply
 	var err error
-	for t := (tries{}); ; {
+	for t := (tries{single: c.cfg.SingleTry}); ; {
 		reply = api.ProgramReply{}
 		err = c.once(ctx, id, build(), &reply)
 		if err != nil || reply.Moved || reply.Outcome.Code == outcome.NotRun {
@@ -129,7 +129,7 @@
 	defer cancel()
 	run := callRun{client: c, program: programID, body: body, stream: stream}
 	run.body.Stream = stream != nil
-	for t := (tries{}); ; {
+	for t := (tries{single: c.cfg.SingleTry}); ; {
 		result, err := run.try(ctx)
 		if run.stopped != nil {
 			return result, run.stopped
--- a/cmd/dogwoodline/exit.go
+++ b/cmd/dogwoodline/exit.go
@@ -26,8 +26,6 @@
 	errUsage = errs.New("bad input")
 	// errReported ends a command that has already said what went wrong.
 	errReported = errs.New("failed")
-	// errNotBuilt reports a command whose module is not linked in.
-	errNotBuilt = errs.New("not in this build yet")
 )
 
 // console is where a command writes to.
--- a/cmd/dogwoodline/soak.go
+++ b/cmd/dogwoodline/soak.go
@@ -20,14 +20,18 @@
 	Faults   []soak.Kind   `help:"Start node processes and inject these kinds of faults: ${soakKinds}."`
 	Script   []soak.Kind   `help:"Inject these faults one after the other in place of random ones."`
 	Check    bool          `help:"Check the observed history. Alone it runs without faults."`
-	Nodes    int           `default:"7" help:"Node processes of a run with faults."`
+	Nodes    int           `default:"7" help:"Nodes of a run with faults, or with target nodes."`
 	Programs int           `default:"24" help:"Programs side by side in a run with faults."`
 	Together int           `default:"2" help:"Largest number of faults at once."`
 	Binary   string        `help:"Binary of the nodes. This one when missing."`
 	Ledger   time.Duration `name:"ledger-delay" default:"30ms" help:"Time that a posting takes."`
-	JSON     string        `name:"json" placeholder:"FILE" help:"Also write the report of a run with faults as JSON."`
+	JSON     string        `name:"json" placeholder:"FILE" help:"Also write the figures or the report of a run with faults as JSON."`
 }
 
+// soakDuration is how long a run with faults starts programs when the flags do
+// not say it.
+const soakDuration = 10 * time.Second
+
 // soakKinds gives the help text the kinds of faults.
 func soakKinds() kong.Option {
 	return kong.Vars{"soakKinds": strings.Trim(fmt.Sprint(soak.Kinds), "[]")}
--- a/load/cmd/policybench/main.go
+++ b/load/cmd/policybench/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -101,22 +100,10 @@
 	if err := load.WriteTargets(os.Stdout, results); err != nil {
 		return err
 	}
-	if err := toFile(jsonFile, func(w io.Writer) error { return load.WriteJSON(w, results) }); err != nil {
+	if err := load.ToFile(jsonFile, func(w io.Writer) error { return load.WriteJSON(w, results) }); err != nil {
 		return err
 	}
-	return toFile(htmlFile, func(w io.Writer) error {
+	return load.ToFile(htmlFile, func(w io.Writer) error {
 		return load.WriteHTML(w, "Scheduling policies on the virtual-time model", results)
 	})
 }
-
-// toFile does nothing for an empty name.
-func toFile(name string, write func(io.Writer) error) error {
-	if name == "" {
-		return nil
-	}
-	f, err := os.Create(name)
-	if err != nil {
-		return load.Error.Wrap(err)
-	}
-	return load.Error.Wrap(errors.Join(write(f), f.Close()))
-}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dogwoodline.example/api"
 	"dogwoodline.example/load"
 	"dogwoodline.example/outcome"
 )
@@ -107,6 +109,19 @@
 		Expect(float64(crest) / float64(calm)).To(BeNumerically("~", 4, 0.8))
 	})
 
+	It("keeps the duration of crest and slow times when the length changes", func() {
+		crest, _ := load.ScenarioByName("crest")
+		slowed, _ := load.ScenarioByName("slowed")
+		short := crest.Within(crest.Length / 2)
+		Expect(short.CrestStart).To(Equal(crest.CrestStart / 2))
+		Expect(short.CrestEnd() - short.CrestStart).To(Equal(crest.CrestEnd() - crest.CrestStart))
+		Expect(short.CrestEnd()).To(BeNumerically("<", short.Length))
+		fault := slowed.Within(slowed.Length / 2).Faults[0]
+		Expect(fault.Start).To(Equal(slowed.Faults[0].Start / 2))
+		Expect(fault.End - fault.Start).To(Equal(10 * time.Second))
+		Expect(slowed.Faults[0].Start).To(Equal(70*time.Second), "the scenario itself is not changed")
+	})
+
 	It("knows all scenarios of the design page and refuses others", func() {
 		for _, name := range []string{"steady", "crest", "stragglers", "slowed", "churn", "node-loss"} {
 			_, err := load.ScenarioByName(name)
@@ -131,7 +146,12 @@
 		for _, c := range target.calls {
 			orders[c.Program]++
 			Expect(c.Order).To(Equal(orders[c.Program]))
-			Expect(json.Valid(c.Body)).To(BeTrue())
+			if c.Kind == load.Service {
+				Expect(json.Valid(c.Body)).To(BeTrue())
+				continue
+			}
+			Expect(c.Messages).NotTo(BeEmpty())
+			Expect(c.Order > 1 || c.Messages[0].Role == "system").To(BeTrue())
 		}
 		Expect(target.starts).To(HaveLen(len(orders)))
 		Expect(target.ended.Load()).To(BeEquivalentTo(len(orders)))
@@ -205,41 +225,75 @@
 func (f *fakeEnvironment) StartNode(context.Context, int) error          { return nil }
 
 var _ = Describe("HTTPTarget", func() {
+	// Guards against requests that the real interface refuses, against
+	// refusals that the client hides by repeating, and against a child that is
+	// sent to another address than its root.
 	It("asks for the address, starts a program, and reads plain and streamed answers", func() {
 		mux := http.NewServeMux()
-		var asked atomic.Int64
+		var asked, refusedCalls atomic.Int64
 		server := httptest.NewServer(mux)
 		DeferCleanup(server.Close)
 		mux.HandleFunc("GET /v1/address", func(w http.ResponseWriter, _ *http.Request) {
 			asked.Add(1)
-			w.Write([]byte(`{"address":"` + strings.TrimPrefix(server.URL, "http://") + `"}`))
+			w.Write([]byte(`{"address":"` + server.URL + `","keep_ms":60000}`))
+		})
+		mux.HandleFunc("POST /v1/programs", func(w http.ResponseWriter, r *http.Request) {
+			data, _ := io.ReadAll(r.Body)
+			_, problems := api.DecodeStart(data)
+			Expect(problems).To(BeEmpty())
+			Expect(r.Header.Get("Authorization")).To(Equal("Bearer key-t"))
+			w.WriteHeader(http.StatusCreated)
+			w.Write([]byte(`{"outcome":{"code":"completed"}}`))
+		})
+		mux.HandleFunc("DELETE /v1/programs/{id}", func(w http.ResponseWriter, _ *http.Request) {
+			w.Write([]byte(`{"outcome":{"code":"completed"}}`))
 		})
-		mux.HandleFunc("POST /v1/programs", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusCreated) })
-		mux.HandleFunc("DELETE /v1/programs/{id}", func(http.ResponseWriter, *http.Request) {})
 		mux.HandleFunc("POST /v1/programs/{id}/calls", func(w http.ResponseWriter, r *http.Request) {
-			if r.Header.Get("Accept") == "text/event-stream" {
-				w.Write([]byte("data: {\"text\":\"a\"}\n\ndata: {\"outcome\":{\"code\":\"completed\"},\"recorded\":true,\"attempt\":2}\n\n"))
+			data, _ := io.ReadAll(r.Body)
+			body, problems := api.DecodeCall(data)
+			Expect(problems).To(BeEmpty())
+			if body.Stream {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Write([]byte("event: chunk\ndata: {\"attempt\":2,\"offset\":0,\"text\":\"a\"}\n\n" +
+					"event: done\ndata: {\"outcome\":{\"code\":\"completed\"},\"recorded\":true,\"attempt\":2,\"length\":1}\n\n"))
 				return
 			}
+			refusedCalls.Add(1)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			w.Write([]byte(`{"outcome":{"code":"not_run","reason":"overloaded","retry_after_ms":5}}`))
 		})
-		target := &load.HTTPTarget{Entries: []string{server.URL}, AddressTTL: time.Minute, Client: server.Client()}
+		target := load.NewHTTPTarget([]string{server.URL}, func(tenant string) string { return "key-" + tenant })
 		ctx := context.Background()
-		started, err := target.StartProgram(ctx, load.ProgramStart{ID: "a"})
+		call := load.CallRequest{
+			Program: "a.1", RequestID: "r", Order: 1, Kind: load.Model, MaxTokens: 5, DeadlineMS: 5000,
+			Messages: []load.Message{{Role: "user", Content: "text"}},
+		}
+		_, err := target.Call(ctx, call)
+		Expect(err).To(HaveOccurred(), "the tenant of a program that was not started is unknown")
+		started, err := target.StartProgram(ctx, load.ProgramStart{ID: "a", Tenant: "t", Class: "c"})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(started.Code).To(Equal(outcome.Completed))
-		refused, err := target.Call(ctx, load.CallRequest{Program: "a.1", Body: []byte("{}")})
+		refused, err := target.Call(ctx, call)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(refused.Outcome).To(Equal(outcome.DidNotRun(outcome.Overloaded, 5*time.Millisecond)))
-		streamed, err := target.Call(ctx, load.CallRequest{Program: "a", Body: []byte("{}"), Stream: true})
+		Expect(refusedCalls.Load()).To(BeEquivalentTo(1))
+		Expect(asked.Load()).To(BeEquivalentTo(1), "a child uses the address of its root")
+		call.Program, call.Stream = "a", true
+		streamed, err := target.Call(ctx, call)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(streamed.Attempt).To(Equal(2))
 		Expect(streamed.FirstToken).To(BeNumerically(">", 0))
+		service := load.CallRequest{
+			Program: "a", RequestID: "s", Order: 2, Kind: load.Service, Service: "x", Operation: "x", DeadlineMS: 5000,
+			Body: []byte(`{"program":"a"}`),
+		}
+		refused, err = target.Call(ctx, service)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(refused.Outcome.Code).To(Equal(outcome.NotRun))
+		server.CloseClientConnections()
 		Expect(target.EndProgram(ctx, "a")).To(Succeed())
-		Expect(asked.Load()).To(BeEquivalentTo(1), "a child uses the address of its root")
 		server.Close()
-		_, err = target.Call(ctx, load.CallRequest{Program: "a", Body: []byte("{}")})
+		_, err = target.StartProgram(ctx, load.ProgramStart{ID: "b"})
 		Expect(err).To(HaveOccurred())
 	})
 })
--- a/load/model/engine.go
+++ b/load/model/engine.go
@@ -9,13 +9,16 @@
 
 // Speeds of the modelled engines, in seconds and tokens. They are typical for
 // one accelerator with a mid-size model and are the same for all policies.
+// Package nodes gives them to the engine stand-ins.
 const (
-	slotsPerWorker     = 16
-	tokenBase          = 0.006  // between tokens of a single sequence
-	tokenPerSequence   = 0.0005 // added for each further sequence
-	prefillPerSecond   = 16_000
-	blockTokens        = 512
-	cacheBlocks        = 400 // 200,000 tokens
+	SlotsPerWorker   = 16
+	TokenBase        = 0.006  // between tokens of a single sequence
+	TokenPerSequence = 0.0005 // added for each further sequence
+	PrefillPerSecond = 16_000
+	blockTokens      = 512
+	// CacheTokens is the size of the prefix cache.
+	CacheTokens        = 200_000
+	cacheBlocks        = CacheTokens / blockTokens
 	slotsPerServiceJob = 4
 )
 
@@ -56,7 +59,7 @@
 }
 
 // tokenTime returns the seconds between tokens of each sequence.
-func tokenTime(batch int) float64 { return tokenBase + tokenPerSequence*float64(batch) }
+func tokenTime(batch int) float64 { return TokenBase + TokenPerSequence*float64(batch) }
 
 func (e *engine) unit() float64 {
 	if e.service {
@@ -75,7 +78,7 @@
 		switch {
 		case j.prefill > 0 && !prefilling:
 			prefilling = true
-			j.prefill -= passed * prefillPerSecond / e.slow
+			j.prefill -= passed * PrefillPerSecond / e.slow
 			if j.prefill < 1e-6 {
 				j.prefill = 0
 				j.first = now
@@ -100,7 +103,7 @@
 			continue
 		case j.prefill > 0:
 			prefilling = true
-			in = j.prefill / prefillPerSecond * e.slow
+			in = j.prefill / PrefillPerSecond * e.slow
 		default:
 			in = j.left * e.unit()
 		}
@@ -184,19 +187,19 @@
 	return max(1, j.call.step.OutputTokens-int(j.left+0.999))
 }
 
-// stepWork is the part of a worker's capacity that a step needs when all
+// Work is the part of a worker's capacity that a step needs when all
 // earlier tokens are cached, in worker-seconds.
-func stepWork(s *load.Step) float64 {
+func Work(s *load.Step) float64 {
 	if s.Kind != load.Model {
 		return 0
 	}
-	return (float64(s.OutputTokens)*tokenTime(slotsPerWorker) + float64(s.InputTokens)/prefillPerSecond) / slotsPerWorker
+	return (float64(s.OutputTokens)*tokenTime(SlotsPerWorker) + float64(s.InputTokens)/PrefillPerSecond) / SlotsPerWorker
 }
 
 func programWork(p *load.Program) float64 {
 	total := 0.0
 	for i := range p.Steps {
-		total += stepWork(&p.Steps[i])
+		total += Work(&p.Steps[i])
 		for _, child := range p.Steps[i].Children {
 			total += programWork(child)
 		}
--- a/load/model/model.go
+++ b/load/model/model.go
@@ -152,24 +152,14 @@
 
 func (s *sim) finishResult(began time.Time) {
 	s.recorder.Fill(&s.result)
-	from, to := s.window()
-	s.result.Goodput = s.work / float64(s.config.Deployment.ModelWorkers) / (to - from)
+	from, to := s.config.Scenario.Window()
+	s.result.Goodput = s.work / float64(s.config.Deployment.ModelWorkers) / (to - from).Seconds()
 	if s.spent > 0 {
 		s.result.HedgeShare = s.hedged / s.spent
 	}
 	s.result.TimeScale = time.Since(began).Seconds() / s.now
 }
 
-// window returns the time in which goodput is measured. The rise of a crest
-// is left out, because its demand is still below the capacity.
-func (s *sim) window() (from, to float64) {
-	sc := s.config.Scenario
-	if sc.CrestFactor > 0 {
-		return (sc.CrestStart + sc.CrestRise).Seconds(), sc.CrestEnd().Seconds()
-	}
-	return sc.Warmup.Seconds(), sc.Length.Seconds()
-}
-
 func (s *sim) time() time.Time {
 	return epoch.Add(time.Duration(s.now * float64(time.Second)))
 }
@@ -189,7 +179,7 @@
 func (s *sim) addEngines() {
 	d := s.config.Deployment
 	for i := range d.ModelWorkers + d.ServiceWorkers {
-		b := schedule.Backend{ID: schedule.BackendID(fmt.Sprintf("model-%02d", i)), Pool: "model", Slots: slotsPerWorker}
+		b := schedule.Backend{ID: schedule.BackendID(fmt.Sprintf("model-%02d", i)), Pool: "model", Slots: SlotsPerWorker}
 		if i >= d.ModelWorkers {
 			b = schedule.Backend{ID: schedule.BackendID(fmt.Sprintf("service-%02d", i)), Pool: "service", Slots: slotsPerServiceJob}
 		}
@@ -199,20 +189,20 @@
 	}
 }
 
-// rate returns the programs per second that use the calm part of the fleet.
-func (s *sim) rate() float64 {
-	sample := s.config.Scenario
+// Rate returns the programs per second of scenario time that use the calm
+// part of the fleet's capacity.
+func Rate(d load.Deployment, sample load.Scenario) float64 {
 	sample.CrestFactor, sample.Stragglers, sample.Length = 0, 0, 3000*time.Second
 	work := 0.0
-	programs := load.Generate(s.config.Deployment, sample, 1, 0)
+	programs := load.Generate(d, sample, 1, 0)
 	for _, p := range programs {
 		work += programWork(p)
 	}
-	return sample.Load * float64(s.config.Deployment.ModelWorkers) * float64(len(programs)) / work
+	return sample.Load * float64(d.ModelWorkers) * float64(len(programs)) / work
 }
 
 func (s *sim) startPrograms() {
-	programs := load.Generate(s.config.Deployment, s.config.Scenario, s.rate(), s.config.Seed)
+	programs := load.Generate(s.config.Deployment, s.config.Scenario, Rate(s.config.Deployment, s.config.Scenario), s.config.Seed)
 	for i, p := range programs {
 		run := &program{Program: p, node: s.nodes[i%len(s.nodes)]}
 		run.root = run
--- a/load/model/run.go
+++ b/load/model/run.go
@@ -215,8 +215,8 @@
 			s.touch(j.engine)
 		}
 	}
-	if from, to := s.window(); s.now >= from && s.now < to {
-		p.root.work += stepWork(c.step)
+	if from, to := s.config.Scenario.Window(); s.time().Sub(epoch) >= from && s.time().Sub(epoch) < to {
+		p.root.work += Work(c.step)
 	}
 	d := s.config.Deployment
 	s.at(s.now+2*(d.ClientDelay+d.ZoneDelay).Seconds(), func() { s.step(p) })
--- /dev/null
+++ b/load/nodes/environment.go
@@ -0,0 +1,89 @@
+package nodes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"dogwoodline.example/deployment"
+	"dogwoodline.example/emulator/engine"
+	"dogwoodline.example/load"
+)
+
+// environment injects faults into a deployment. One duty of the run calls it.
+type environment struct {
+	running *deployment.Deployment
+	leaving map[string]bool
+	nodes   []*deployment.Node // by index; nil while stopped
+}
+
+var _ load.Environment = (*environment)(nil)
+
+func newEnvironment(running *deployment.Deployment) *environment {
+	return &environment{running: running, leaving: map[string]bool{}, nodes: running.Nodes()}
+}
+
+// SlowBackend implements load.Environment.
+func (e *environment) SlowBackend(ctx context.Context, index int, factor float64) error {
+	return e.running.Engines[index].Set(ctx, engine.Switches{SlowFactor: &factor})
+}
+
+// LeaveBackend implements load.Environment. An engine that returns has
+// restarted, so its cache is empty.
+func (e *environment) LeaveBackend(ctx context.Context, index int, leaving bool) error {
+	backend := e.running.Engines[index]
+	name := fmt.Sprintf("engine-%d", index+1)
+	if leaving {
+		e.leaving[name] = true
+		e.running.SetHosts(e.leaving)
+		return backend.Set(ctx, engine.Switches{Leaving: &leaving})
+	}
+	if err := backend.Set(ctx, engine.Switches{Leaving: &leaving, CrashNow: true}); err != nil {
+		return err
+	}
+	delete(e.leaving, name)
+	e.running.SetHosts(e.leaving)
+	return nil
+}
+
+// StopNode implements load.Environment.
+func (e *environment) StopNode(_ context.Context, index int) error {
+	stopped := e.nodes[index]
+	e.nodes[index] = nil
+	if stopped == nil {
+		return load.Error.New("node %d is stopped already", index)
+	}
+	return e.running.Kill(stopped)
+}
+
+// StartNode implements load.Environment.
+func (e *environment) StartNode(_ context.Context, index int) error {
+	started, err := e.running.AddNode()
+	e.nodes[index] = started
+	return err
+}
+
+// cachedTokens returns the prompt tokens that the engines found in their
+// caches since their last start.
+func cachedTokens(ctx context.Context, running *deployment.Deployment) (int64, error) {
+	total := int64(0)
+	for _, e := range running.Engines {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.URL()+"/load", http.NoBody)
+		if err != nil {
+			return 0, load.Error.Wrap(err)
+		}
+		answer, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return 0, load.Error.Wrap(err)
+		}
+		var report engine.LoadReport
+		err = json.NewDecoder(answer.Body).Decode(&report)
+		answer.Body.Close()
+		if err != nil {
+			return 0, load.Error.Wrap(err)
+		}
+		total += report.Totals.CachedTokens
+	}
+	return total, nil
+}
--- a/load/result.go
+++ b/load/result.go
@@ -33,7 +33,11 @@
 	// held; PromptTokens are all.
 	RecomputedTokens int64 `json:"recomputed_tokens"`
 	PromptTokens     int64 `json:"prompt_tokens"`
-	Hedges           int   `json:"hedges"`
+	// ReusableTokens are prompt tokens that some backend server had read or
+	// generated before. A run on real nodes compares them with the cached
+	// tokens that the engines report; the model does not use them.
+	ReusableTokens int64 `json:"reusable_tokens,omitempty"`
+	Hedges         int   `json:"hedges"`
 	// HedgeShare is the work of hedges as a part of all work.
 	HedgeShare float64 `json:"hedge_share"`
 	Quantile
--- a/load/runner.go
+++ b/load/runner.go
@@ -5,13 +5,11 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"dogwoodline.example/duty"
-	"dogwoodline.example/outcome"
 	"dogwoodline.example/ring"
 )
 
@@ -30,8 +28,13 @@
 	// as latency.
 	Callers int
 	Stream  bool
-	Budget  int64
-	Log     *slog.Logger
+	// Budget is that of a program, ChildBudget that of a sub-agent, in budget
+	// units.
+	Budget, ChildBudget int64
+	// Work is the part of a backend server's capacity that a step needs, in
+	// seconds of it. Goodput is not measured without it.
+	Work func(*Step) float64
+	Log  *slog.Logger
 	// Progress is called about once a second from the driver, if set.
 	Progress func(Progress)
 }
@@ -65,24 +68,15 @@
 	result    Result
 	progress  Progress
 	open      int
+	work      float64 // of completed programs in the measured window, in seconds
+	faults    *ring.Ring[change]
+	classes   map[string]bool // whose system prompt a backend server has read
 }
 
-type liveProgram struct {
-	*Program
-	root    *liveProgram
-	next    int
-	history int
-	ran     bool // a call of it or of its children ran
-	done    func()
-}
-
-type liveCall struct {
-	program *liveProgram
-	step    *Step
-	request CallRequest
-	since   time.Time
-	result  CallResult
-	err     error
+// change begins or ends a fault.
+type change struct {
+	fault Fault
+	begin bool
 }
 
 type timer struct {
@@ -120,6 +114,7 @@
 	d := &driver{
 		Run: r, began: time.Now(), recorder: NewRecorder(),
 		ready: ring.New[*liveCall](r.Callers), completed: ring.New[*liveCall](2 * r.Callers),
+		faults: ring.New[change](max(1, 2*len(r.Scenario.Faults))), classes: map[string]bool{},
 	}
 	d.result = Result{
 		Scenario: r.Scenario.Name, Deployment: r.Deployment.Name, Seed: r.Seed, TimeScale: r.TimeScale,
@@ -128,10 +123,17 @@
 	for i := range r.Callers {
 		group.Go(fmt.Sprintf("caller-%d", i), d.carry)
 	}
-	d.plan(ctx)
+	if r.Environment != nil {
+		group.Go("faults", d.inject)
+	}
+	d.plan()
 	err := d.drive(ctx)
 	group.Stop()
 	d.recorder.Fill(&d.result)
+	from, to := r.Scenario.Window()
+	if capacity := float64(r.Deployment.ModelWorkers) * (to - from).Seconds(); capacity > 0 {
+		d.result.Goodput = d.work / capacity
+	}
 	return d.result, err
 }
 
@@ -146,7 +148,7 @@
 
 func (d *driver) after(wait time.Duration, run func()) { d.at(time.Now().Add(wait), run) }
 
-func (d *driver) plan(ctx context.Context) {
+func (d *driver) plan() {
 	for _, p := range Generate(d.Deployment, d.Scenario, d.Rate, d.Seed) {
 		live := &liveProgram{Program: p}
 		live.root = live
@@ -158,6 +160,7 @@
 		}
 		live.done = func() {
 			d.open--
+			d.work += live.work
 			d.progress.Completed++
 			if measured {
 				d.result.Completed++
@@ -165,24 +168,35 @@
 				d.recorder.Record(p, d.Scenario.Phase(p.Start), latency)
 			}
 		}
-		d.at(intended, func() { d.progress.Started++; d.step(live) })
+		d.at(intended, func() { d.progress.Started++; d.start(live) })
 	}
 	for _, f := range d.Scenario.Faults {
-		d.at(d.began.Add(d.scaled(f.Start)), func() { d.fault(ctx, f, true) })
-		d.at(d.began.Add(d.scaled(f.End)), func() { d.fault(ctx, f, false) })
+		d.at(d.began.Add(d.scaled(f.Start)), func() { d.fault(f, true) })
+		d.at(d.began.Add(d.scaled(f.End)), func() { d.fault(f, false) })
 	}
 	if d.Progress != nil {
 		d.after(progressEvery, d.showProgress)
 	}
 }
 
-// fault is applied by the driver, since an environment answers at once.
-func (d *driver) fault(ctx context.Context, f Fault, begin bool) {
-	if d.Environment == nil {
-		return
+// fault hands a change to the duty that injects faults, since stopping a node
+// takes longer than the driver may wait.
+func (d *driver) fault(f Fault, begin bool) {
+	if d.Environment != nil {
+		_ = d.faults.TryPush(change{f, begin}) // the ring holds all of them
 	}
-	if err := f.apply(ctx, d.Environment, begin); err != nil {
-		d.Log.Error("load: fault not applied", "kind", f.Kind, "index", f.Index, "error", err)
+}
+
+// inject is the duty that applies faults.
+func (d *driver) inject(ctx context.Context) error {
+	for {
+		c, err := d.faults.Pop(ctx)
+		if err != nil {
+			return err
+		}
+		if err := c.fault.apply(ctx, d.Environment, c.begin); err != nil {
+			d.Log.Error("load: fault not applied", "kind", c.fault.Kind, "index", c.fault.Index, "error", err)
+		}
 	}
 }
 
@@ -223,117 +237,3 @@
 		}
 	}
 }
-
-// step starts the next step of a program or ends the program.
-func (d *driver) step(p *liveProgram) {
-	if p.next == len(p.Steps) {
-		d.backlog = append(d.backlog, &liveCall{program: p})
-		p.done()
-		return
-	}
-	step := &p.Steps[p.next]
-	p.next++
-	waiting := 1 + len(step.Children)
-	arrive := func() {
-		waiting--
-		if waiting == 0 {
-			call := &liveCall{program: p, step: step, since: time.Now(), request: p.request(step)}
-			call.request.DeadlineMS = max(d.scaled(callDeadline).Milliseconds(), 1)
-			call.request.Stream = d.Stream && step.Kind == Model
-			d.backlog = append(d.backlog, call)
-		}
-	}
-	d.after(d.scaled(step.Pause), arrive)
-	for _, c := range step.Children {
-		child := &liveProgram{Program: c, root: p.root, done: arrive}
-		d.step(child)
-	}
-}
-
-// request builds the call of a step. The target keeps the history, so the
-// body holds only what is new.
-func (p *liveProgram) request(step *Step) CallRequest {
-	if p.history == 0 {
-		p.history = p.SystemTokens
-	}
-	p.history += step.InputTokens
-	r := CallRequest{
-		Program: p.ID, RequestID: fmt.Sprintf("%s-%d", p.ID, p.next), Order: p.next, Kind: step.Kind,
-		Service: step.Service, Operation: step.Operation,
-	}
-	text := strings.Repeat("word ", max(step.InputTokens, 1))
-	r.Body = fmt.Appendf(nil, `{"messages":[{"role":"user","content":%q}]}`, text)
-	if step.Kind == Model {
-		r.MaxTokens, r.PromptTokens = step.OutputTokens, p.history
-		p.history += step.OutputTokens
-	}
-	return r
-}
-
-// carry is the duty of a caller: it does one call after the other. A call
-// without a step ends its program.
-func (d *driver) carry(ctx context.Context) error {
-	for {
-		call, err := d.ready.Pop(ctx)
-		if err != nil {
-			return err
-		}
-		call.err = d.exchange(ctx, call)
-		if err := d.completed.Push(ctx, call); err != nil {
-			return err
-		}
-	}
-}
-
-func (d *driver) exchange(ctx context.Context, c *liveCall) error {
-	p := c.program
-	if c.step == nil {
-		return d.Target.EndProgram(ctx, p.ID)
-	}
-	if c.request.Order == 1 {
-		start := ProgramStart{ID: p.ID, Tenant: p.Tenant, Class: p.Class, Parent: p.Parent, Budget: d.Budget}
-		started, err := d.Target.StartProgram(ctx, start)
-		if err != nil || started.Code != outcome.Completed {
-			c.result = CallResult{Outcome: started}
-			return err
-		}
-	}
-	var err error
-	c.result, err = d.Target.Call(ctx, c.request)
-	return err
-}
-
-// ended takes the result of a call. Calls that did not run, or whose answer
-// was lost, are sent again with the same request id.
-func (d *driver) ended(c *liveCall) {
-	if c.step == nil {
-		return
-	}
-	p, code := c.program, c.result.Outcome.Code
-	switch {
-	case c.err == nil && code == outcome.Completed:
-		p.root.ran = true
-		d.step(p)
-	case c.err == nil && code == outcome.NotRun && !p.root.ran && p == p.root:
-		d.end(p.root, &d.result.Refused, &d.progress.Refused)
-	case (c.err != nil || code == outcome.NotRun) && time.Since(c.since) < d.scaled(patience):
-		wait := time.Duration(c.result.Outcome.RetryAfterMS) * time.Millisecond
-		d.after(max(wait, d.scaled(minRetryAfter)), func() { d.backlog = append(d.backlog, c) })
-	default:
-		d.end(p.root, &d.result.Failed, &d.progress.Failed)
-	}
-}
-
-// end gives a program up; late calls of its children change nothing more.
-func (d *driver) end(root *liveProgram, result, progress *int) {
-	if root.next < 0 {
-		return
-	}
-	root.next, root.done = -1, func() {}
-	d.open--
-	d.backlog = append(d.backlog, &liveCall{program: root})
-	*progress++
-	if root.Start >= d.Scenario.Warmup {
-		*result++
-	}
-}
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -98,6 +98,36 @@
 // CrestEnd returns the end of the crest.
 func (s Scenario) CrestEnd() time.Duration { return s.CrestStart + s.CrestRise + s.CrestHold }
 
+// Window returns the time in which goodput is measured. The rise of a crest
+// is left out, because its demand is still below the capacity.
+func (s Scenario) Window() (from, to time.Duration) {
+	if s.CrestFactor > 0 {
+		return s.CrestStart + s.CrestRise, s.CrestEnd()
+	}
+	return s.Warmup, s.Length
+}
+
+// Within returns the scenario with another length. Warm-up, crest and faults
+// keep their place in it; the crest and slow times keep their duration, so
+// that targets about them stay comparable.
+func (s Scenario) Within(length time.Duration) Scenario {
+	factor := float64(length) / float64(s.Length)
+	scale := func(t time.Duration) time.Duration { return time.Duration(float64(t) * factor) }
+	s.Length, s.Warmup, s.CrestStart = length, scale(s.Warmup), scale(s.CrestStart)
+	faults := make([]Fault, len(s.Faults))
+	for i, f := range s.Faults {
+		duration := f.End - f.Start
+		if f.Kind == LeaveBackend { // else more of them would be away at the same time
+			duration = scale(duration)
+		}
+		f.Start = scale(f.Start)
+		f.End = f.Start + duration
+		faults[i] = f
+	}
+	s.Faults = faults
+	return s
+}
+
 func (s Scenario) peak() float64 { return max(1, s.CrestFactor) }
 
 // demand returns the demand at a time as a multiple of the calm one.
--- a/load/target.go
+++ b/load/target.go
@@ -18,16 +18,25 @@
 	Budget int64 `json:"budget"`
 }
 
-// CallRequest is one call of a program. Calls of a program that end not run
+// Message is one message of a model call.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// CallRequest is one call of a program. Calls that end not run
 // are sent again with the same request id and order.
 type CallRequest struct {
-	Program      string          `json:"-"`
-	RequestID    string          `json:"request_id"`
-	Order        int             `json:"order"`
-	Kind         Kind            `json:"kind"`
-	Service      string          `json:"service,omitempty"`
-	Operation    string          `json:"operation,omitempty"`
-	Body         json.RawMessage `json:"body"`
+	Program   string `json:"-"`
+	RequestID string `json:"request_id"`
+	Order     int    `json:"order"`
+	Kind      Kind   `json:"kind"`
+	Service   string `json:"service,omitempty"`
+	Operation string `json:"operation,omitempty"`
+	// Messages are those of a model call, Body the JSON input of a service
+	// call.
+	Messages     []Message       `json:"messages,omitempty"`
+	Body         json.RawMessage `json:"body,omitempty"`
 	MaxTokens    int             `json:"max_tokens,omitempty"`
 	PromptTokens int             `json:"prompt_tokens,omitempty"`
 	DeadlineMS   int64           `json:"deadline_ms"`
