Take a compacted watch as an answer of the platform store

The long poll of the member watch then ends with "revision compacted" at all nodes about every 4 s. The tracker took that as an outage: it reported the store as down and, after the next list, let no dead node be confirmed for one lease period.

Change: the tracker notes a compacted watch as an answer. The list that follows fills the gap.

The new test fails without the change and passes with it; membership suite passes.

Conclusion: a busy store no longer delays the confirmation of dead nodes.

--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"sync/atomic"
@@ -108,6 +109,13 @@
 
 // Failed implements Follower.
 func (t *Tracker) Failed(_ context.Context, err error) {
+	if errors.Is(err, platform.ErrCompacted) {
+		// The store answered, and the list that follows fills the gap. A busy
+		// store drops its changes every few seconds; were that an outage, no
+		// dead node would be confirmed for a lease period after each.
+		t.noteAnswer()
+		return
+	}
 	if t.current.StoreDown {
 		return
 	}
--- /dev/null
+++ b/membership/tracker_test.go
@@ -0,0 +1,59 @@
+package membership_test
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/membership"
+	"dogwoodline.example/platform"
+	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/ring"
+)
+
+// compactedStore answers a watch with ErrCompacted when it is told to.
+type compactedStore struct {
+	*memstore.Store
+	lists   atomic.Int32
+	compact chan struct{}
+}
+
+func (s *compactedStore) List(ctx context.Context, prefix string) ([]platform.Item, platform.Version, error) {
+	s.lists.Add(1)
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *compactedStore) Watch(
+	ctx context.Context, _ string, after platform.Version, _ time.Duration,
+) ([]platform.Event, platform.Version, error) {
+	select {
+	case <-s.compact:
+		return nil, 0, platform.ErrCompacted
+	case <-ctx.Done():
+		return nil, after, ctx.Err()
+	}
+}
+
+var _ = Describe("Tracker", func() {
+	// Guards against a busy store that counts as down, which delays the
+	// confirmation of dead nodes by a lease period each time.
+	It("takes a store that dropped old changes as one that answers", func(ctx SpecContext) {
+		clock := clockwork.NewFakeClock()
+		store := &compactedStore{Store: memstore.New(clock), compact: make(chan struct{})}
+		tracker := membership.NewTracker(store, clock, quiet, ttl, ring.New[membership.Lapsed](4))
+		go tracker.Run(ctx)
+		Eventually(func() bool { return tracker.View().StoreDown }).Should(BeFalse())
+		quietUntil := tracker.View().SuspectAfter
+		clock.Advance(ttl)
+		store.compact <- struct{}{}
+		Expect(clock.BlockUntilContext(ctx, 1)).To(Succeed(), "the tracker waits before it lists again")
+		Expect(tracker.View().StoreDown).To(BeFalse())
+		clock.Advance(ttl)
+		Eventually(store.lists.Load).Should(BeEquivalentTo(2))
+		Consistently(func() time.Time { return tracker.View().SuspectAfter }, "50ms").Should(Equal(quietUntil))
+	})
+})
