Measure node overhead to the first part and to the recorded answer

Cause: the scenario "overhead" measured only the time to the answer of a service call. Also 4 to 5 programs of a steady run failed as over budget, because the load tool gave sub-agents too little.

Change: the scenario also measures streamed model calls up to the first part of the answer, which waits for no record. A sub-agent gets 2 million units instead of 200,000.

Ruled out: a budget ahead for the recorded answer; the load tool declares one, and only the dispatch waits less.

--- a/load/nodes/nodes.go
+++ b/load/nodes/nodes.go
@@ -31,6 +31,9 @@
 	Stream   bool
 	Log      *slog.Logger
 	Progress func(load.Progress)
+
+	// engine changes the settings of the engines, if set.
+	engine func(*engine.Config)
 }
 
 const (
@@ -147,5 +150,8 @@
 	e.ChunkTokens = chunkTokens
 	e.ReportLag, e.EventLag, e.EventLoss = reportLag, eventLag, eventLoss
 	e.RestartDelay = engineRestart
+	if config.engine != nil {
+		config.engine(&e)
+	}
 	return e
 }
--- a/load/nodes/nodes_test.go
+++ b/load/nodes/nodes_test.go
@@ -44,3 +44,19 @@
 		t.Errorf("figures are missing: %+v", result)
 	}
 }
+
+// Guards against calls of the overhead measurement that a node refuses, whose
+// short answers would count as low latencies.
+func TestOverheadCallsComplete(t *testing.T) {
+	result, err := nodes.MeasureOverhead(context.Background(), nodes.OverheadConfig{
+		Rate: 200, Length: time.Second, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, a := range map[string]nodes.Added{"first part": result.FirstPart, "recorded": result.Recorded} {
+		if a.Failed != 0 || a.Calls != 200 || a.Direct.P50MS <= 0 || a.Node.P50MS <= 0 {
+			t.Errorf("%s: %+v", name, a)
+		}
+	}
+}
--- a/load/nodes/resources.go
+++ b/load/nodes/resources.go
@@ -19,8 +19,9 @@
 	// programBudget is above what any generated program needs: 260 turns with
 	// a history of 100,000 tokens. It is in budget units.
 	programBudget = 100_000_000
-	// childBudget leaves room for one sub-agent in every second turn.
-	childBudget = programBudget / 500
+	// childBudget is enough for about 100 turns and leaves the parent room for
+	// several sub-agents at a time; the unspent rest returns to the parent.
+	childBudget = programBudget / 50
 	// budgetAhead is the largest allowed part. It keeps the time of a store
 	// write, which is not scaled, out of calls that may be repeated.
 	budgetAhead = programBudget / 10
