--- /dev/null
+++ b/load/nodes/overhead.go
@@ -0,0 +1,256 @@
+package nodes
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"dogwoodline.example/duty"
+	"dogwoodline.example/emulator/engine"
+	"dogwoodline.example/emulator/service"
+	"dogwoodline.example/load"
+	"dogwoodline.example/outcome"
+	"dogwoodline.example/ring"
+	"dogwoodline.example/schedule"
+)
+
+// OverheadConfig describes a comparison of calls through one node with direct
+// calls to the stand-ins, in this process.
+type OverheadConfig struct {
+	// Rate is in calls per second.
+	Rate int
+	// Length is the real time of each part.
+	Length time.Duration
+	Log    *slog.Logger
+}
+
+// Overhead holds what a node adds to two kinds of calls.
+type Overhead struct {
+	Rate    int     `json:"calls_per_second"`
+	LimitMS float64 `json:"limit_ms"`
+	// FirstPart is about streamed model calls up to the first part of the
+	// answer. It is what a caller waits for before it can show something.
+	FirstPart Added `json:"first_part"`
+	// Recorded is about idempotent service calls up to the answer, which a node
+	// gives when its record is durable.
+	Recorded Added `json:"recorded"`
+}
+
+// Added compares one kind of calls. Latencies are in milliseconds and count
+// from the intended start of each call.
+type Added struct {
+	Calls   int           `json:"calls"`
+	Failed  int           `json:"failed"` // through the node
+	Direct  load.Quantile `json:"direct"`
+	Node    load.Quantile `json:"node"`
+	AddedMS float64       `json:"added_p99_ms"`
+	Met     bool          `json:"met"`
+}
+
+const (
+	overheadPrograms = 500 // so that a program has half a second for a call
+	overheadLimitMS  = 3
+	// overheadCallers is enough for latencies up to 256 ms at 1,000 calls/s.
+	overheadCallers  = 256
+	overheadDeadline = 10 * time.Second
+	overheadRates    = 1e9 // tokens per second, so that the engine takes no time
+)
+
+// MeasureOverhead makes the same calls directly and through one node, in an
+// open loop. An error tells that it could not finish.
+func MeasureOverhead(ctx context.Context, config OverheadConfig) (Overhead, error) {
+	d := load.Deployments()[0]
+	d.Zones, d.Tenants, d.ModelWorkers, d.ServiceWorkers = 1, 1, 1, overheadCallers
+	d.Services, d.Classes = d.Services[:1], d.Classes[:1]
+	result := Overhead{Rate: config.Rate, LimitMS: overheadLimitMS}
+	running, err := start(ctx, Config{
+		Deployment: d, Policy: schedule.ProgramAware, Seed: 1, Nodes: 1, TimeScale: 1, Log: config.Log,
+		engine: func(e *engine.Config) {
+			e.PrefillTokensPerS, e.DecodeTokensPerS, e.BatchSlowdown = overheadRates, overheadRates, 0
+		},
+	})
+	if err != nil {
+		return result, err
+	}
+	defer running.Close()
+	slow := int64(0)
+	if err := running.Services[0].Set(ctx, service.Switches{SlowMS: &slow}); err != nil {
+		return result, load.Error.Wrap(err)
+	}
+	address := running.Nodes()[0].Address()
+	result.FirstPart, err = compare(ctx, config, address, d, load.Model, running.Engines[0].URL()+"/v1/chat/completions")
+	if err != nil {
+		return result, err
+	}
+	result.Recorded, err = compare(ctx, config, address, d, load.Service, running.Services[0].URL()+"/do/"+d.Services[0])
+	return result, err
+}
+
+func compare(
+	ctx context.Context, config OverheadConfig, address string, d load.Deployment, kind load.Kind, url string,
+) (Added, error) {
+	through, err := nodeCaller(ctx, address, d, kind)
+	if err != nil {
+		return Added{}, err
+	}
+	a := Added{Calls: int(config.Length.Seconds() * float64(config.Rate))}
+	if a.Direct, _, err = paced(ctx, config, directCaller(url, kind)); err != nil {
+		return a, err
+	}
+	if a.Node, a.Failed, err = paced(ctx, config, through); err != nil {
+		return a, err
+	}
+	a.AddedMS = a.Node.P99MS - a.Direct.P99MS
+	a.Met = a.AddedMS <= overheadLimitMS && a.Failed == 0
+	return a, nil
+}
+
+// caller makes the call with the given number and returns the time of the
+// first part of the answer.
+type caller func(ctx context.Context, number int) (time.Time, error)
+
+// overheadPrompt is that of every call, so that only the node differs.
+var overheadPrompt = load.Message{Role: "user", Content: "Which invoices of March are open?"}
+
+func directCaller(url string, kind load.Kind) caller {
+	connections := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: overheadCallers}}
+	body := []byte(`{"direct":true}`)
+	if kind == load.Model {
+		body = fmt.Appendf(nil, `{"model":"demo","messages":[{"role":%q,"content":%q}],"max_tokens":1,"stream":true}`,
+			overheadPrompt.Role, overheadPrompt.Content)
+	}
+	return func(ctx context.Context, number int) (time.Time, error) {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+		if err != nil {
+			return time.Time{}, load.Error.Wrap(err)
+		}
+		request.Header.Set(service.HeaderRequest, fmt.Sprintf("direct-%d", number))
+		request.Header.Set(service.HeaderProgram, fmt.Sprintf("direct-%d", number%overheadPrograms))
+		answer, err := connections.Do(request)
+		if err != nil {
+			return time.Time{}, load.Error.Wrap(err)
+		}
+		defer answer.Body.Close()
+		_, err = answer.Body.Read(make([]byte, 1))
+		first := time.Now()
+		if err == nil {
+			_, err = io.Copy(io.Discard, answer.Body)
+		}
+		if err == nil && answer.StatusCode != http.StatusOK {
+			err = load.Error.New("HTTP status %d", answer.StatusCode)
+		}
+		return first, load.Error.Wrap(err)
+	}
+}
+
+// nodeCaller starts the programs side by side and returns a caller that gives
+// them calls in turn.
+func nodeCaller(ctx context.Context, address string, d load.Deployment, kind load.Kind) (caller, error) {
+	target := load.NewHTTPTarget([]string{"http://" + address}, KeyOf)
+	name := func(number int) string { return fmt.Sprintf("%s-%d", kind, number%overheadPrograms) }
+	var starts errgroup.Group
+	for i := range overheadPrograms {
+		starts.Go(func() error {
+			started, err := target.StartProgram(ctx, load.ProgramStart{ID: name(i), Tenant: "tenant-00", Class: d.Classes[0].Name})
+			if err == nil && started.Code != outcome.Completed {
+				err = load.Error.New("program not started: %s %s", started.Code, started.Detail)
+			}
+			return err
+		})
+	}
+	if err := starts.Wait(); err != nil {
+		return nil, err
+	}
+	return func(ctx context.Context, number int) (time.Time, error) {
+		began, order := time.Now(), number/overheadPrograms+1
+		call := load.CallRequest{
+			Program: name(number), RequestID: fmt.Sprintf("call-%d", order), Order: order, Kind: kind,
+			DeadlineMS: overheadDeadline.Milliseconds(),
+		}
+		if kind == load.Model {
+			call.Messages, call.MaxTokens, call.Stream = []load.Message{overheadPrompt}, 1, true
+		} else {
+			call.Service, call.Operation, call.Body = d.Services[0], d.Services[0], []byte(`{"direct":false}`)
+		}
+		result, err := target.Call(ctx, call)
+		first := time.Now()
+		if kind == load.Model {
+			first = began.Add(result.FirstToken)
+		}
+		if err == nil && result.Outcome.Code != outcome.Completed {
+			err = load.Error.New("%s %s %s", result.Outcome.Code, result.Outcome.Reason, result.Outcome.Detail)
+		}
+		return first, err
+	}, nil
+}
+
+// pacedCall is a call with its intended start and its end.
+type pacedCall struct {
+	number  int
+	due     time.Time
+	latency time.Duration
+	err     error
+}
+
+// paced starts calls at the given rate, whatever the answers take, and returns
+// the latencies of those after the warm-up that succeeded, and the number that failed.
+func paced(ctx context.Context, config OverheadConfig, call caller) (load.Quantile, int, error) {
+	warmup := config.Rate // the calls of a second
+	total := warmup + int(config.Length.Seconds()*float64(config.Rate))
+	ready, done := ring.New[pacedCall](total), ring.New[pacedCall](total)
+	group := duty.NewGroup(ctx, config.Log, metrics.NewSet())
+	defer group.Stop()
+	for i := range overheadCallers {
+		group.Go(fmt.Sprintf("caller-%d", i), func(ctx context.Context) error {
+			for {
+				c, err := ready.Pop(ctx)
+				if err != nil {
+					return err
+				}
+				var first time.Time
+				first, c.err = call(ctx, c.number)
+				c.latency = first.Sub(c.due)
+				if err := done.Push(ctx, c); err != nil {
+					return err
+				}
+			}
+		})
+	}
+	interval := time.Second / time.Duration(config.Rate)
+	began := time.Now()
+	for number := range total {
+		due := began.Add(time.Duration(number) * interval)
+		select {
+		case <-ctx.Done():
+			return load.Quantile{}, 0, ctx.Err()
+		case <-time.After(time.Until(due)):
+		}
+		if err := ready.Push(ctx, pacedCall{number: number, due: due}); err != nil {
+			return load.Quantile{}, 0, load.Error.Wrap(err)
+		}
+	}
+	latencies, failed := hdrhistogram.New(1, overheadDeadline.Microseconds()*2, 3), 0
+	for range total {
+		c, err := done.Pop(ctx)
+		if err != nil {
+			return load.Quantile{}, 0, load.Error.Wrap(err)
+		}
+		if c.err != nil {
+			failed++
+			config.Log.Warn("load: call failed", "number", c.number, "error", c.err)
+		}
+		if c.number >= warmup && c.err == nil {
+			_ = latencies.RecordValue(c.latency.Microseconds()) // a deadline bounds it
+		}
+	}
+	ms := func(q float64) float64 { return float64(latencies.ValueAtQuantile(q)) / 1000 }
+	return load.Quantile{P50MS: ms(50), P95MS: ms(95), P99MS: ms(99)}, failed, nil
+}
