Let the checker know owners' names in request ids; wait as the daemon does

Change: the run notes all incarnations and the checker accepts the texts of one owner, attempt and copy only; the spec waits for the requests in progress at the node before it leaves, and still wants no failed call.

Ruled out: accepting any text for a request.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -48,6 +48,7 @@
 	*node.Node
 	store *cutStore
 	kill  context.CancelFunc
+	calls sync.WaitGroup // requests of callers in progress
 	ended chan error
 }
 
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -57,6 +57,7 @@
 			bounded, cancel := context.WithTimeout(ctx, 20*time.Second)
 			Expect(old.Drain(bounded)).To(Succeed())
 			cancel()
+			old.calls.Wait()
 			Expect(old.Leave(ctx)).To(Succeed())
 		}
 		w.wait.Wait()
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -205,6 +205,9 @@
 	Poisons    []Poison
 	// Nodes names all nodes of the run.
 	Nodes []string
+	// Incarnations names all runs of nodes. The id of a model call towards
+	// engines names the owner that sent it.
+	Incarnations []string
 }
 
 // Violation is a broken guarantee with the part of the history that shows it.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -142,6 +142,7 @@
 	r.begun = time.Now()
 	collecting := duty.NewGroup(ctx, config.Log, metrics.NewSet())
 	collecting.Go("recorder", r.record.run)
+	collecting.Go("members", r.watchMembers)
 	r.load(ctx)
 	if err := ctx.Err(); err != nil {
 		collecting.Stop()
