Keep attempt numbers of successive owners apart

Cause: the soak test (kill while the platform is slow) showed answers that were told as recorded and differ from the history. A streamed call ran as attempt 1 at a node that was killed before its intent was durable, and as attempt 1 again at the next owner; the entry node took the second text for the rest of the first and gave the caller a text that was never recorded.

Change: the attempt numbers of an owner start from the version of the shard map with which it serves the shard, which grows with each change of owner.

Conclusion: a resumed stream never mixes the texts of two owners.

--- a/api/decode.go
+++ b/api/decode.go
@@ -14,6 +14,9 @@
 const (
 	// MaxIDBytes bounds ids of programs and requests, and names of resources.
 	MaxIDBytes = 128
+	// MaxAttempt bounds attempt numbers. They grow with the revision of the
+	// platform store and stay exact in JSON numbers.
+	MaxAttempt = 1 << 53
 	// MaxTokens bounds max_tokens of a call.
 	MaxTokens = 1 << 20
 )
@@ -116,7 +119,7 @@
 	problems.between("max_tokens", int64(body.MaxTokens), 0, MaxTokens)
 	problems.between("deadline_ms", body.DeadlineMS, 0, MaxDeadline.Milliseconds())
 	problems.between("offset", int64(body.Offset), 0, 1<<31)
-	problems.between("attempt", int64(body.Attempt), 0, 1<<20)
+	problems.between("attempt", int64(body.Attempt), 0, MaxAttempt)
 	if body.Offset > 0 && body.Attempt == 0 {
 		problems.add("attempt", "is needed with offset")
 	}
--- a/node/programs.go
+++ b/node/programs.go
@@ -212,6 +212,7 @@
 	case moveShard:
 		p.table.Move(change.shard, &p.out)
 	case serveShard:
+		p.table.SetEpoch(change.shard, change.epoch)
 		p.table.Serve(now, change.shard, &p.out)
 	case dropShard:
 		p.table.Drop(change.shard, &p.out)
--- a/node/requests.go
+++ b/node/requests.go
@@ -48,6 +48,7 @@
 type shardChange struct {
 	shard   int
 	action  shardAction
+	epoch   int
 	records [][]byte
 }
 
--- a/node/shards.go
+++ b/node/shards.go
@@ -56,7 +56,7 @@
 		}
 		s.change(ctx, change)
 	case placement.Serve:
-		s.change(ctx, shardChange{shard: o.Shard, action: serveShard})
+		s.change(ctx, shardChange{shard: o.Shard, action: serveShard, epoch: int(o.Version)})
 	case placement.Release:
 		s.change(ctx, shardChange{shard: o.Shard, action: moveShard})
 	case placement.Released:
--- a/placement/steps.go
+++ b/placement/steps.go
@@ -22,7 +22,7 @@
 			err = d.send(ctx, Released{Shard: shard, NewOwner: e.Owner})
 		case e.Owner == d.self && len(e.Sources) == 0 && d.states[shard] <= adopted:
 			d.states[shard] = serving
-			err = d.send(ctx, Serve{Shard: shard})
+			err = d.send(ctx, Serve{Shard: shard, Version: d.version})
 		case e.Owner == d.self && d.states[shard] == adopted && !slices.Equal(e.Sources, d.adopting[shard]):
 			d.states[shard] = elsewhere // adopt again, with the new sources
 		}
@@ -131,7 +131,7 @@
 			marks = append(marks, journal.Handoff(shard))
 		default: // no longer needed
 			d.states[shard] = serving
-			if err := d.send(ctx, Serve{Shard: shard}); err != nil {
+			if err := d.send(ctx, Serve{Shard: shard, Version: d.version}); err != nil {
 				return err
 			}
 		}
--- a/placement/view.go
+++ b/placement/view.go
@@ -78,7 +78,12 @@
 
 // Serve tells that calls for a shard are taken from now on, or again after a
 // Release that is withdrawn.
-type Serve struct{ Shard int }
+type Serve struct {
+	Shard int
+	// Version is that of the map. It is greater for each later owner of the
+	// shard.
+	Version platform.Version
+}
 
 // Release asks to hold the calls for a shard. The answer is Idle when none of
 // its calls is in progress and all its records were appended.
--- a/program/calls.go
+++ b/program/calls.go
@@ -32,7 +32,8 @@
 	program    *state
 	id         CallID
 	phase      callPhase
-	attempt    int
+	attempt    int          // grows over owners, see nextAttempt
+	sent       int          // attempts by this owner
 	alone      bool         // runs without neighbours on its backend server
 	reserved   budget.Units // still set aside for this call
 	refusals   int
@@ -181,13 +182,21 @@
 func (t *Table) recordIntent(c *call, out *Effects) {
 	p := c.program
 	c.phase = callRecording
-	c.attempt++
-	c.partial = nil
+	c.nextAttempt()
 	intent := p.record()
 	intent.Intent = &Intent{Call: c.Call, Attempt: c.attempt}
 	t.append(out, appended{kind: intentAppend, program: p, call: c, attempt: c.attempt}, intent)
 }
 
+// nextAttempt numbers the next attempt. The numbers of one owner start from its
+// epoch, because an attempt of a former owner may have reached a caller
+// without being recorded: two texts under one number would be mixed.
+func (c *call) nextAttempt() {
+	c.attempt = max(c.attempt, c.program.shard.epoch*attemptsPerEpoch) + 1
+	c.sent++
+	c.partial = nil
+}
+
 func (t *Table) dispatch(c *call, askOnly bool, out *Effects) {
 	p := c.program
 	t.lastCall++
--- a/program/durable.go
+++ b/program/durable.go
@@ -83,8 +83,7 @@
 	if c.phase != callRecovering {
 		return
 	}
-	c.attempt++
-	c.partial = nil
+	c.nextAttempt()
 	t.dispatch(c, false, out)
 }
 
--- a/program/retry.go
+++ b/program/retry.go
@@ -36,7 +36,7 @@
 	c.exclude = append(c.exclude, result.Backend)
 	c.settle(c.Worst) // what the lost attempt generated is unknown
 	crashes := t.countCrash(c, result, out)
-	final := crashes >= maxCrashes || c.attempt >= maxAttempts || !now.Before(c.Deadline)
+	final := crashes >= maxCrashes || c.sent >= maxAttempts || !now.Before(c.Deadline)
 	if final || c.program.account.Reserve(c.Worst) != nil {
 		if crashes >= maxCrashes {
 			result.Outcome.Reason = outcome.CrashesBackend
--- a/program/shards.go
+++ b/program/shards.go
@@ -57,6 +57,13 @@
 	return ok && c.phase != callInterrupted
 }
 
+// SetEpoch tells a number that is greater for each later owner of the shard. It
+// is called before Serve.
+func (t *Table) SetEpoch(number, epoch int) {
+	s := t.shard(number)
+	s.epoch = max(s.epoch, epoch)
+}
+
 // Serve takes calls for a shard and handles the requests that waited.
 func (t *Table) Serve(now time.Time, number int, out *Effects) {
 	s := t.shard(number)
--- a/program/table.go
+++ b/program/table.go
@@ -10,8 +10,10 @@
 const (
 	// orderWindow is how far ahead of the next order number a call may wait.
 	orderWindow = 16
-	// maxAttempts bounds how often an idempotent call is sent.
+	// maxAttempts bounds how often one owner sends an idempotent call.
 	maxAttempts = 4
+	// attemptsPerEpoch keeps the attempt numbers of successive owners apart.
+	attemptsPerEpoch = 64
 	// maxRefusals bounds how often a call is offered to another backend
 	// server after one refused it without running it.
 	maxRefusals = 8
@@ -57,6 +59,7 @@
 
 type shard struct {
 	number  int
+	epoch   int // of this owner, see SetEpoch
 	phase   Phase
 	busy    int  // calls and appends that keep the shard from moving
 	settled bool // the handoff records are durable
--- a/program/table_test.go
+++ b/program/table_test.go
@@ -214,6 +214,23 @@
 		Expect(next.chunks[w]).To(Equal("new answer"))
 	})
 
+	It("numbers attempts of successive owners apart, also when the earlier one left no record", func() {
+		w := r.call(question(1, "a"))
+		r.uncommitted = nil // the owner is lost with its intent
+		next := r.takeover()
+		next.table.SetEpoch(0, 7)
+		next.call(question(1, "a"))
+		next.commit()
+		Expect(r.replies).NotTo(HaveKey(w))
+		Expect(next.last().Attempt).To(BeNumerically(">", 64))
+		earlier := question(1, "a")
+		earlier.Attempt, earlier.Offset = 1, 10
+		again := next.call(earlier)
+		next.table.Chunk(next.last().ID, program.Chunk{Attempt: next.last().Attempt, Text: "whole new text"}, &next.out)
+		next.take()
+		Expect(next.chunks[again]).To(Equal("whole new text"), "not only what follows the earlier attempt's 10 bytes")
+	})
+
 	It("says not run when the intent cannot be recorded in time, and a takeover does not run it", func() {
 		c := posting(1, "a")
 		c.Deadline = r.now.Add(time.Second)
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -72,7 +72,7 @@
 	}
 	reply := s.handler.Forward(stream.Context(), forwarded, func(chunk program.Chunk) error {
 		return stream.Send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Chunk{Chunk: &peerpb.Chunk{
-			Attempt: int32(chunk.Attempt), Offset: int64(chunk.Offset), Text: chunk.Text,
+			Attempt: int64(chunk.Attempt), Offset: int64(chunk.Offset), Text: chunk.Text,
 		}}})
 	})
 	return stream.Send(&peerpb.ForwardEvent{Event: &peerpb.ForwardEvent_Reply{Reply: encodeReply(reply)}})
