--- a/soak/caller.go
+++ b/soak/caller.go
@@ -103,7 +103,9 @@
 		}
 	}
 	if program.Root(id) != id { // its share returns to the parent
-		_, _ = c.client.End(ctx, id) // asked for again at the end of the run
+		ending, cancel := context.WithTimeout(ctx, requestDeadline)
+		defer cancel()
+		_, _ = c.client.End(ending, id) // asked for again at the end of the run
 	}
 }
 
--- a/soak/deploy.go
+++ b/soak/deploy.go
@@ -51,6 +51,8 @@
 	ledger    *service.Service
 	ledgerIn  *relay.Relay
 	nodes     []*node
+	// transport is shared, because each one keeps connections of its own open.
+	transport http.RoundTripper
 }
 
 // backend is an engine stand-in with the relay in front of it.
@@ -63,7 +65,7 @@
 // deploy starts everything. Whatever it started ends with close, also after
 // an error.
 func deploy(ctx context.Context, config Config) (d *deployment, err error) {
-	d = &deployment{config: config, folder: config.Folder}
+	d = &deployment{config: config, folder: config.Folder, transport: newTransport()}
 	defer func() {
 		if err != nil {
 			d.close()
@@ -163,7 +165,7 @@
 
 // client returns a client of all nodes.
 func (d *deployment) client() *client.Client {
-	return client.New(client.Config{Nodes: d.urls(), Key: tenantKey, OperatorKey: operatorKey})
+	return client.New(client.Config{Nodes: d.urls(), Key: tenantKey, OperatorKey: operatorKey, Transport: d.transport})
 }
 
 // declare writes the resources of the run.
