Poll a backend server from the node that schedules it only

The polls grow with nodes times backend servers.

Change: the reports duty asks whether this node schedules a backend server: its pool is this node's to grant, or this node holds calls for it because the granting node is lost.

Held memory is polled as often as before.

--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -34,6 +34,11 @@
 	// Living reports whether a program's memory must be kept, see Sweep. It is
 	// called by the reports duty. Nil turns the memory sweep off.
 	Living func(program string) bool
+	// Scheduled reports whether this node decides about calls for a backend
+	// server now. The others are polled for the memory sweep only, so that the
+	// polls of one backend server do not grow with the number of nodes. Nil
+	// means all.
+	Scheduled func(schedule.BackendID) bool
 	// Clock is the real clock but in tests.
 	Clock clockwork.Clock
 }
@@ -57,6 +62,7 @@
 type poll struct {
 	endpoint Endpoint
 	after    uint64
+	cache    bool
 	held     bool
 	release  []string // programs to release; nothing is read then
 }
@@ -139,7 +145,11 @@
 		return
 	}
 	due := r.config.Living != nil && now.Sub(state.swept) >= r.config.SweepInterval
-	if r.polls.TryPush(poll{endpoint: state.endpoint, after: state.sequence, held: due}) != nil {
+	scheduled := r.config.Scheduled == nil || r.config.Scheduled(state.endpoint.Name)
+	if !scheduled && !due {
+		return
+	}
+	if r.polls.TryPush(poll{endpoint: state.endpoint, after: state.sequence, cache: scheduled, held: due}) != nil {
 		return
 	}
 	state.inFlight = true
@@ -206,7 +216,7 @@
 	defer cancel()
 	answer := pollAnswer{backend: p.endpoint.Name}
 	answer.load, answer.err = r.control.Load(ctx, p.endpoint)
-	if answer.err == nil {
+	if answer.err == nil && p.cache {
 		answer.cache, answer.err = r.control.CacheEvents(ctx, p.endpoint, p.after)
 	}
 	if answer.err == nil && p.held {
--- a/dispatch/reports_test.go
+++ b/dispatch/reports_test.go
@@ -15,6 +15,7 @@
 	"dogwoodline.example/duty"
 	"dogwoodline.example/emulator/engine"
 	"dogwoodline.example/ring"
+	"dogwoodline.example/schedule"
 )
 
 // watcher collects the observations of one reports duty.
@@ -24,12 +25,14 @@
 }
 
 func watch(slots int, living func(string) bool, targets ...dispatch.Endpoint) *watcher {
+	return watchAs(dispatch.ReportsConfig{Living: living}, slots, targets...)
+}
+
+func watchAs(config dispatch.ReportsConfig, slots int, targets ...dispatch.Endpoint) *watcher {
 	w := &watcher{out: ring.New[dispatch.Observation](slots)}
 	transport := dispatch.NewTransport()
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	config := dispatch.ReportsConfig{
-		Interval: 5 * time.Millisecond, Timeout: time.Second, Living: living, Clock: clockwork.NewRealClock(),
-	}
+	config.Interval, config.Timeout, config.Clock = 5*time.Millisecond, time.Second, clockwork.NewRealClock()
 	list := func() []dispatch.Endpoint { return targets }
 	dispatch.NewReports(transport, config, list, w.out, slog.New(slog.DiscardHandler)).Start(group, 2)
 	DeferCleanup(func() {
@@ -144,6 +147,29 @@
 		Eventually(held).ShouldNot(HaveKey("ended"))
 		Consistently(held, "50ms").Should(HaveKey("living"))
 	})
+
+	// Guards against polls that grow with the number of nodes, and against
+	// memory that stays allocated because only the node that schedules a backend
+	// server looks at it.
+	It("polls backend servers that others schedule for the memory sweep only", func() {
+		e := startEngine(nil)
+		job := modelJob(e.Address(), "ended", 100)
+		job.Program = "ended"
+		startPool(1).run(job)
+		w := watchAs(dispatch.ReportsConfig{
+			Living: func(string) bool { return false }, Scheduled: func(schedule.BackendID) bool { return false },
+			SweepInterval: 100 * time.Millisecond,
+		}, 1024, endpoint(e.Address()))
+		control := dispatch.NewControl(dispatch.NewTransport())
+		Eventually(func() map[string]int64 {
+			memory, err := control.Held(context.Background(), endpoint(e.Address()))
+			Expect(err).NotTo(HaveOccurred())
+			return memory.Programs
+		}).ShouldNot(HaveKey("ended"))
+		loads := len(slices.DeleteFunc(slices.Clone(w.all()), func(o dispatch.Observation) bool { return o.Kind != dispatch.Loaded }))
+		Expect(loads).To(BeNumerically("<", 20), "a poll each 5 ms would be more")
+		Expect(w.has(kind(dispatch.Cached))()).To(BeFalse())
+	})
 })
 
 var _ = Describe("Sweep", func() {
--- a/node/asking.go
+++ b/node/asking.go
@@ -62,8 +62,18 @@
 // granterOf returns the incarnation that grants slots of a pool, or "" for
 // this node. All nodes with the same view choose the same one.
 func (a *asking) granterOf(now time.Time, pool string) string {
+	best := granterIn(a.known, pool)
+	if best == a.self || now.Before(a.lost[best]) {
+		return ""
+	}
+	return best
+}
+
+// granterIn returns the incarnation that grants slots of a pool, or "" when
+// there is no member.
+func granterIn(view *membership.View, pool string) string {
 	best, bestScore := "", uint64(0)
-	for _, m := range a.known.Members {
+	for _, m := range view.Members {
 		if m.Draining {
 			continue
 		}
@@ -72,9 +82,6 @@
 			best, bestScore = m.Incarnation, score
 		}
 	}
-	if best == a.self || now.Before(a.lost[best]) {
-		return ""
-	}
 	return best
 }
 
--- a/node/incarnation.go
+++ b/node/incarnation.go
@@ -42,6 +42,7 @@
 	reports   *ring.Ring[dispatch.Observation]
 	living    atomic.Pointer[livingView]
 	hosts     atomic.Pointer[hostView]
+	busy      atomic.Pointer[busyPools]
 	drained   chan int
 	fenced    chan struct{}
 	left      chan error // the end of the session
@@ -58,6 +59,7 @@
 	}
 	i.living.Store(&livingView{})
 	i.hosts.Store(&hostView{})
+	i.busy.Store(&busyPools{})
 	i.writer = journal.NewWriter(d.Store.Journal, d.Clock, d.Log, name, s.Journal)
 	i.detector = membership.NewDetector(d.Clock, d.Log, s.LeaseTTL, pinger{links: n.links, ttl: s.LeaseTTL})
 	i.tracker = membership.NewTracker(d.Store.Lease, d.Clock, d.Log, s.LeaseTTL, i.detector.Suspects())
@@ -143,9 +145,11 @@
 	group.Go("programs", i.programs.run)
 	group.Go("scheduler", i.newScheduler().run)
 	dispatch.NewCallers(transport, i.programs.jobs, i.programs.events, d.Log).Start(group, i.node.settings.CallWorkers)
+	polling := &polled{self: i.name, set: d.Resources, view: i.tracker.View, busy: func() busyPools { return *i.busy.Load() }}
 	dispatch.NewReports(transport, dispatch.ReportsConfig{
 		Interval: i.node.settings.ReportInterval, Timeout: pollTimeout, SweepInterval: i.node.settings.SweepInterval,
-		Living: func(id string) bool { return i.living.Load().needs(i.node.shardOf(id), id) }, Clock: d.Clock,
+		Living:    func(id string) bool { return i.living.Load().needs(i.node.shardOf(id), id) },
+		Scheduled: polling.scheduled, Clock: d.Clock,
 	}, i.engines, i.reports, d.Log).Start(group, pollerDuties)
 	group.Go("hosts", i.watchHosts)
 	group.Go("detector", func(ctx context.Context) error { return i.detector.Run(ctx, i.tracker.View) })
--- a/node/scheduler.go
+++ b/node/scheduler.go
@@ -76,6 +76,7 @@
 	settings schedule.Settings
 	set      func() *resource.Set
 	leaving  func(address string) bool
+	publish  func(busyPools)
 
 	inputs    *ring.Ring[schedulerInput]
 	reports   *ring.Ring[dispatch.Observation]
@@ -98,6 +99,7 @@
 		settings:  s.Schedule,
 		set:       d.Resources,
 		leaving:   func(address string) bool { return i.hosts.Load().leaving(address) },
+		publish:   func(pools busyPools) { i.busy.Store(&pools) },
 		inputs:    i.programs.scheduler,
 		reports:   i.reports,
 		decisions: i.programs.decisions,
@@ -273,6 +275,7 @@
 	}
 	s.known = set
 	s.checked = now
+	s.publish(s.grants.busy())
 	byPool := map[string][]schedule.Backend{}
 	clear(s.poolOf)
 	for _, b := range s.allBackends() {
