--- a/node/granting.go
+++ b/node/granting.go
@@ -31,6 +31,7 @@
 type granting struct {
 	log     *slog.Logger
 	newPool func(name string) schedule.Scheduler
+	startOf func(schedule.BackendID) string
 	toOwn   func(decision)
 
 	pools  map[string]schedule.Scheduler
@@ -47,9 +48,11 @@
 	copies []schedule.BackendID // where it runs; a hedged call runs twice
 }
 
-func newGranting(log *slog.Logger, newPool func(string) schedule.Scheduler, toOwn func(decision)) *granting {
+func newGranting(
+	log *slog.Logger, newPool func(string) schedule.Scheduler, startOf func(schedule.BackendID) string, toOwn func(decision),
+) *granting {
 	return &granting{
-		log: log, newPool: newPool, toOwn: toOwn,
+		log: log, newPool: newPool, startOf: startOf, toOwn: toOwn,
 		pools: map[string]schedule.Scheduler{},
 		calls: map[schedule.CallID]*queuedCall{},
 		ids:   map[origin]schedule.CallID{},
@@ -174,6 +177,9 @@
 		return
 	}
 	message := rpc.Grant{ID: d.id, Granted: d.granted, Backend: d.backend, Hedge: d.hedge, Outcome: d.outcome}
+	if d.granted {
+		message.StartID = g.startOf(d.backend)
+	}
 	if to.stream.grants.TryPush(message) != nil {
 		g.log.Warn("scheduler: asking node does not read its grants, ending its stream", "node", to.stream.from)
 		to.stream.grants.Close()
--- a/node/scheduler.go
+++ b/node/scheduler.go
@@ -79,6 +79,7 @@
 	settings schedule.Settings
 	set      func() *resource.Set
 	leaving  func(address string) bool
+	publish  func(busyPools)
 
 	inputs    *ring.Ring[schedulerInput]
 	reports   *ring.Ring[dispatch.Observation]
@@ -103,6 +104,7 @@
 		settings:  s.Schedule,
 		set:       d.Resources,
 		leaving:   func(address string) bool { return i.hosts.Load().leaving(address) },
+		publish:   func(pools busyPools) { i.busy.Store(&pools) },
 		inputs:    i.programs.scheduler,
 		reports:   i.reports,
 		decisions: i.programs.decisions,
@@ -122,7 +124,7 @@
 }
 
 func (s *scheduler) run(ctx context.Context) error {
-	s.grants = newGranting(s.log, s.newPool, func(d decision) { s.decide(ctx, "", d) })
+	s.grants = newGranting(s.log, s.newPool, s.startOf, func(d decision) { s.decide(ctx, "", d) })
 	s.asks.own = s.grants
 	s.asks.ctx = ctx
 	ticker := s.clock.NewTicker(schedulerTick)
@@ -189,6 +191,7 @@
 	case linkGrant:
 		input.link.heard = now
 		g := input.grant
+		s.noteStart(g.Backend, g.StartID)
 		s.decide(ctx, input.link.to, decision{id: g.ID, granted: g.Granted, backend: g.Backend, hedge: g.Hedge, outcome: g.Outcome})
 	case linkHeard:
 		input.link.heard = now
@@ -223,7 +226,7 @@
 
 // observe takes what a poll of a backend server showed.
 func (s *scheduler) observe(o dispatch.Observation) {
-	s.noteStart(o)
+	s.noteStart(o.Backend, o.StartID)
 	if o.Kind == dispatch.LeavingChanged {
 		s.refusing[o.Backend] = o.Leaving
 		s.known = nil // hands the change to the schedulers at once
@@ -247,16 +250,20 @@
 // startIDs is a snapshot of the start ids of the backend servers.
 type startIDs map[schedule.BackendID]string
 
-func (s *scheduler) noteStart(o dispatch.Observation) {
+func (s *scheduler) noteStart(backend schedule.BackendID, startID string) {
 	known := *s.starts.Load()
-	if o.StartID == "" || known[o.Backend] == o.StartID {
+	if startID == "" || known[backend] == startID {
 		return
 	}
 	fresh := maps.Clone(known)
-	fresh[o.Backend] = o.StartID
+	fresh[backend] = startID
 	s.starts.Store(&fresh)
 }
 
+func (s *scheduler) startOf(backend schedule.BackendID) string {
+	return (*s.starts.Load())[backend]
+}
+
 func (s *scheduler) newPool(name string) schedule.Scheduler {
 	made, err := schedule.New(s.policy, s.settings)
 	if err != nil {
@@ -290,6 +297,7 @@
 	}
 	s.known = set
 	s.checked = now
+	s.publish(s.grants.busy())
 	byPool := map[string][]schedule.Backend{}
 	clear(s.poolOf)
 	for _, b := range s.allBackends() {
--- a/rpc/schedule.go
+++ b/rpc/schedule.go
@@ -37,6 +37,8 @@
 	Granted bool
 	Backend schedule.BackendID
 	Hedge   bool
+	// StartID is the start id of the backend server, empty when unknown.
+	StartID string
 	Outcome outcome.Outcome
 }
 
@@ -77,6 +79,7 @@
 	if g := message.GetGrant(); g != nil {
 		return Grant{
 			ID: schedule.CallID(g.GetId()), Granted: true, Backend: schedule.BackendID(g.GetBackend()), Hedge: g.GetHedge(),
+			StartID: g.GetStartId(),
 		}, true, nil
 	}
 	if r := message.GetRefusal(); r != nil {
@@ -199,7 +202,7 @@
 
 func encodeGrant(g Grant) *peerpb.ScheduleDown {
 	if g.Granted {
-		granted := &peerpb.Granted{Id: uint64(g.ID), Backend: string(g.Backend), Hedge: g.Hedge}
+		granted := &peerpb.Granted{Id: uint64(g.ID), Backend: string(g.Backend), Hedge: g.Hedge, StartId: g.StartID}
 		return &peerpb.ScheduleDown{Event: &peerpb.ScheduleDown_Grant{Grant: granted}}
 	}
 	return &peerpb.ScheduleDown{Event: &peerpb.ScheduleDown_Refusal{Refusal: &peerpb.Refused{
