Show what a node owns; replace gauges of ended incarnations

Cause: after a node went on as a new incarnation its ring gauges still read the rings of the old one, because a gauge of a known name kept its first callback. Nothing showed how many programs a node holds.

Conclusion: the metrics follow the incarnation in force.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -56,8 +56,14 @@
 // Depth registers a gauge with the number of items that wait in a ring of the
 // named duty.
 func (g *Group) Depth(duty, ring string, depth func() int) {
-	name := fmt.Sprintf(`dogwoodline_ring_depth{duty=%q,ring=%q}`, duty, ring)
-	g.set.GetOrCreateGauge(name, func() float64 { return float64(depth()) })
+	g.Gauge(fmt.Sprintf(`dogwoodline_ring_depth{duty=%q,ring=%q}`, duty, ring), depth)
+}
+
+// Gauge registers a gauge. It replaces one of the same name, which an earlier
+// group of the same process may have left.
+func (g *Group) Gauge(name string, value func() int) {
+	g.set.UnregisterMetric(name)
+	g.set.NewGauge(name, func() float64 { return float64(value()) })
 }
 
 // Timer measures the time that a duty spends on each item.
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -47,6 +47,7 @@
 type livingView struct {
 	programs map[string]struct{}
 	served   map[int]struct{}
+	calls    int // in progress
 }
 
 // needs reports whether a program's memory must be kept. Only the node that
--- a/node/incarnation.go
+++ b/node/incarnation.go
@@ -176,6 +176,9 @@
 
 func (i *incarnation) depths(group *duty.Group) {
 	p := i.programs
+	group.Gauge("dogwoodline_programs", func() int { return len(i.living.Load().programs) })
+	group.Gauge("dogwoodline_shards_served", func() int { return len(i.living.Load().served) })
+	group.Gauge("dogwoodline_calls_in_progress", func() int { return i.living.Load().calls })
 	group.Depth("programs", "commands", p.commands.Len)
 	group.Depth("programs", "events", p.events.Len)
 	group.Depth("programs", "decisions", p.decisions.Len)
--- a/node/programs.go
+++ b/node/programs.go
@@ -141,6 +141,7 @@
 func (p *programs) publishLiving() {
 	view := &livingView{}
 	view.programs, view.served = p.table.Living()
+	view.calls = p.table.Calls()
 	p.living.Store(view)
 }
 
