--- a/node/programs.go
+++ b/node/programs.go
@@ -141,7 +141,7 @@
 func (p *programs) publishLiving() {
 	view := &livingView{}
 	view.programs, view.served = p.table.Living()
-	view.calls = p.table.Calls()
+	_, view.calls = p.table.Counts()
 	p.living.Store(view)
 }
 
--- a/program/durable.go
+++ b/program/durable.go
@@ -178,8 +178,11 @@
 	return ok
 }
 
-// Calls returns the number of calls that wait, run or are not recorded yet.
-func (t *Table) Calls() int { return len(t.active) }
+// Counts returns the number of programs, and of calls that wait, run or are
+// not recorded yet.
+func (t *Table) Counts() (programs, calls int) {
+	return len(t.programs), len(t.active)
+}
 
 // Adopt replays the records of a shard, in place of what the table has for it.
 // Requests for the shard wait until Serve. Records may come in any order and
