Record through copies at peers in each node

Cause: a node that is cut from the platform store only goes on answering, is taken over, and its callers wait for order numbers that the new owner has never seen.

Change: messages HoldCopies, CollectCopies and DropCopies between nodes, the copies duty of the process, which outlives its incarnations, and Copied handled like Committed. A holder counts as gone when its process is replaced, or when it is no member and answers no direct ping at its last address. The request id of a model call towards engines names the owner's incarnation, because the attempt of a former owner may still run there; the id of a service call stays the same over owners.

The spec of planned stops stays unreliable until it waits for the requests in progress.

--- a/node/compose.go
+++ b/node/compose.go
@@ -33,11 +33,15 @@
 }
 
 // compose turns a dispatched call into an order.
-func compose(set *resource.Set, d program.Dispatch) order {
+func compose(set *resource.Set, incarnation string, d program.Dispatch) order {
+	var o order
 	if d.Call.Kind == program.Model {
-		return composeModel(set, d)
+		o = composeModel(set, d)
+	} else {
+		o = composeService(set, d)
 	}
-	return composeService(set, d)
+	o.job.RequestID = outsideID(d.Call, incarnation)
+	return o
 }
 
 func composeModel(set *resource.Set, d program.Dispatch) order {
@@ -89,7 +93,7 @@
 			Alone: d.Alone, Idempotent: d.Call.Idempotent,
 		},
 		job: dispatch.Job{
-			ID: schedule.CallID(d.ID), Program: d.Call.Program, RequestID: outsideID(d.Call), Attempt: d.Attempt,
+			ID: schedule.CallID(d.ID), Program: d.Call.Program, Attempt: d.Attempt,
 			Priority: priority, Deadline: d.Call.Deadline, Idempotent: d.Call.Idempotent, WorstCost: int64(d.Call.Worst),
 		},
 	}
@@ -101,9 +105,16 @@
 
 // outsideID returns the id of a request towards engines and services, which
 // know nothing of programs. Callers choose request ids per program, so the
-// program's id makes them unique.
-func outsideID(call *program.Call) string {
-	return call.Program + ":" + call.RequestID
+// program's id makes them unique. For a model call the id also names the owner:
+// an attempt with the same number may still run for an owner that was taken
+// over, and the engine would refuse this one as a conflict. Services recognise a
+// repeated call by its id, which therefore stays the same over owners.
+func outsideID(call *program.Call, incarnation string) string {
+	id := call.Program + ":" + call.RequestID
+	if call.Kind == program.Model {
+		id += "@" + incarnation
+	}
+	return id
 }
 
 // backendsOf returns the backend servers and service addresses that the
--- a/node/effects.go
+++ b/node/effects.go
@@ -59,7 +59,7 @@
 
 // submit asks the scheduler duty for a slot.
 func (p *programs) submit(ctx context.Context, d program.Dispatch) {
-	o := &underway{order: compose(p.set(), d)}
+	o := &underway{order: compose(p.set(), p.name, d)}
 	o.request.Arrived = p.clock.Now()
 	o.job.Context, o.cancel = context.WithCancel(ctx)
 	p.orders[d.ID] = o
--- a/node/incarnation.go
+++ b/node/incarnation.go
@@ -63,9 +63,10 @@
 	i.tracker = membership.NewTracker(d.Store.Lease, d.Clock, d.Log, s.LeaseTTL, i.detector.Suspects())
 	self := membership.Member{ID: s.ID, Incarnation: name, HTTP: s.HTTP, GRPC: s.GRPC, Zone: s.Zone}
 	i.session = membership.NewSession(d.Store.Lease, d.Clock, d.Log, self, s.LeaseTTL, i.isFenced)
+	i.writer.CopyTo(holders{view: i.tracker.View, id: s.ID, zone: s.Zone}, n.links)
 	i.placement = placement.New(d.Store.Placement, d.Clock, d.Log, name, placement.Settings{Shards: s.Shards}, placement.Inputs{
 		View: i.tracker.View, Changed: i.tracker.Subscribe(), Suspects: i.detector.Suspects(), Dead: i.detector.Dead(),
-		Appender: journal.NewAppender(i.writer),
+		Appender: journal.NewAppender(i.writer), Collector: collector{node: n, view: i.tracker.View},
 	})
 	i.programs = i.newPrograms()
 	return i
@@ -78,6 +79,7 @@
 func (i *incarnation) newPrograms() *programs {
 	d, s := i.node.deps, i.node.settings
 	return &programs{
+		name:        i.name,
 		clock:       d.Clock,
 		log:         d.Log,
 		table:       program.NewTable(i.node.shardOf, rules{set: d.Resources}),
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,8 @@
 
 	"dogwoodline.example/api"
 	"dogwoodline.example/config"
+	"dogwoodline.example/copies"
+	"dogwoodline.example/duty"
 	"dogwoodline.example/journal"
 	"dogwoodline.example/membership"
 	"dogwoodline.example/placement"
@@ -149,6 +151,12 @@
 	service  *service
 	current  atomic.Pointer[incarnation]
 	draining atomic.Bool
+
+	copies *copies.Duty
+	// names are the incarnations that this process has been, and addresses
+	// the gRPC addresses of present and former members by incarnation.
+	names     atomic.Pointer[[]string]
+	addresses atomic.Pointer[map[string]string]
 }
 
 // New assembles a node. It returns schedule.ErrUnknownPolicy for a policy that
@@ -160,6 +168,9 @@
 	}
 	n := &Node{settings: settings, deps: deps, links: deps.Links}
 	n.service = &service{clock: deps.Clock, node: n}
+	n.copies = copies.NewDuty(deps.Clock, copies.Limits{}, n.needsJournal)
+	n.names.Store(&[]string{})
+	n.addresses.Store(&map[string]string{})
 	return n, nil
 }
 
@@ -168,10 +179,15 @@
 	server := rpc.NewServer(&peerHandler{node: n}, n.deps.TLS)
 	defer server.Stop(time.Second)
 	defer n.links.Close()
+	group := duty.NewGroup(ctx, n.deps.Log, n.deps.Metrics)
+	defer group.Stop()
+	group.Go("copies", n.copies.Run)
+	group.Depth("copies", "requests", n.copies.Depth)
 	serving := make(chan error, 1)
 	go func() { serving <- server.Serve(n.deps.Listener) }()
 	for ctx.Err() == nil && !n.draining.Load() {
 		current := newIncarnation(n, n.settings.ID+"-"+nonce())
+		n.noteIncarnation(current.name)
 		n.current.Store(current)
 		if err := current.run(ctx); err != nil && !fencing(err) {
 			return err
--- a/node/peers.go
+++ b/node/peers.go
@@ -52,6 +52,7 @@
 			addresses[m.Incarnation] = m.GRPC
 		}
 	}
+	p.node.noteAddresses(addresses)
 	if err := p.node.links.Update(addresses); err != nil {
 		p.node.deps.Log.Warn("peers: links cannot be updated", "error", err)
 	}
--- a/node/programs.go
+++ b/node/programs.go
@@ -36,6 +36,7 @@
 
 // programs is the duty that owns every program of this node.
 type programs struct {
+	name  string // of the incarnation
 	clock clockwork.Clock
 	log   *slog.Logger
 	table *program.Table
@@ -343,9 +344,9 @@
 func (p *programs) handleCompletion(ctx context.Context, completion journal.Completion) {
 	switch c := completion.(type) {
 	case journal.Committed:
-		for _, tag := range c.Tags {
-			p.table.Committed(p.clock.Now(), program.Tag(tag), &p.out)
-		}
+		p.recorded(c.Tags)
+	case journal.Copied:
+		p.recorded(c.Tags)
 	case journal.Rejected:
 		panic("node: the journal rejected a record of this node: " + c.Err.Error())
 	case journal.Fenced:
@@ -358,6 +359,14 @@
 	}
 }
 
+// recorded tells the table which batches are recorded. Those that it knows as
+// recorded already, by their copies, change nothing.
+func (p *programs) recorded(tags []uint64) {
+	for _, tag := range tags {
+		p.table.Committed(p.clock.Now(), program.Tag(tag), &p.out)
+	}
+}
+
 // verdict tells which records of a segment are needed. The compaction is put
 // off while a shard of the segment is being adopted, because its programs may
 // not be known yet.
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -12,6 +12,8 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodline.example/config"
+	"dogwoodline.example/copies"
+	"dogwoodline.example/journal"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/rpc/peerpb"
@@ -25,6 +27,9 @@
 	ErrNoLink = Error.New("no link to the node")
 	// ErrUndecodable reports a message that cannot be decoded.
 	ErrUndecodable = Error.New("message cannot be decoded")
+	// ErrNotHolder reports that the process never was the incarnation that was
+	// asked as a holder of copies, so that it has none.
+	ErrNotHolder = Error.New("another process answers in place of the holder")
 )
 
 // Method names what a forwarded request asks for.
@@ -73,6 +78,14 @@
 	PullConfig(ctx context.Context, request config.PullRequest) config.PullAnswer
 	// NoteCrashes takes which requests crashed backend servers.
 	NoteCrashes(ctx context.Context, crashes []program.Crash)
+	// HoldCopies takes a copy of a journal's tail for the named holder. It
+	// returns ErrNotHolder, or another error if the copy was not taken.
+	HoldCopies(ctx context.Context, holder, incarnation string, c journal.Copy) (copies.Verdict, error)
+	// CollectCopies returns the copies of a journal and refuses further ones.
+	// It returns ErrNotHolder, or another error when it may be asked again.
+	CollectCopies(ctx context.Context, holder, incarnation string) ([]journal.Copy, error)
+	// DropCopies drops the copies up to a commit number.
+	DropCopies(ctx context.Context, holder, incarnation string, commit uint64) error
 	// Schedule serves the owner of programs that asks for slots of a pool. It
 	// returns when the stream ends.
 	Schedule(stream ScheduleServer) error
