Name no empty key in a syntax error of the settings

Cause: check-config on a file with a broken table name printed ': : line 1'. Change: the key is left out when there is none. Conclusion: messages start with the key or the place.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -194,7 +194,11 @@
 	var wrong *toml.DecodeError
 	if errors.As(err, &wrong) {
 		row, column := wrong.Position()
-		return fmt.Sprintf("%s: line %d, column %d: %s", strings.Join(wrong.Key(), "."), row, column, wrong.Error())
+		place := fmt.Sprintf("line %d, column %d: %s", row, column, wrong.Error())
+		if key := strings.Join(wrong.Key(), "."); key != "" {
+			place = key + ": " + place
+		}
+		return place
 	}
 	return err.Error()
 }
