Build the conversation for model calls only

Change: a service call gets no conversation. Behaviour is the same.

Ruled out: keeping the conversation beside the history, because it would hold each answer a second time in memory.

The saving was not measured.

--- a/program/calls.go
+++ b/program/calls.go
@@ -163,7 +163,7 @@
 	if c == nil || c.phase != callWaiting || p.ended {
 		return
 	}
-	if refusal := t.rules.Apply(p.spec, p.conversation(), &c.Call); refusal != nil {
+	if refusal := t.rules.Apply(p.spec, c.conversation(), &c.Call); refusal != nil {
 		t.drop(c, *refusal, out)
 		return
 	}
@@ -208,7 +208,7 @@
 	out.Dispatches = append(out.Dispatches, Dispatch{
 		ID: c.id, Call: &c.Call, Tenant: p.spec.Tenant, Class: p.spec.Class, Attempt: c.attempt,
 		Attained:     int64(t.attained(p)),
-		Conversation: p.conversation(),
+		Conversation: c.conversation(),
 		Alone:        c.alone,
 		Exclude:      c.exclude,
 		AskOnly:      askOnly,
@@ -223,14 +223,19 @@
 	return spent
 }
 
-func (p *state) conversation() []Message {
+// conversation returns the messages before a model call. A service call reads
+// none, and a long history is not copied for it.
+func (c *call) conversation() []Message {
+	if c.Kind != Model {
+		return nil
+	}
 	var messages []Message
-	for _, c := range p.history {
-		if c.Kind != Model || c.outcome.Code != outcome.Completed {
+	for _, earlier := range c.program.history {
+		if earlier.Kind != Model || earlier.outcome.Code != outcome.Completed {
 			continue
 		}
-		messages = append(messages, c.Messages...)
-		messages = append(messages, Message{Role: "assistant", Content: string(c.answer)})
+		messages = append(messages, earlier.Messages...)
+		messages = append(messages, Message{Role: "assistant", Content: string(earlier.answer)})
 	}
 	return messages
 }
--- a/program/program.go
+++ b/program/program.go
@@ -125,7 +125,7 @@
 	Attempt int
 	// Attained is the service that the program's family got so far.
 	Attained int64
-	// Conversation holds the earlier messages of the program.
+	// Conversation holds the earlier messages of the program, for model calls.
 	Conversation []Message
 	// Alone isolates a call that is suspected of crashing backend servers.
 	Alone bool
--- a/program/table.go
+++ b/program/table.go
@@ -101,7 +101,8 @@
 type Rules interface {
 	// Apply fills in whether the call is idempotent, whether its service can
 	// be asked about it, and its worst-case cost. It returns an outcome when
-	// the call is not allowed. The conversation holds the earlier messages.
+	// the call is not allowed. The conversation holds the earlier messages of a
+	// model call.
 	Apply(spec Spec, conversation []Message, call *Call) *outcome.Outcome
 }
 
