--- a/cmd/dogwoodline/emulate.go
+++ b/cmd/dogwoodline/emulate.go
@@ -14,7 +14,7 @@
 	"dogwoodline.example/emulator/engine"
 	"dogwoodline.example/emulator/platformserver"
 	"dogwoodline.example/emulator/service"
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/settings"
 )
 
@@ -45,7 +45,7 @@
 }
 
 // startPlatform serves until ctx ends.
-func startPlatform(ctx context.Context, e emulatePlatform, hosts []platform.Host) error {
+func startPlatform(ctx context.Context, e emulatePlatform, hosts []kvstore.Host) error {
 	server := platformserver.New(platformserver.Settings{Seed: 1})
 	server.SetHosts(hosts)
 	_, _, err := server.Listen(ctx, e.Listen, e.Admin)
@@ -104,9 +104,9 @@
 	return nil
 }
 
-func readHosts(path string) ([]platform.Host, error) {
+func readHosts(path string) ([]kvstore.Host, error) {
 	var file struct {
-		Hosts []platform.Host `toml:"hosts"`
+		Hosts []kvstore.Host `toml:"hosts"`
 	}
 	if path == "" {
 		return nil, nil
--- a/config/cluster_test.go
+++ b/config/cluster_test.go
@@ -18,9 +18,9 @@
 
 	"dogwoodline.example/config"
 	"dogwoodline.example/duty"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 	"dogwoodline.example/outcome"
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
 	"dogwoodline.example/resource"
 )
 
@@ -67,24 +67,24 @@
 	}
 }
 
-func (f *faultyStore) Get(ctx context.Context, key string) (platform.Item, error) {
+func (f *faultyStore) Get(ctx context.Context, key string) (kvstore.Item, error) {
 	if no, _ := f.refused(); no {
-		return platform.Item{}, platform.ErrUnavailable
+		return kvstore.Item{}, kvstore.ErrUnavailable
 	}
 	return f.Store.Get(ctx, key)
 }
 
-func (f *faultyStore) List(ctx context.Context, prefix string) ([]platform.Item, platform.Version, error) {
+func (f *faultyStore) List(ctx context.Context, prefix string) ([]kvstore.Item, kvstore.Version, error) {
 	if no, _ := f.refused(); no {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, kvstore.ErrUnavailable
 	}
 	return f.Store.List(ctx, prefix)
 }
 
-func (f *faultyStore) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+func (f *faultyStore) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Event, kvstore.Version, error) {
 	no, down := f.refused()
 	if no {
-		return nil, after, platform.ErrUnavailable
+		return nil, after, kvstore.ErrUnavailable
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -98,15 +98,15 @@
 	events, revision, err := f.Store.Watch(ctx, prefix, after, wait)
 	select {
 	case <-down: // the outage takes the events with it
-		return nil, after, platform.ErrUnavailable
+		return nil, after, kvstore.ErrUnavailable
 	default:
 		return events, revision, err
 	}
 }
 
-func (f *faultyStore) Put(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
+func (f *faultyStore) Put(ctx context.Context, key string, value []byte, expected kvstore.Version, lease kvstore.LeaseID) (kvstore.Version, error) {
 	if no, _ := f.refused(); no {
-		return 0, platform.ErrUnavailable
+		return 0, kvstore.ErrUnavailable
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -115,11 +115,11 @@
 		f.downAfter = false
 		close(f.down)
 		if f.answersLost {
-			return 0, platform.ErrAmbiguous
+			return 0, kvstore.ErrAmbiguous
 		}
 	}
 	if err == nil && f.random.Float64() < f.loss {
-		return 0, platform.ErrAmbiguous
+		return 0, kvstore.ErrAmbiguous
 	}
 	return version, err
 }
@@ -205,14 +205,14 @@
 
 func (l *links) Pull(_ context.Context, peer string, request config.PullRequest) (config.PullAnswer, error) {
 	if l.cluster.cutPulls.Load() == l.self {
-		return config.PullAnswer{}, platform.ErrUnavailable
+		return config.PullAnswer{}, kvstore.ErrUnavailable
 	}
 	return l.peer(peer).Answer(request), nil
 }
 
 var poolID = resource.ID{Kind: resource.KindPool, Name: "large"}
 
-func write(content string, expected platform.Version) config.Write {
+func write(content string, expected kvstore.Version) config.Write {
 	spec := &resource.Pool{Model: content, Role: resource.RoleBoth}
 	return config.Write{ID: poolID, Spec: spec, Expected: expected}
 }
@@ -225,7 +225,7 @@
 	return pool.Model
 }
 
-func accept(node *config.Config, content string, expected platform.Version) platform.Version {
+func accept(node *config.Config, content string, expected kvstore.Version) kvstore.Version {
 	result := node.Put(context.Background(), write(content, expected))
 	ExpectWithOffset(1, result.Outcome.Code).To(Equal(outcome.Completed), result.Outcome.Detail)
 	return result.Version
--- a/config/commands.go
+++ b/config/commands.go
@@ -9,8 +9,8 @@
 	"math/rand/v2"
 	"time"
 
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/outcome"
-	"dogwoodline.example/platform"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
 )
@@ -29,10 +29,10 @@
 	ID resource.ID
 	// Spec is the new content; nil deletes the resource.
 	Spec resource.Spec
-	// Expected is the version that the write replaces. platform.Absent means
-	// that the resource must not exist, platform.AnyVersion that the write
+	// Expected is the version that the write replaces. kvstore.Absent means
+	// that the resource must not exist, kvstore.AnyVersion that the write
 	// replaces whatever there is.
-	Expected platform.Version
+	Expected kvstore.Version
 }
 
 // Result is the ending of a command.
@@ -45,8 +45,8 @@
 type Result struct {
 	Outcome outcome.Outcome
 	// Version is the version of the accepted write, or the current one after
-	// a conflict; platform.Absent means that the resource does not exist.
-	Version platform.Version
+	// a conflict; kvstore.Absent means that the resource does not exist.
+	Version kvstore.Version
 	// Change is the current resource, for reads only.
 	Change resource.Change
 }
@@ -70,8 +70,8 @@
 }
 
 // Delete deletes a resource that has the expected version.
-func (c *Config) Delete(ctx context.Context, id resource.ID, expected platform.Version) Result {
-	if expected == platform.Absent {
+func (c *Config) Delete(ctx context.Context, id resource.ID, expected kvstore.Version) Result {
+	if expected == kvstore.Absent {
 		return Result{Outcome: outcome.Refuse(outcome.Malformed, "a deletion must expect a version")}
 	}
 	return c.do(&command{ctx: ctx, write: Write{ID: id, Expected: expected}})
@@ -141,7 +141,7 @@
 		return
 	}
 	result, change := m.write(limited, cmd.write)
-	if result.Outcome.Code != outcome.Completed || change.Version == platform.Absent {
+	if result.Outcome.Code != outcome.Completed || change.Version == kvstore.Absent {
 		cmd.reply <- result
 		return
 	}
@@ -164,7 +164,7 @@
 // accepted before and its answer lost, or that only a tombstone is in the way.
 func (m *commander) write(ctx context.Context, w Write) (Result, resource.Change) {
 	base := w.Expected
-	if base == platform.Absent || base == platform.AnyVersion {
+	if base == kvstore.Absent || base == kvstore.AnyVersion {
 		current, err := m.current(ctx, w.ID)
 		if err != nil {
 			return Result{Outcome: outcome.DidNotRun(outcome.NotRecordable, retryAfter)}, resource.Change{}
@@ -181,7 +181,7 @@
 			change.Version = version
 			return accepted(change), change
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kvstore.ErrConflict) {
 			return failed(err), resource.Change{}
 		}
 		current, err := m.current(ctx, w.ID)
@@ -199,12 +199,12 @@
 // decide looks at the current record. The last result is false when the write
 // may be tried on top of it.
 func decide(w Write, current record) (Result, resource.Change, bool) {
-	repeated := current.holds(w) && (w.Expected == platform.AnyVersion || current.Expected == w.Expected)
+	repeated := current.holds(w) && (w.Expected == kvstore.AnyVersion || current.Expected == w.Expected)
 	if repeated {
 		return accepted(current.Change), current.Change, true
 	}
 	switch w.Expected {
-	case platform.AnyVersion, current.live():
+	case kvstore.AnyVersion, current.live():
 		return Result{}, resource.Change{}, false
 	}
 	conflict := Result{
@@ -214,12 +214,12 @@
 	return conflict, resource.Change{}, true
 }
 
-func (m *commander) swap(ctx context.Context, change resource.Change, expected, base platform.Version) (platform.Version, error) {
+func (m *commander) swap(ctx context.Context, change resource.Change, expected, base kvstore.Version) (kvstore.Version, error) {
 	value, err := json.Marshal(record{Change: change, Expected: expected, Nonce: m.random.Uint64()})
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
-	resolver := platform.Resolver{Store: m.config.settings.Store, Clock: m.config.settings.Clock}
+	resolver := kvstore.Resolver{Store: m.config.settings.Store, Clock: m.config.settings.Clock}
 	return resolver.Put(ctx, Prefix+change.ID.String(), value, base, 0)
 }
 
@@ -227,7 +227,7 @@
 // version Absent.
 func (m *commander) current(ctx context.Context, id resource.ID) (record, error) {
 	item, err := m.config.settings.Store.Get(ctx, Prefix+id.String())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return record{Change: resource.Change{ID: id, Deleted: true}, Expected: neverExpected}, nil
 	}
 	if err != nil {
@@ -242,7 +242,7 @@
 }
 
 // neverExpected is no version that a write can expect.
-const neverExpected platform.Version = -2
+const neverExpected kvstore.Version = -2
 
 // record is the value of a resource in the platform store. A deletion writes
 // a record too, so that its revision is known and a node that was away sees
@@ -251,12 +251,12 @@
 	Change resource.Change `json:"change"`
 	// Expected is the version that the operator expected. It tells a repeated
 	// write from another one with the same content.
-	Expected platform.Version `json:"expected"`
+	Expected kvstore.Version `json:"expected"`
 	// Nonce tells this write from all others.
 	Nonce uint64 `json:"nonce"`
 }
 
-func decodeRecord(item platform.Item) (record, error) {
+func decodeRecord(item kvstore.Item) (record, error) {
 	var stored record
 	if err := json.Unmarshal(item.Value, &stored); err != nil {
 		return record{}, Error.Wrap(err)
@@ -266,9 +266,9 @@
 }
 
 // live returns the version as operators see it.
-func (r record) live() platform.Version {
+func (r record) live() kvstore.Version {
 	if r.Change.Deleted {
-		return platform.Absent
+		return kvstore.Absent
 	}
 	return r.Change.Version
 }
@@ -284,7 +284,7 @@
 func accepted(change resource.Change) Result {
 	version := change.Version
 	if change.Deleted {
-		version = platform.Absent
+		version = kvstore.Absent
 	}
 	return Result{Outcome: completed(), Version: version}
 }
@@ -298,12 +298,12 @@
 
 func failed(err error) Result {
 	switch {
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, kvstore.ErrAmbiguous):
 		return unknown()
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, kvstore.ErrUnavailable), errors.Is(err, kvstore.ErrRateLimited):
 		return Result{Outcome: outcome.DidNotRun(outcome.NotRecordable, retryAfter)}
-	case errors.Is(err, platform.ErrTooLarge):
-		detail := fmt.Sprintf("the resource exceeds %d bytes", platform.MaxValueBytes)
+	case errors.Is(err, kvstore.ErrTooLarge):
+		detail := fmt.Sprintf("the resource exceeds %d bytes", kvstore.MaxValueBytes)
 		return Result{Outcome: outcome.Refuse(outcome.Malformed, detail)}
 	}
 	return Result{Outcome: outcome.DidNotRun(outcome.NotRecordable, retryAfter)}
--- a/config/config.go
+++ b/config/config.go
@@ -25,7 +25,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodline.example/duty"
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
 )
@@ -77,8 +77,8 @@
 
 // PullRequest describes the set of the node that asks.
 type PullRequest struct {
-	Complete platform.Version `json:"complete"`
-	Digest   uint64           `json:"digest"`
+	Complete kvstore.Version `json:"complete"`
+	Digest   uint64          `json:"digest"`
 }
 
 // PullAnswer holds what the asking node lacks, and describes the set of the
@@ -86,19 +86,19 @@
 type PullAnswer struct {
 	Ready    bool              `json:"ready"`
 	Changes  []resource.Change `json:"changes,omitempty"`
-	Complete platform.Version  `json:"complete"`
+	Complete kvstore.Version   `json:"complete"`
 	Digest   uint64            `json:"digest"`
 }
 
 // Notice tells another duty that the snapshot changed. A ring of notices may
 // hold one notice for several changes.
 type Notice struct {
-	Revision platform.Version
+	Revision kvstore.Version
 }
 
 // Settings of a Config. All fields are required.
 type Settings struct {
-	Store  platform.Store
+	Store  kvstore.Store
 	Peers  Peers
 	Clock  clockwork.Clock
 	Random rand.Source
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/gomega"
 
 	"dogwoodline.example/config"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/outcome"
-	"dogwoodline.example/platform"
 	"dogwoodline.example/resource"
 )
 
@@ -26,7 +26,7 @@
 			clock := clockwork.NewFakeClock()
 			c := newCluster(clock)
 			nodes := c.addReady(7)
-			first := accept(nodes[0], "old", platform.Absent)
+			first := accept(nodes[0], "old", kvstore.Absent)
 			for _, node := range nodes {
 				Eventually(func() string { return modelOn(node) }, "10s").Should(Equal("old"))
 			}
@@ -51,11 +51,11 @@
 	It("gets its configuration from a peer at a start during an outage, deletions included", func() {
 		c := newCluster(clockwork.NewFakeClock())
 		old := c.addReady(2)
-		version := accept(old[0], "kept", platform.Absent)
+		version := accept(old[0], "kept", kvstore.Absent)
 		gone := resource.ID{Kind: resource.KindPool, Name: "gone"}
 		created := old[0].Put(ctx, config.Write{ID: gone, Spec: &resource.Pool{Model: "m", Role: resource.RoleBoth}})
 		Expect(old[0].Delete(ctx, gone, created.Version).Outcome.Code).To(Equal(outcome.Completed))
-		Eventually(func() platform.Version { return old[1].Snapshot().Revision() }, "10s").Should(Equal(created.Version + 1))
+		Eventually(func() kvstore.Version { return old[1].Snapshot().Revision() }, "10s").Should(Equal(created.Version + 1))
 		c.store.setDown(true)
 		node := c.addReady(1)[0]
 		Expect(modelOn(node)).To(Equal("kept"))
@@ -98,11 +98,11 @@
 		clock := clockwork.NewFakeClock()
 		c := newCluster(clock)
 		node := c.addReady(1)[0]
-		version := accept(node, "m", platform.Absent)
+		version := accept(node, "m", kvstore.Absent)
 		c.store.setDown(true)
 		Expect(c.store.Delete(ctx, config.Prefix+poolID.String(), version)).To(Succeed())
 		for range 70 { // more than the 64 MiB of changes that the store keeps
-			_, err := c.store.Store.Put(ctx, "large", make([]byte, platform.MaxValueBytes), platform.AnyVersion, 0)
+			_, err := c.store.Store.Put(ctx, "large", make([]byte, kvstore.MaxValueBytes), kvstore.AnyVersion, 0)
 			Expect(err).NotTo(HaveOccurred())
 		}
 		c.store.setDown(false)
@@ -117,12 +117,12 @@
 		c.store.setDown(true)
 		a, b := c.add(), c.add()
 		Consistently(func() bool { return a.Ready() || b.Ready() }, "100ms").Should(BeFalse())
-		Expect(a.Put(ctx, write("m", platform.Absent)).Outcome.Code).To(Equal(outcome.NotRun))
+		Expect(a.Put(ctx, write("m", kvstore.Absent)).Outcome.Code).To(Equal(outcome.NotRun))
 	})
 
 	It("lets exactly one of two racing operators win and tells the other the winner's version", func() {
 		nodes := newCluster(clockwork.NewRealClock()).addReady(2)
-		expected := platform.Absent
+		expected := kvstore.Absent
 		for range 50 {
 			results := make(chan config.Result, 2)
 			go func() { results <- nodes[0].Put(ctx, write("from-0", expected)) }()
@@ -141,7 +141,7 @@
 	It("accepts a repeated write whose answer was lost, without writing twice", func() {
 		c := newCluster(clockwork.NewRealClock())
 		node := c.addReady(1)[0]
-		first := accept(node, "first", platform.Absent)
+		first := accept(node, "first", kvstore.Absent)
 		c.store.mu.Lock()
 		c.store.downAfter, c.store.answersLost = true, true
 		c.store.mu.Unlock()
@@ -159,13 +159,13 @@
 
 	It("can create a deleted resource again, and refuses a second creation", func() {
 		node := newCluster(clockwork.NewRealClock()).addReady(1)[0]
-		version := accept(node, "a", platform.Absent)
+		version := accept(node, "a", kvstore.Absent)
 		Expect(node.Delete(ctx, poolID, version).Outcome.Code).To(Equal(outcome.Completed))
 		Expect(node.Delete(ctx, poolID, version).Outcome.Code).To(Equal(outcome.Completed))
 		Expect(modelOn(node)).To(BeEmpty())
-		accept(node, "b", platform.Absent)
-		Expect(node.Put(ctx, write("c", platform.Absent)).Outcome.Reason).To(Equal(outcome.Conflict))
-		accept(node, "d", platform.AnyVersion)
+		accept(node, "b", kvstore.Absent)
+		Expect(node.Put(ctx, write("c", kvstore.Absent)).Outcome.Reason).To(Equal(outcome.Conflict))
+		accept(node, "d", kvstore.AnyVersion)
 		Expect(modelOn(node)).To(Equal("d"))
 	})
 })
--- a/config/history_test.go
+++ b/config/history_test.go
@@ -14,8 +14,8 @@
 	. "github.com/onsi/gomega"
 
 	"dogwoodline.example/config"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/outcome"
-	"dogwoodline.example/platform"
 )
 
 // step is one operation on the resource. Contents are unique, so they stand
@@ -75,14 +75,14 @@
 }
 
 func (o *operator) run(steps int) {
-	version, content := platform.Absent, ""
+	version, content := kvstore.Absent, ""
 	for i := range steps {
 		if o.random.IntN(3) == 0 {
 			version, content = o.read()
 			continue
 		}
 		in := step{expected: content, content: fmt.Sprintf("%d-%d", o.number, i)}
-		deletes := version != platform.Absent && o.random.IntN(4) == 0
+		deletes := version != kvstore.Absent && o.random.IntN(4) == 0
 		if deletes {
 			in.content = ""
 		}
@@ -104,7 +104,7 @@
 	}
 }
 
-func (o *operator) read() (platform.Version, string) {
+func (o *operator) read() (kvstore.Version, string) {
 	for {
 		began := time.Since(o.start)
 		result := o.node.Read(context.Background(), poolID)
@@ -143,7 +143,7 @@
 		var samplers, operators sync.WaitGroup
 		for _, node := range nodes {
 			samplers.Go(func() {
-				for last := platform.Absent; !ended.Load(); time.Sleep(100 * time.Microsecond) {
+				for last := kvstore.Absent; !ended.Load(); time.Sleep(100 * time.Microsecond) {
 					change, _ := node.Snapshot().Change(poolID)
 					if change.Version < last {
 						reverted.Store(true)
--- a/config/owner.go
+++ b/config/owner.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"dogwoodline.example/duty"
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
 )
@@ -16,7 +16,7 @@
 	// full means that changes are all resources at the revision complete.
 	full bool
 	// complete is the revision up to which the sender knows all changes, or 0.
-	complete platform.Version
+	complete kvstore.Version
 	// ready means that the receiver has a full view after this update.
 	ready bool
 	// peer and digest describe the peer that answered a pull.
--- a/config/watch.go
+++ b/config/watch.go
@@ -5,7 +5,7 @@
 	"errors"
 	"strings"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/resource"
 )
 
@@ -13,7 +13,7 @@
 // their changes. It lists again when the store dropped changes in between.
 func (c *Config) watch(ctx context.Context) error {
 	listed := false
-	revision := platform.Version(0)
+	revision := kvstore.Version(0)
 	retry := retryFirst
 	for ctx.Err() == nil {
 		var err error
@@ -27,7 +27,7 @@
 			retry = retryFirst
 			continue
 		}
-		if errors.Is(err, platform.ErrCompacted) {
+		if errors.Is(err, kvstore.ErrCompacted) {
 			listed = false
 		}
 		c.settings.Log.Debug("config: watch failed", "error", err)
@@ -37,19 +37,19 @@
 	return nil
 }
 
-func (c *Config) list(ctx context.Context) (platform.Version, error) {
+func (c *Config) list(ctx context.Context) (kvstore.Version, error) {
 	items, revision, err := c.settings.Store.List(ctx, Prefix)
 	if err != nil {
 		return 0, err
 	}
 	u := update{full: true, complete: revision, ready: true}
 	for _, item := range items {
-		u.changes = c.appendChange(u.changes, platform.Event{Item: item})
+		u.changes = c.appendChange(u.changes, kvstore.Event{Item: item})
 	}
 	return revision, c.updates.Push(ctx, u)
 }
 
-func (c *Config) follow(ctx context.Context, after platform.Version) (platform.Version, error) {
+func (c *Config) follow(ctx context.Context, after kvstore.Version) (kvstore.Version, error) {
 	events, revision, err := c.settings.Store.Watch(ctx, Prefix, after, watchWait)
 	if err != nil {
 		return after, err
@@ -63,7 +63,7 @@
 
 // appendChange decodes an event of the store. A value that this version of
 // the program does not understand leaves the older one in force.
-func (c *Config) appendChange(changes []resource.Change, event platform.Event) []resource.Change {
+func (c *Config) appendChange(changes []resource.Change, event kvstore.Event) []resource.Change {
 	id, ok := resource.ParseID(strings.TrimPrefix(event.Key, Prefix))
 	if !ok {
 		c.settings.Log.Warn("config: unknown key in the platform store", "key", event.Key)
--- a/copies/choose.go
+++ b/copies/choose.go
@@ -6,12 +6,12 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 	"dogwoodline.example/membership"
 )
 
 // Choose returns the incarnations that hold the copies of a node, sorted, or
-// none when there are fewer than journal.HoldersWanted others. It prefers
+// none when there are fewer than fencedlog.HoldersWanted others. It prefers
 // availability zones that differ from the node's and from each other's.
 // Rendezvous hashing spreads the copies and keeps the choice while other
 // members come and go.
@@ -27,7 +27,7 @@
 	})
 	var chosen []string
 	used := map[string]int{zone: 1}
-	for range journal.HoldersWanted {
+	for range fencedlog.HoldersWanted {
 		if len(others) == 0 {
 			return nil
 		}
--- a/copies/copies.go
+++ b/copies/copies.go
@@ -11,7 +11,7 @@
 
 	"github.com/zeebo/errs"
 
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 )
 
 // Error is the class of all errors of this package.
@@ -71,8 +71,8 @@
 // for the life of the process, without copies, so that its former owner is
 // refused whenever it comes back.
 type held struct {
-	copies  []journal.Copy // in order of their numbers
-	last    uint64         // number of the latest copy
+	copies  []fencedlog.Copy // in order of their numbers
+	last    uint64           // number of the latest copy
 	records int
 	bytes   int
 	fenced  bool
@@ -86,7 +86,7 @@
 
 // Hold takes a copy of the tail of a journal. A repeated copy is acknowledged
 // again.
-func (s *State) Hold(now time.Time, incarnation string, c journal.Copy) Verdict {
+func (s *State) Hold(now time.Time, incarnation string, c fencedlog.Copy) Verdict {
 	h := s.journals[incarnation]
 	switch {
 	case h == nil:
@@ -125,7 +125,7 @@
 }
 
 // Collect returns the copies of a journal, in order, and refuses further ones.
-func (s *State) Collect(now time.Time, incarnation string) []journal.Copy {
+func (s *State) Collect(now time.Time, incarnation string) []fencedlog.Copy {
 	h := s.journals[incarnation]
 	if h == nil {
 		h = &held{}
@@ -139,13 +139,13 @@
 // Drop removes the copies that the store has: those up to a commit number.
 func (s *State) Drop(incarnation string, commit uint64) {
 	if h := s.journals[incarnation]; h != nil && !h.fenced {
-		h.keep(func(c journal.Copy) bool { return c.Commit > commit })
+		h.keep(func(c fencedlog.Copy) bool { return c.Commit > commit })
 	}
 }
 
 // keep removes the other copies and gives their memory back.
-func (h *held) keep(wanted func(journal.Copy) bool) {
-	var kept []journal.Copy
+func (h *held) keep(wanted func(fencedlog.Copy) bool) {
+	var kept []fencedlog.Copy
 	h.records, h.bytes = 0, 0
 	for _, c := range h.copies {
 		if wanted(c) {
@@ -164,7 +164,7 @@
 		if now.Sub(h.used) < releaseAfter || needed(name) {
 			continue
 		}
-		h.keep(func(journal.Copy) bool { return false })
+		h.keep(func(fencedlog.Copy) bool { return false })
 		if !h.fenced {
 			delete(s.journals, name)
 		}
--- a/copies/copies_test.go
+++ b/copies/copies_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"dogwoodline.example/copies"
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 	"dogwoodline.example/membership"
 )
 
@@ -24,11 +24,11 @@
 
 // number returns a copy of ten bytes and two records, with all earlier ones
 // from oldest on outstanding.
-func number(n, oldest, commit uint64) journal.Copy {
-	return journal.Copy{Number: n, Oldest: oldest, Commit: commit, Records: 2, Body: fmt.Appendf(nil, "%10d", n)}
+func number(n, oldest, commit uint64) fencedlog.Copy {
+	return fencedlog.Copy{Number: n, Oldest: oldest, Commit: commit, Records: 2, Body: fmt.Appendf(nil, "%10d", n)}
 }
 
-func numbers(held []journal.Copy) []uint64 {
+func numbers(held []fencedlog.Copy) []uint64 {
 	found := []uint64{}
 	for _, c := range held {
 		found = append(found, c.Number)
--- a/copies/duty.go
+++ b/copies/duty.go
@@ -7,7 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 	"dogwoodline.example/ring"
 )
 
@@ -36,7 +36,7 @@
 type request struct {
 	kind        requestKind
 	incarnation string
-	copy        journal.Copy
+	copy        fencedlog.Copy
 	commit      uint64
 	reply       *ring.Ring[reply] // has one slot
 }
@@ -51,7 +51,7 @@
 
 type reply struct {
 	verdict Verdict
-	copies  []journal.Copy
+	copies  []fencedlog.Copy
 }
 
 // NewDuty returns the duty. Needed reports whether a journal may still be
@@ -105,13 +105,13 @@
 }
 
 // Hold takes a copy of the tail of a journal.
-func (d *Duty) Hold(ctx context.Context, incarnation string, c journal.Copy) (Verdict, error) {
+func (d *Duty) Hold(ctx context.Context, incarnation string, c fencedlog.Copy) (Verdict, error) {
 	answer, err := d.ask(ctx, request{kind: holdCopy, incarnation: incarnation, copy: c})
 	return answer.verdict, err
 }
 
 // Collect returns the copies of a journal and refuses further ones.
-func (d *Duty) Collect(ctx context.Context, incarnation string) ([]journal.Copy, error) {
+func (d *Duty) Collect(ctx context.Context, incarnation string) ([]fencedlog.Copy, error) {
 	answer, err := d.ask(ctx, request{kind: collectCopies, incarnation: incarnation})
 	return answer.copies, err
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,10 +19,10 @@
 	"dogwoodline.example/api"
 	"dogwoodline.example/config"
 	"dogwoodline.example/duty"
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/kvstore/budgeted"
+	"dogwoodline.example/kvstore/httpstore"
 	"dogwoodline.example/node"
-	"dogwoodline.example/platform/budgeted"
-	"dogwoodline.example/platform/httpstore"
 	"dogwoodline.example/rpc"
 	"dogwoodline.example/settings"
 )
@@ -135,7 +135,7 @@
 		ID: s.Node.ID, Zone: s.Node.AvailabilityZone, HTTP: s.HTTPBaseURL(), GRPC: s.Listen.GRPCAdvertised,
 		LeaseTTL: time.Duration(s.Platform.LeaseTTLMS) * time.Millisecond, Shards: int(s.Placement.Shards),
 		CallWorkers: int(s.Schedule.CallWorkers), CommandSlots: int(s.Rings.Commands), Policy: s.Schedule.Policy,
-		Journal: journal.Settings{
+		Journal: fencedlog.Settings{
 			WritesPerSecond: float64(s.Journal.WritesPerSecond), RingSlots: int(s.Rings.Journal),
 			TailRecords: int(s.Journal.TailRecords), TailBytes: int(s.Journal.TailBytes),
 		},
--- a/daemon/resources.go
+++ b/daemon/resources.go
@@ -10,8 +10,8 @@
 
 	"dogwoodline.example/api"
 	"dogwoodline.example/config"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/outcome"
-	"dogwoodline.example/platform"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
 )
@@ -137,7 +137,7 @@
 	if err != nil {
 		return api.Resource{}, invalid(err)
 	}
-	result := r.config.Put(ctx, config.Write{ID: id, Spec: decoded.Spec, Expected: platform.Version(expected)})
+	result := r.config.Put(ctx, config.Write{ID: id, Spec: decoded.Spec, Expected: kvstore.Version(expected)})
 	if err := failureOf(result); err != nil {
 		return api.Resource{}, err
 	}
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	return failureOf(r.config.Delete(ctx, id, platform.Version(expected)))
+	return failureOf(r.config.Delete(ctx, id, kvstore.Version(expected)))
 }
 
 // Watch implements api.Resources.
@@ -160,7 +160,7 @@
 	for {
 		set := r.config.Snapshot()
 		list := api.ResourceList{Revision: max(after, int64(set.Revision()))}
-		for _, change := range set.ChangesAfter(platform.Version(after)) {
+		for _, change := range set.ChangesAfter(kvstore.Version(after)) {
 			if kind == "" || string(change.ID.Kind) == kind {
 				list.Resources = append(list.Resources, changeView(change))
 			}
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -18,7 +18,7 @@
 	"dogwoodline.example/emulator/engine"
 	"dogwoodline.example/emulator/platformserver"
 	"dogwoodline.example/emulator/service"
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/settings"
 )
 
@@ -125,14 +125,14 @@
 
 // SetHosts publishes the engines in the host list, the named ones as leaving.
 func (d *Deployment) SetHosts(leaving map[string]bool) {
-	hosts := make([]platform.Host, 0, len(d.Engines))
+	hosts := make([]kvstore.Host, 0, len(d.Engines))
 	for i, e := range d.Engines {
-		state := platform.HostLive
+		state := kvstore.HostLive
 		name := d.config.Engines[i].Name
 		if leaving[name] {
-			state = platform.HostLeaving
+			state = kvstore.HostLeaving
 		}
-		hosts = append(hosts, platform.Host{Name: name, Address: e.Address(), Zone: d.zone(i), State: state})
+		hosts = append(hosts, kvstore.Host{Name: name, Address: e.Address(), Zone: d.zone(i), State: state})
 	}
 	d.platform.SetHosts(hosts)
 }
--- a/emulator/platformserver/handlers.go
+++ b/emulator/platformserver/handlers.go
@@ -12,15 +12,15 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/time/rate"
 
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/wire"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/wire"
 )
 
 // maxWait bounds a watch, in case a client asks for an absurd wait.
 const maxWait = time.Minute
 
 // errBadRequest reports a malformed parameter or body.
-var errBadRequest = platform.Error.New("malformed request")
+var errBadRequest = kvstore.Error.New("malformed request")
 
 // call is a handler that returns the answer or a platform error, and the
 // current version of the key after a conflict.
@@ -78,7 +78,7 @@
 	s.count(kind)
 	if !limiter.AllowN(s.clock.Now(), 1) {
 		s.count("rate_limited")
-		respond(w, nil, platform.ErrRateLimited)
+		respond(w, nil, kvstore.ErrRateLimited)
 		return false
 	}
 	s.sleep(r.Context(), s.faults.delay())
@@ -96,33 +96,33 @@
 }
 
 // conflict carries the current version of the key with ErrConflict.
-type conflict struct{ version platform.Version }
+type conflict struct{ version kvstore.Version }
 
-func (c *conflict) Error() string { return platform.ErrConflict.Error() }
-func (c *conflict) Unwrap() error { return platform.ErrConflict }
+func (c *conflict) Error() string { return kvstore.ErrConflict.Error() }
+func (c *conflict) Unwrap() error { return kvstore.ErrConflict }
 
 func (s *Server) put(r *http.Request) (any, error) {
-	expected, err := number[platform.Version](r.URL.Query().Get("if_version"), platform.AnyVersion)
+	expected, err := number[kvstore.Version](r.URL.Query().Get("if_version"), kvstore.AnyVersion)
 	if err != nil {
 		return nil, err
 	}
-	lease, err := number[platform.LeaseID](r.URL.Query().Get("lease"), 0)
+	lease, err := number[kvstore.LeaseID](r.URL.Query().Get("lease"), 0)
 	if err != nil {
 		return nil, err
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, kvstore.MaxValueBytes+1))
 	if err != nil {
 		return nil, errBadRequest
 	}
 	version, err := s.store.Put(r.Context(), key(r), value, expected, lease)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		return nil, &conflict{version: version}
 	}
 	return wire.Written{Version: version}, err
 }
 
 func (s *Server) remove(r *http.Request) (any, error) {
-	expected, err := number[platform.Version](r.URL.Query().Get("if_version"), platform.AnyVersion)
+	expected, err := number[kvstore.Version](r.URL.Query().Get("if_version"), kvstore.AnyVersion)
 	if err != nil {
 		return nil, err
 	}
@@ -136,7 +136,7 @@
 
 func (s *Server) watch(r *http.Request) (any, error) {
 	query := r.URL.Query()
-	after, err := number[platform.Version](query.Get("after"), 0)
+	after, err := number[kvstore.Version](query.Get("after"), 0)
 	if err != nil {
 		return nil, err
 	}
@@ -164,7 +164,7 @@
 }
 
 func (s *Server) renew(r *http.Request) (any, error) {
-	lease, err := number[platform.LeaseID](chi.URLParam(r, "id"), 0)
+	lease, err := number[kvstore.LeaseID](chi.URLParam(r, "id"), 0)
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +172,7 @@
 }
 
 func (s *Server) revoke(r *http.Request) (any, error) {
-	lease, err := number[platform.LeaseID](chi.URLParam(r, "id"), 0)
+	lease, err := number[kvstore.LeaseID](chi.URLParam(r, "id"), 0)
 	if err != nil {
 		return nil, err
 	}
@@ -223,7 +223,7 @@
 }
 
 func decode(r *http.Request, into any) error {
-	decoder := json.NewDecoder(io.LimitReader(r.Body, platform.MaxValueBytes))
+	decoder := json.NewDecoder(io.LimitReader(r.Body, kvstore.MaxValueBytes))
 	decoder.DisallowUnknownFields()
 	return decoder.Decode(into)
 }
--- a/emulator/platformserver/server.go
+++ b/emulator/platformserver/server.go
@@ -17,8 +17,8 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 )
 
 const (
@@ -73,7 +73,7 @@
 // hostsAt is the host list that was set at a time.
 type hostsAt struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []kvstore.Host
 }
 
 // New returns a server with an empty store.
@@ -155,14 +155,14 @@
 func burst(perSecond float64) int { return max(1, int(perSecond)) }
 
 // SetHosts replaces the host list. Callers see it after the host lag.
-func (s *Server) SetHosts(hosts []platform.Host) {
+func (s *Server) SetHosts(hosts []kvstore.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts = append(s.hosts, hostsAt{at: s.clock.Now(), hosts: hosts})
 }
 
 // Hosts returns the list that callers see now.
-func (s *Server) Hosts() []platform.Host {
+func (s *Server) Hosts() []kvstore.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seen := s.clock.Now().Add(-time.Duration(s.limits.HostLagMS) * time.Millisecond)
@@ -174,7 +174,7 @@
 	}
 	s.hosts = s.hosts[current:]
 	if len(s.hosts) == 0 || s.hosts[0].at.After(seen) {
-		return []platform.Host{}
+		return []kvstore.Host{}
 	}
 	return s.hosts[0].hosts
 }
--- a/emulator/platformserver/server_test.go
+++ b/emulator/platformserver/server_test.go
@@ -12,8 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"dogwoodline.example/emulator/platformserver"
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/httpstore"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/httpstore"
 )
 
 func TestPlatformServer(t *testing.T) {
@@ -38,13 +38,13 @@
 		_, client := start(platformserver.Settings{})
 		keys := []string{"a/b", "a//b", "a/b?x=1", "a/ü %2F", "a/../b"}
 		for _, key := range keys {
-			_, err := client.Put(ctx, key, []byte(key), platform.Absent, 0)
+			_, err := client.Put(ctx, key, []byte(key), kvstore.Absent, 0)
 			Expect(err).NotTo(HaveOccurred())
 		}
 		for i, key := range keys {
 			item, err := client.Get(ctx, key)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(item).To(Equal(platform.Item{Key: key, Value: []byte(key), Version: platform.Version(i + 1)}))
+			Expect(item).To(Equal(kvstore.Item{Key: key, Value: []byte(key), Version: kvstore.Version(i + 1)}))
 		}
 		items, revision, err := client.List(ctx, "a/")
 		Expect(err).NotTo(HaveOccurred())
@@ -54,27 +54,27 @@
 
 	It("returns each error of the protocol as the error of the interface", func() {
 		_, client := start(platformserver.Settings{})
-		version, err := client.Put(ctx, "k", []byte("v"), platform.Absent, 0)
+		version, err := client.Put(ctx, "k", []byte("v"), kvstore.Absent, 0)
 		Expect(err).NotTo(HaveOccurred())
-		current, err := client.Put(ctx, "k", []byte("w"), platform.Absent, 0)
-		Expect(err).To(MatchError(platform.ErrConflict))
+		current, err := client.Put(ctx, "k", []byte("w"), kvstore.Absent, 0)
+		Expect(err).To(MatchError(kvstore.ErrConflict))
 		Expect(current).To(Equal(version))
-		Expect(client.Delete(ctx, "k", version+1)).To(MatchError(platform.ErrConflict))
+		Expect(client.Delete(ctx, "k", version+1)).To(MatchError(kvstore.ErrConflict))
 		Expect(client.Delete(ctx, "k", version)).To(Succeed())
 		_, err = client.Get(ctx, "k")
-		Expect(err).To(MatchError(platform.ErrNotFound))
-		Expect(client.Renew(ctx, 99)).To(MatchError(platform.ErrLeaseLost))
-		_, err = client.Put(ctx, "k", make([]byte, platform.MaxValueBytes+1), platform.AnyVersion, 0)
-		Expect(err).To(MatchError(platform.ErrTooLarge))
-		_, err = client.Put(ctx, "k", bytes.Repeat([]byte("x"), platform.MaxValueBytes), platform.AnyVersion, 0)
+		Expect(err).To(MatchError(kvstore.ErrNotFound))
+		Expect(client.Renew(ctx, 99)).To(MatchError(kvstore.ErrLeaseLost))
+		_, err = client.Put(ctx, "k", make([]byte, kvstore.MaxValueBytes+1), kvstore.AnyVersion, 0)
+		Expect(err).To(MatchError(kvstore.ErrTooLarge))
+		_, err = client.Put(ctx, "k", bytes.Repeat([]byte("x"), kvstore.MaxValueBytes), kvstore.AnyVersion, 0)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
 	It("reports a write whose answer was lost as ambiguous, and never as unavailable", func() {
 		server, client := start(platformserver.Settings{})
 		Expect(server.SetFaults(platformserver.Faults{LoseAnswers: 1})).To(Succeed())
-		_, err := client.Put(ctx, "k", []byte("v"), platform.Absent, 0)
-		Expect(err).To(MatchError(platform.ErrAmbiguous))
+		_, err := client.Put(ctx, "k", []byte("v"), kvstore.Absent, 0)
+		Expect(err).To(MatchError(kvstore.ErrAmbiguous))
 		item, err := client.Get(ctx, "k")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(item.Value).To(Equal([]byte("v")))
@@ -90,10 +90,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(client.Close)
 		Expect(server.SetFaults(platformserver.Faults{Outage: platformserver.OutageRefuse})).To(Succeed())
-		_, err = client.Put(ctx, "k", []byte("v"), platform.Absent, 0)
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		_, err = client.Put(ctx, "k", []byte("v"), kvstore.Absent, 0)
+		Expect(err).To(MatchError(kvstore.ErrUnavailable))
 		Expect(server.SetFaults(platformserver.Faults{})).To(Succeed())
-		_, err = client.Put(ctx, "k", []byte("v"), platform.Absent, 0)
+		_, err = client.Put(ctx, "k", []byte("v"), kvstore.Absent, 0)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
@@ -105,13 +105,13 @@
 		client, err := httpstore.New(httpstore.Settings{URL: web.URL, ReadTimeout: short, WriteTimeout: short})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(server.SetFaults(platformserver.Faults{Outage: platformserver.OutageHang})).To(Succeed())
-		_, err = client.Put(ctx, "k", []byte("v"), platform.Absent, 0)
-		Expect(err).To(MatchError(platform.ErrAmbiguous))
+		_, err = client.Put(ctx, "k", []byte("v"), kvstore.Absent, 0)
+		Expect(err).To(MatchError(kvstore.ErrAmbiguous))
 		_, err = client.Get(ctx, "k")
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(kvstore.ErrUnavailable))
 		Expect(server.SetFaults(platformserver.Faults{})).To(Succeed())
 		_, err = server.Store().Get(ctx, "k")
-		Expect(err).To(MatchError(platform.ErrNotFound))
+		Expect(err).To(MatchError(kvstore.ErrNotFound))
 	})
 
 	It("cuts a waiting watch when an outage begins", func() {
@@ -123,7 +123,7 @@
 		}()
 		Eventually(server.Counters).Should(HaveKeyWithValue("watch", int64(1)))
 		Expect(server.SetFaults(platformserver.Faults{Outage: platformserver.OutageRefuse})).To(Succeed())
-		Eventually(ended, "5s").Should(Receive(MatchError(platform.ErrUnavailable)))
+		Eventually(ended, "5s").Should(Receive(MatchError(kvstore.ErrUnavailable)))
 	})
 
 	It("refuses calls above the rate and counts a waiting watch as one", func() {
@@ -131,16 +131,16 @@
 		server, client := start(platformserver.Settings{
 			Clock: clock, Limits: platformserver.Limits{WritesPerSecond: 1, ReadsPerSecond: 2},
 		})
-		_, err := client.Put(ctx, "k", nil, platform.AnyVersion, 0)
+		_, err := client.Put(ctx, "k", nil, kvstore.AnyVersion, 0)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = client.Put(ctx, "k", nil, platform.AnyVersion, 0)
-		Expect(err).To(MatchError(platform.ErrRateLimited))
+		_, err = client.Put(ctx, "k", nil, kvstore.AnyVersion, 0)
+		Expect(err).To(MatchError(kvstore.ErrRateLimited))
 		_, _, err = client.Watch(ctx, "", 0, time.Minute)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = client.Get(ctx, "k")
 		Expect(err).NotTo(HaveOccurred())
 		_, err = client.Get(ctx, "k")
-		Expect(err).To(MatchError(platform.ErrRateLimited))
+		Expect(err).To(MatchError(kvstore.ErrRateLimited))
 		clock.Advance(time.Second)
 		_, err = client.Get(ctx, "k")
 		Expect(err).NotTo(HaveOccurred())
@@ -150,13 +150,13 @@
 	It("shows a host list late", func() {
 		clock := clockwork.NewFakeClock()
 		server, client := start(platformserver.Settings{Clock: clock, Limits: platformserver.Limits{HostLagMS: 1000}})
-		server.SetHosts([]platform.Host{{Name: "a", State: platform.HostLive}})
+		server.SetHosts([]kvstore.Host{{Name: "a", State: kvstore.HostLive}})
 		Expect(client.Hosts(ctx)).To(BeEmpty())
 		clock.Advance(time.Second)
-		server.SetHosts([]platform.Host{{Name: "a", State: platform.HostLeaving}})
-		Expect(client.Hosts(ctx)).To(HaveExactElements(HaveField("State", platform.HostLive)))
+		server.SetHosts([]kvstore.Host{{Name: "a", State: kvstore.HostLeaving}})
+		Expect(client.Hosts(ctx)).To(HaveExactElements(HaveField("State", kvstore.HostLive)))
 		clock.Advance(time.Second)
-		Expect(client.Hosts(ctx)).To(HaveExactElements(HaveField("State", platform.HostLeaving)))
+		Expect(client.Hosts(ctx)).To(HaveExactElements(HaveField("State", kvstore.HostLeaving)))
 	})
 
 	It("makes loads of weights wait for each other", func() {
--- a/journal/commit.go
+++ b/fencedlog/commit.go
@@ -1,4 +1,4 @@
-package journal
+package fencedlog
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // commit makes the oldest entries of the tail durable and reports them. It
@@ -105,9 +105,9 @@
 			return false, nil
 		case err == nil, errors.Is(err, ErrMalformed), errors.Is(err, ErrFormat):
 			return false, ErrFenced
-		case errors.Is(err, platform.ErrNotFound) && w.version == platform.Absent:
+		case errors.Is(err, kvstore.ErrNotFound) && w.version == kvstore.Absent:
 			return false, nil
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, kvstore.ErrNotFound):
 			return false, ErrFenced
 		}
 		if err := w.backOff(ctx, attempt); err != nil {
@@ -129,7 +129,7 @@
 	key := segmentKey(w.incarnation, closed.open)
 	for attempt := 0; ; attempt++ {
 		// Unconditional, because a repetition writes the same value.
-		_, err := w.put(ctx, key, value, platform.AnyVersion)
+		_, err := w.put(ctx, key, value, kvstore.AnyVersion)
 		if err == nil {
 			break
 		}
@@ -143,7 +143,7 @@
 	return nil
 }
 
-func (w *Writer) put(ctx context.Context, key string, value []byte, expected platform.Version) (version platform.Version, err error) {
+func (w *Writer) put(ctx context.Context, key string, value []byte, expected kvstore.Version) (version kvstore.Version, err error) {
 	w.call(ctx, func(ctx context.Context) {
 		version, err = w.store.Put(ctx, key, value, expected, 0)
 	})
@@ -151,7 +151,7 @@
 	return version, err
 }
 
-func (w *Writer) readOwnHead(ctx context.Context) (h head, version platform.Version, err error) {
+func (w *Writer) readOwnHead(ctx context.Context) (h head, version kvstore.Version, err error) {
 	w.call(ctx, func(ctx context.Context) {
 		h, version, err = readHead(ctx, w.store, w.incarnation)
 	})
@@ -161,7 +161,7 @@
 
 // note records whether the store answered.
 func (w *Writer) note(err error) {
-	answered := err == nil || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound)
+	answered := err == nil || errors.Is(err, kvstore.ErrConflict) || errors.Is(err, kvstore.ErrNotFound)
 	switch {
 	case answered:
 		w.now.FailingSince = time.Time{}
@@ -175,7 +175,7 @@
 // hadNoEffect reports whether a failed write certainly changed nothing and the
 // key may still have the expected version.
 func hadNoEffect(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited)
+	return errors.Is(err, kvstore.ErrUnavailable) || errors.Is(err, kvstore.ErrRateLimited)
 }
 
 func (w *Writer) waitForBudget(ctx context.Context) error {
--- a/journal/copier.go
+++ b/fencedlog/copier.go
@@ -1,4 +1,4 @@
-package journal
+package fencedlog
 
 import (
 	"context"
--- a/journal/copy.go
+++ b/fencedlog/copy.go
@@ -1,11 +1,11 @@
-package journal
+package fencedlog
 
 import (
 	"cmp"
 	"context"
 	"slices"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // HoldersWanted is the number of holders that a head names. Two, so that a
@@ -49,8 +49,8 @@
 
 // SealedHolders returns the holders that a sealed head names. It returns none
 // for a journal that is open, whose owner must not lose its holders, and
-// platform.ErrNotFound if there is no head.
-func SealedHolders(ctx context.Context, store platform.Store, incarnation string) ([]string, error) {
+// kvstore.ErrNotFound if there is no head.
+func SealedHolders(ctx context.Context, store kvstore.Store, incarnation string) ([]string, error) {
 	h, _, err := readHead(ctx, store, incarnation)
 	if err != nil || !h.sealed {
 		return nil, err
--- a/journal/copy_test.go
+++ b/fencedlog/copy_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package fencedlog_test
 
 import (
 	"context"
@@ -12,10 +12,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/journal"
-	"dogwoodline.example/journal/storefault"
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/fencedlog/storefault"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 )
 
 // peers are small holders in one place, and the Holders and the Sender of a
@@ -23,13 +23,13 @@
 type peers struct {
 	mu     sync.Mutex
 	wanted []string
-	held   map[string][]journal.Copy
+	held   map[string][]fencedlog.Copy
 	fenced map[string]bool
 	fail   func(holder string) (before, after bool) // loses the message or the answer
 }
 
 func newPeers(names ...string) *peers {
-	return &peers{wanted: names, held: map[string][]journal.Copy{}, fenced: map[string]bool{},
+	return &peers{wanted: names, held: map[string][]fencedlog.Copy{}, fenced: map[string]bool{},
 		fail: func(string) (bool, bool) { return false, false }}
 }
 
@@ -39,18 +39,18 @@
 	return p.wanted
 }
 
-func (p *peers) Hold(_ context.Context, holder, _ string, c journal.Copy) error {
+func (p *peers) Hold(_ context.Context, holder, _ string, c fencedlog.Copy) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before, after := p.fail(holder)
 	held := p.held[holder]
-	known := slices.IndexFunc(held, func(h journal.Copy) bool { return h.Number == c.Number })
-	oldest := slices.IndexFunc(held, func(h journal.Copy) bool { return h.Number == c.Oldest })
+	known := slices.IndexFunc(held, func(h fencedlog.Copy) bool { return h.Number == c.Number })
+	oldest := slices.IndexFunc(held, func(h fencedlog.Copy) bool { return h.Number == c.Oldest })
 	switch {
 	case before:
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	case p.fenced[holder]:
-		return journal.ErrCopiesFenced
+		return fencedlog.ErrCopiesFenced
 	case known >= 0:
 		if string(held[known].Body) != string(c.Body) {
 			return fmt.Errorf("copy %d changed", c.Number)
@@ -61,7 +61,7 @@
 		p.held[holder] = append(held, c)
 	}
 	if after {
-		return platform.ErrAmbiguous
+		return kvstore.ErrAmbiguous
 	}
 	return nil
 }
@@ -69,12 +69,12 @@
 func (p *peers) Drop(_ context.Context, holder, _ string, commit uint64) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.held[holder] = slices.DeleteFunc(slices.Clone(p.held[holder]), func(c journal.Copy) bool { return c.Commit <= commit })
+	p.held[holder] = slices.DeleteFunc(slices.Clone(p.held[holder]), func(c fencedlog.Copy) bool { return c.Commit <= commit })
 	return nil
 }
 
 // collect fences a holder and returns what it has.
-func (p *peers) collect(holder string) []journal.Copy {
+func (p *peers) collect(holder string) []fencedlog.Copy {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fenced[holder] = true
@@ -101,11 +101,11 @@
 
 // outage is a store that can be down or hang.
 type outage struct {
-	base       platform.Store
+	base       kvstore.Store
 	down, hang atomic.Bool
 }
 
-func (o *outage) store(ctx context.Context) platform.Store {
+func (o *outage) store(ctx context.Context) kvstore.Store {
 	return storefault.New(o.base, func(storefault.Call) storefault.Fault {
 		for o.hang.Load() && ctx.Err() == nil {
 			time.Sleep(time.Millisecond)
@@ -121,39 +121,39 @@
 	var (
 		o *outage
 		p *peers
-		w *journal.Writer
+		w *fencedlog.Writer
 	)
 	begin := func(ctx context.Context) {
 		o = &outage{base: memstore.New(clock)}
 		p = newPeers("h1", "h2")
-		w = journal.NewWriter(o.store(ctx), clock, quiet, "a1", fast)
+		w = fencedlog.NewWriter(o.store(ctx), clock, quiet, "a1", fast)
 		w.CopyTo(p, p)
 		go w.Run(ctx)
 		writeAll(ctx, w, 3, nil) // the first commit names the holders
 	}
 	push := func(seq uint64) {
-		Expect(w.Appends().TryPush(journal.Append{Tag: seq, Records: []journal.Record{record("p", seq)}})).To(Succeed())
+		Expect(w.Appends().TryPush(fencedlog.Append{Tag: seq, Records: []fencedlog.Record{record("p", seq)}})).To(Succeed())
 	}
 	copiedTo := func(ctx context.Context, last uint64) []uint64 {
 		var tags []uint64
 		for !slices.Contains(tags, last) {
 			c, err := w.Completions().Pop(ctx)
 			Expect(err).NotTo(HaveOccurred())
-			tags = append(tags, c.(journal.Copied).Tags...)
+			tags = append(tags, c.(fencedlog.Copied).Tags...)
 		}
 		return tags
 	}
 	replayed := func(ctx context.Context, holder string) []string {
-		Expect(journal.Seal(ctx, o.base, "a1")).To(Succeed())
-		Expect(journal.SealedHolders(ctx, o.base, "a1")).To(ContainElement(holder))
-		records, err := journal.Replay(ctx, o.base, "a1", all, p.collect(holder)...)
+		Expect(fencedlog.Seal(ctx, o.base, "a1")).To(Succeed())
+		Expect(fencedlog.SealedHolders(ctx, o.base, "a1")).To(ContainElement(holder))
+		records, err := fencedlog.Replay(ctx, o.base, "a1", all, p.collect(holder)...)
 		Expect(err).NotTo(HaveOccurred())
 		return names(records)
 	}
 
 	It("count once both holders have them, in order, and go when the store is back", func(ctx SpecContext) {
 		begin(ctx)
-		Expect(journal.SealedHolders(ctx, o.base, "a1")).To(BeEmpty(), "the journal is open")
+		Expect(fencedlog.SealedHolders(ctx, o.base, "a1")).To(BeEmpty(), "the journal is open")
 		o.down.Store(true)
 		p.set(func() { p.fail = func(holder string) (bool, bool) { return holder == "h2", false } })
 		push(4)
@@ -205,7 +205,7 @@
 		push(5)
 		c, err := w.Completions().Pop(ctx)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(c).To(Equal(journal.Fenced{}))
+		Expect(c).To(Equal(fencedlog.Fenced{}))
 		Expect(replayed(ctx, "h2")).To(HaveLen(4))
 	})
 
@@ -221,13 +221,13 @@
 		o.down.Store(false)
 		Eventually(w.Completions().Len).Should(BeNumerically(">", 0))
 		Eventually(func() []string {
-			item, err := o.base.Get(ctx, journal.HeadKey("a1"))
+			item, err := o.base.Get(ctx, fencedlog.HeadKey("a1"))
 			Expect(err).NotTo(HaveOccurred())
 			probe := memstore.New(clock) // a copy of the head is sealed instead
-			_, err = probe.Put(ctx, journal.HeadKey("a1"), item.Value, platform.Absent, 0)
+			_, err = probe.Put(ctx, fencedlog.HeadKey("a1"), item.Value, kvstore.Absent, 0)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(journal.Seal(ctx, probe, "a1")).To(Succeed())
-			holders, err := journal.SealedHolders(ctx, probe, "a1")
+			Expect(fencedlog.Seal(ctx, probe, "a1")).To(Succeed())
+			holders, err := fencedlog.SealedHolders(ctx, probe, "a1")
 			Expect(err).NotTo(HaveOccurred())
 			return holders
 		}).Should(Equal([]string{"h3", "h4"}))
@@ -258,7 +258,7 @@
 	p := newPeers("h1", "h2")
 	p.fail = func(string) (bool, bool) { n := loss.IntN(8); return n == 0, n == 1 } // under the lock
 	owned, kill := context.WithCancel(ctx)
-	w := journal.NewWriter(o.store(ctx), clock, quiet, "a1", fast)
+	w := fencedlog.NewWriter(o.store(ctx), clock, quiet, "a1", fast)
 	w.CopyTo(p, p)
 	var wait sync.WaitGroup
 	wait.Go(func() { _ = w.Run(owned) })
@@ -266,23 +266,23 @@
 	reports := int64(0)
 	wait.Go(func() {
 		for seq := uint64(1); owned.Err() == nil; {
-			if w.Appends().TryPush(journal.Append{Tag: seq, Records: []journal.Record{record(fmt.Sprint("p", seq%7), seq)}}) == nil {
+			if w.Appends().TryPush(fencedlog.Append{Tag: seq, Records: []fencedlog.Record{record(fmt.Sprint("p", seq%7), seq)}}) == nil {
 				seq++
 			}
 			time.Sleep(2 * time.Millisecond)
 			for c, ok := w.Completions().TryPop(); ok; c, ok = w.Completions().TryPop() {
 				switch c := c.(type) {
-				case journal.Copied:
+				case fencedlog.Copied:
 					reports += int64(len(c.Tags))
 					for _, tag := range c.Tags {
 						reported[tag] = true
 					}
-				case journal.Committed:
+				case fencedlog.Committed:
 					for _, tag := range c.Tags {
 						reported[tag] = true
 					}
-				case journal.Query:
-					_ = w.Verdicts().TryPush(journal.Verdict{Segment: c.Segment, Live: slices.Repeat([]bool{true}, len(c.Records))})
+				case fencedlog.Query:
+					_ = w.Verdicts().TryPush(fencedlog.Verdict{Segment: c.Segment, Live: slices.Repeat([]bool{true}, len(c.Records))})
 				}
 			}
 		}
@@ -299,11 +299,11 @@
 	}
 	kill()
 	wait.Wait()
-	Expect(journal.Seal(ctx, o.base, "a1")).To(Succeed())
-	holders, err := journal.SealedHolders(ctx, o.base, "a1")
+	Expect(fencedlog.Seal(ctx, o.base, "a1")).To(Succeed())
+	holders, err := fencedlog.SealedHolders(ctx, o.base, "a1")
 	Expect(err).NotTo(HaveOccurred())
 	for _, holder := range holders {
-		records, err := journal.Replay(ctx, o.base, "a1", all, p.collect(holder)...)
+		records, err := fencedlog.Replay(ctx, o.base, "a1", all, p.collect(holder)...)
 		Expect(err).NotTo(HaveOccurred())
 		found := map[uint64]bool{}
 		for _, r := range records {
--- a/journal/example_test.go
+++ b/fencedlog/example_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package fencedlog_test
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"dogwoodline.example/journal"
-	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/kvstore/memstore"
 )
 
 // A writer records group-committed facts. Another node seals its journal and
@@ -21,26 +21,26 @@
 	store := memstore.New(clock)
 	quiet := slog.New(slog.DiscardHandler)
 
-	writer := journal.NewWriter(store, clock, quiet, "node-1-run-1", journal.Settings{})
+	writer := fencedlog.NewWriter(store, clock, quiet, "node-1-run-1", fencedlog.Settings{})
 	if err := writer.Open(ctx); err != nil {
 		fmt.Println(err)
 		return
 	}
 	go func() { _ = writer.Run(ctx) }()
-	record := journal.Record{Shard: 7, Program: "invoice-1", Seq: 1, Data: []byte("intent")}
-	fmt.Println("recorded:", journal.NewAppender(writer).Append(ctx, []journal.Record{record}) == nil)
+	record := fencedlog.Record{Shard: 7, Program: "invoice-1", Seq: 1, Data: []byte("intent")}
+	fmt.Println("recorded:", fencedlog.NewAppender(writer).Append(ctx, []fencedlog.Record{record}) == nil)
 
-	if err := journal.Seal(ctx, store, "node-1-run-1"); err != nil {
+	if err := fencedlog.Seal(ctx, store, "node-1-run-1"); err != nil {
 		fmt.Println(err)
 		return
 	}
 	everyShard := func(int) bool { return true }
-	records, err := journal.Replay(ctx, store, "node-1-run-1", everyShard)
+	records, err := fencedlog.Replay(ctx, store, "node-1-run-1", everyShard)
 	fmt.Println("replayed:", len(records), string(records[0].Data), err)
 
 	record.Seq = 2
-	err = journal.NewAppender(writer).Append(ctx, []journal.Record{record})
-	fmt.Println("fenced:", errors.Is(err, journal.ErrFenced))
+	err = fencedlog.NewAppender(writer).Append(ctx, []fencedlog.Record{record})
+	fmt.Println("fenced:", errors.Is(err, fencedlog.ErrFenced))
 	// Output:
 	// recorded: true
 	// replayed: 1 intent <nil>
--- a/journal/history_test.go
+++ b/fencedlog/history_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package fencedlog_test
 
 import (
 	"context"
@@ -11,10 +11,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/journal"
-	"dogwoodline.example/journal/storefault"
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/fencedlog/storefault"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 	"dogwoodline.example/ring"
 )
 
@@ -32,7 +32,7 @@
 
 func run(ctx context.Context, seed uint64) {
 	base := memstore.New(clock)
-	faulty := func(salt uint64) platform.Store {
+	faulty := func(salt uint64) kvstore.Store {
 		var mu sync.Mutex
 		random := rand.New(rand.NewPCG(seed, salt))
 		return storefault.New(base, func(storefault.Call) storefault.Fault {
@@ -44,7 +44,7 @@
 			return storefault.Fault(1 + random.IntN(4))
 		})
 	}
-	w := journal.NewWriter(faulty(1), clock, quiet, "a1", fast)
+	w := fencedlog.NewWriter(faulty(1), clock, quiet, "a1", fast)
 	var wait sync.WaitGroup
 	wait.Go(func() { _ = w.Run(ctx) })
 
@@ -63,7 +63,7 @@
 			defer GinkgoRecover()
 			time.Sleep(time.Duration(seed%8) * time.Millisecond)
 			store := faulty(uint64(2 + s))
-			for journal.Seal(ctx, store, "a1") != nil {
+			for fencedlog.Seal(ctx, store, "a1") != nil {
 			}
 			sealed.Add(1)
 			// What is committed now is all there will ever be.
@@ -75,7 +75,7 @@
 	wait.Go(func() { // reads while segments are compacted
 		defer GinkgoRecover()
 		for sealed.Load() < 2 {
-			_, err := base.Get(ctx, journal.HeadKey("a1"))
+			_, err := base.Get(ctx, fencedlog.HeadKey("a1"))
 			if err == nil {
 				checkOrder(replay(ctx, base), seed)
 			}
@@ -91,7 +91,7 @@
 }
 
 // checkOrder returns the number of records of each program, which are 1 to n.
-func checkOrder(records []journal.Record, seed uint64) map[string]uint64 {
+func checkOrder(records []fencedlog.Record, seed uint64) map[string]uint64 {
 	count := map[string]uint64{}
 	for _, r := range records {
 		count[r.Program]++
@@ -102,34 +102,34 @@
 
 // produce appends the records of one program until the writer is fenced, and
 // returns how many were reported.
-func produce(ctx context.Context, w *journal.Writer, program string) uint64 {
+func produce(ctx context.Context, w *fencedlog.Writer, program string) uint64 {
 	for seq := uint64(1); ; seq++ {
-		reply := ring.New[journal.Completion](1)
-		entry := journal.Append{Records: []journal.Record{record(program, seq)}, Reply: reply}
+		reply := ring.New[fencedlog.Completion](1)
+		entry := fencedlog.Append{Records: []fencedlog.Record{record(program, seq)}, Reply: reply}
 		if w.Appends().Push(ctx, entry) != nil {
 			return seq - 1
 		}
 		c, err := reply.Pop(ctx)
-		if _, ok := c.(journal.Committed); err != nil || !ok {
+		if _, ok := c.(fencedlog.Committed); err != nil || !ok {
 			return seq - 1
 		}
 	}
 }
 
 // answerQueries keeps all records, so that compaction only copies.
-func answerQueries(ctx context.Context, w *journal.Writer) {
+func answerQueries(ctx context.Context, w *fencedlog.Writer) {
 	o := &owner{}
 	for !o.fenced {
 		c, err := w.Completions().Pop(ctx)
 		if err != nil {
 			return
 		}
-		o.take(w, c, func(journal.Record) bool { return true })
+		o.take(w, c, func(fencedlog.Record) bool { return true })
 	}
 }
 
-func replay(ctx context.Context, store platform.Store) []journal.Record {
-	records, err := journal.Replay(ctx, store, "a1", all)
+func replay(ctx context.Context, store kvstore.Store) []fencedlog.Record {
+	records, err := fencedlog.Replay(ctx, store, "a1", all)
 	Expect(err).NotTo(HaveOccurred())
 	return records
 }
--- a/journal/journal_test.go
+++ b/fencedlog/journal_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package fencedlog_test
 
 import (
 	"context"
@@ -12,10 +12,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/journal"
-	"dogwoodline.example/journal/storefault"
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/fencedlog/storefault"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 )
 
 func TestJournal(t *testing.T) {
@@ -30,7 +30,7 @@
 	quiet = slog.New(slog.DiscardHandler)
 	// fast removes the waits of the write budget and the backoff, and closes
 	// segments early so that few records exercise them.
-	fast = journal.Settings{
+	fast = fencedlog.Settings{
 		WritesPerSecond: 1e6,
 		RetryMin:        10 * time.Microsecond,
 		RetryMax:        50 * time.Microsecond,
@@ -42,11 +42,11 @@
 
 func all(int) bool { return true }
 
-func record(program string, seq uint64) journal.Record {
-	return journal.Record{Shard: 1, Program: program, Seq: seq, Data: []byte(fmt.Sprint(program, "/", seq))}
+func record(program string, seq uint64) fencedlog.Record {
+	return fencedlog.Record{Shard: 1, Program: program, Seq: seq, Data: []byte(fmt.Sprint(program, "/", seq))}
 }
 
-func names(records []journal.Record) []string {
+func names(records []fencedlog.Record) []string {
 	found := []string{}
 	for _, r := range records {
 		Expect(string(r.Data)).To(Equal(fmt.Sprint(r.Program, "/", r.Seq)))
@@ -62,14 +62,14 @@
 	fenced bool
 }
 
-func (o *owner) take(w *journal.Writer, c journal.Completion, live func(journal.Record) bool) {
+func (o *owner) take(w *fencedlog.Writer, c fencedlog.Completion, live func(fencedlog.Record) bool) {
 	switch c := c.(type) {
-	case journal.Committed:
+	case fencedlog.Committed:
 		o.acked = append(o.acked, c.Tags...)
-	case journal.Fenced:
+	case fencedlog.Fenced:
 		o.fenced = true
-	case journal.Query:
-		verdict := journal.Verdict{Segment: c.Segment}
+	case fencedlog.Query:
+		verdict := fencedlog.Verdict{Segment: c.Segment}
 		for _, r := range c.Records {
 			verdict.Live = append(verdict.Live, live(r))
 		}
@@ -79,10 +79,10 @@
 
 // writeAll appends records 1 to n of one program one by one, waits for each,
 // and returns the tags that were committed.
-func writeAll(ctx context.Context, w *journal.Writer, n uint64, live func(journal.Record) bool) *owner {
+func writeAll(ctx context.Context, w *fencedlog.Writer, n uint64, live func(fencedlog.Record) bool) *owner {
 	o := &owner{}
 	for seq := uint64(1); seq <= n; seq++ {
-		if w.Appends().TryPush(journal.Append{Tag: seq, Records: []journal.Record{record("p", seq)}}) != nil {
+		if w.Appends().TryPush(fencedlog.Append{Tag: seq, Records: []fencedlog.Record{record("p", seq)}}) != nil {
 			break
 		}
 		for acked := len(o.acked); len(o.acked) == acked && !o.fenced; {
@@ -97,40 +97,40 @@
 var _ = Describe("Writer", func() {
 	It("does not commit after a seal: a holder that was paused finds itself fenced", func(ctx SpecContext) {
 		store := memstore.New(clock)
-		w := journal.NewWriter(store, clock, quiet, "a1", fast)
+		w := fencedlog.NewWriter(store, clock, quiet, "a1", fast)
 		ended := make(chan error, 1)
 		go func() { ended <- w.Run(ctx) }()
 		Expect(writeAll(ctx, w, 3, nil).acked).To(HaveLen(3))
 
-		Expect(journal.Seal(ctx, store, "a1")).To(Succeed())
-		Expect(journal.Seal(ctx, store, "a1")).To(Succeed())
+		Expect(fencedlog.Seal(ctx, store, "a1")).To(Succeed())
+		Expect(fencedlog.Seal(ctx, store, "a1")).To(Succeed())
 		o := writeAll(ctx, w, 1, nil)
 		Expect(o.fenced).To(BeTrue())
 		Expect(o.acked).To(BeEmpty())
-		Eventually(ended).Should(Receive(MatchError(journal.ErrFenced)))
+		Eventually(ended).Should(Receive(MatchError(fencedlog.ErrFenced)))
 		Expect(w.State().Fenced).To(BeTrue())
-		Expect(w.Appends().TryPush(journal.Append{})).NotTo(Succeed())
-		Expect(journal.NewAppender(w).Append(ctx, []journal.Record{record("p", 9)})).To(MatchError(journal.ErrFenced))
+		Expect(w.Appends().TryPush(fencedlog.Append{})).NotTo(Succeed())
+		Expect(fencedlog.NewAppender(w).Append(ctx, []fencedlog.Record{record("p", 9)})).To(MatchError(fencedlog.ErrFenced))
 
-		records, err := journal.Replay(ctx, store, "a1", all)
+		records, err := fencedlog.Replay(ctx, store, "a1", all)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(names(records)).To(Equal([]string{"p/1", "p/2", "p/3"}))
 	})
 
 	It("cannot begin a journal that was sealed before its first write, also after its deletion", func(ctx SpecContext) {
 		store := memstore.New(clock)
-		Expect(journal.Seal(ctx, store, "late")).To(Succeed())
-		Expect(journal.Delete(ctx, store, "late")).To(Succeed())
-		Expect(journal.NewWriter(store, clock, quiet, "late", fast).Open(ctx)).To(MatchError(journal.ErrFenced))
+		Expect(fencedlog.Seal(ctx, store, "late")).To(Succeed())
+		Expect(fencedlog.Delete(ctx, store, "late")).To(Succeed())
+		Expect(fencedlog.NewWriter(store, clock, quiet, "late", fast).Open(ctx)).To(MatchError(fencedlog.ErrFenced))
 	})
 
 	It("does not take over the journal of an earlier process with the same name", func(ctx SpecContext) {
 		store := memstore.New(clock)
-		w := journal.NewWriter(store, clock, quiet, "a1", fast)
+		w := fencedlog.NewWriter(store, clock, quiet, "a1", fast)
 		Expect(w.Open(ctx)).To(Succeed())
 		go w.Run(ctx)
 		writeAll(ctx, w, 1, nil)
-		Expect(journal.NewWriter(store, clock, quiet, "a1", fast).Open(ctx)).To(MatchError(journal.ErrFenced))
+		Expect(fencedlog.NewWriter(store, clock, quiet, "a1", fast).Open(ctx)).To(MatchError(fencedlog.ErrFenced))
 	})
 
 	// Fails each store call in turn, in each way, through commits, closed
@@ -147,17 +147,17 @@
 					}
 					return storefault.None
 				})
-				w := journal.NewWriter(store, clock, quiet, "a1", fast)
+				w := fencedlog.NewWriter(store, clock, quiet, "a1", fast)
 				ended := make(chan error, 1)
 				go func() { ended <- w.Run(ctx) }()
-				o := writeAll(ctx, w, records, func(r journal.Record) bool { return r.Seq%3 == 0 })
+				o := writeAll(ctx, w, records, func(r fencedlog.Record) bool { return r.Seq%3 == 0 })
 				w.Appends().Close()
 				Eventually(ended).Should(Receive(BeNil()))
 				total = store.Calls()
 
 				Expect(o.acked).To(HaveLen(records))
-				Expect(journal.Seal(ctx, base, "a1")).To(Succeed())
-				replayed, err := journal.Replay(ctx, base, "a1", all)
+				Expect(fencedlog.Seal(ctx, base, "a1")).To(Succeed())
+				replayed, err := fencedlog.Replay(ctx, base, "a1", all)
 				Expect(err).NotTo(HaveOccurred())
 				for seq := uint64(3); seq <= records; seq += 3 {
 					Expect(names(replayed)).To(ContainElement(fmt.Sprint("p/", seq)), "fault at call %d", k)
@@ -182,13 +182,13 @@
 		})
 		bounded := fast
 		bounded.TailRecords, bounded.RingSlots = 8, 4
-		w := journal.NewWriter(store, clock, quiet, "a1", bounded)
+		w := fencedlog.NewWriter(store, clock, quiet, "a1", bounded)
 		go w.Run(ctx)
 		var accepted uint64
 		Eventually(func() error { // pushes until the tail and the ring are full
 			var err error
 			for err == nil {
-				err = w.Appends().TryPush(journal.Append{Tag: accepted, Records: []journal.Record{record("p", accepted)}})
+				err = w.Appends().TryPush(fencedlog.Append{Tag: accepted, Records: []fencedlog.Record{record("p", accepted)}})
 				if err == nil {
 					accepted++
 				}
@@ -198,7 +198,7 @@
 			}
 			return err
 		}).Should(HaveOccurred())
-		Consistently(func() error { return w.Appends().TryPush(journal.Append{}) }, "20ms").ShouldNot(Succeed())
+		Consistently(func() error { return w.Appends().TryPush(fencedlog.Append{}) }, "20ms").ShouldNot(Succeed())
 		Expect(w.State().TailRecords).To(Equal(8))
 		Expect(w.State().FailingSince).NotTo(BeZero())
 		Expect(w.State().LastCommit).To(BeZero())
@@ -220,17 +220,17 @@
 	It("commits at once when idle, then one group for each share of the write budget", func(ctx SpecContext) {
 		fake := clockwork.NewFakeClock()
 		store := memstore.New(fake)
-		w := journal.NewWriter(store, fake, quiet, "a1", journal.Settings{WritesPerSecond: 30})
+		w := fencedlog.NewWriter(store, fake, quiet, "a1", fencedlog.Settings{WritesPerSecond: 30})
 		push := func() {
 			for tag := range uint64(100) {
-				Expect(w.Appends().TryPush(journal.Append{Tag: tag, Records: []journal.Record{record("p", tag)}})).To(Succeed())
+				Expect(w.Appends().TryPush(fencedlog.Append{Tag: tag, Records: []fencedlog.Record{record("p", tag)}})).To(Succeed())
 			}
 		}
 		push()
 		go w.Run(ctx)
 		c, err := w.Completions().Pop(ctx)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(c.(journal.Committed).Tags).To(HaveLen(100), "at once, without a step of the clock")
+		Expect(c.(fencedlog.Committed).Tags).To(HaveLen(100), "at once, without a step of the clock")
 
 		push()
 		Eventually(func() int { return w.State().TailRecords }).Should(Equal(100))
@@ -240,7 +240,7 @@
 		fake.Advance(time.Millisecond)
 		c, err = w.Completions().Pop(ctx)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(c.(journal.Committed).Tags).To(HaveLen(100))
+		Expect(c.(fencedlog.Committed).Tags).To(HaveLen(100))
 		Expect(w.State().Commits).To(Equal(uint64(3)), "the first head and two groups")
 	})
 
@@ -248,33 +248,33 @@
 		store := memstore.New(clock)
 		settings := fast
 		settings.SegmentBytes = 128 << 10
-		w := journal.NewWriter(store, clock, quiet, "a1", settings)
+		w := fencedlog.NewWriter(store, clock, quiet, "a1", settings)
 		go w.Run(ctx)
-		appender := journal.NewAppender(w)
-		big := journal.Record{Program: "p", Seq: 1, Data: make([]byte, journal.MaxRecordBytes+1)}
-		Expect(appender.Append(ctx, []journal.Record{big})).To(MatchError(journal.ErrInvalidRecord))
-		Expect(appender.Append(ctx, []journal.Record{{Program: ""}})).To(MatchError(journal.ErrInvalidRecord))
-		var records []journal.Record
+		appender := fencedlog.NewAppender(w)
+		big := fencedlog.Record{Program: "p", Seq: 1, Data: make([]byte, fencedlog.MaxRecordBytes+1)}
+		Expect(appender.Append(ctx, []fencedlog.Record{big})).To(MatchError(fencedlog.ErrInvalidRecord))
+		Expect(appender.Append(ctx, []fencedlog.Record{{Program: ""}})).To(MatchError(fencedlog.ErrInvalidRecord))
+		var records []fencedlog.Record
 		for seq := range uint64(12) {
-			records = append(records, journal.Record{Program: "p", Seq: seq, Data: make([]byte, journal.MaxRecordBytes)})
+			records = append(records, fencedlog.Record{Program: "p", Seq: seq, Data: make([]byte, fencedlog.MaxRecordBytes)})
 		}
 		Expect(appender.Append(ctx, records)).To(Succeed())
-		replayed, err := journal.Replay(ctx, store, "a1", all)
+		replayed, err := fencedlog.Replay(ctx, store, "a1", all)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(replayed).To(Equal(records))
 	})
 
 	It("compacts: live records survive, dead ones go, and an ended program never looks like a running one", func(ctx SpecContext) {
 		store := memstore.New(clock)
-		w := journal.NewWriter(store, clock, quiet, "a1", fast)
+		w := fencedlog.NewWriter(store, clock, quiet, "a1", fast)
 		go w.Run(ctx)
 		ended, dead := map[string]bool{}, map[string]bool{}
 		o := &owner{}
-		live := func(r journal.Record) bool { return !dead[r.Program] }
+		live := func(r fencedlog.Record) bool { return !dead[r.Program] }
 		tag := uint64(0)
-		push := func(r journal.Record) {
+		push := func(r fencedlog.Record) {
 			tag++
-			Expect(w.Appends().TryPush(journal.Append{Tag: tag, Records: []journal.Record{r}})).To(Succeed())
+			Expect(w.Appends().TryPush(fencedlog.Append{Tag: tag, Records: []fencedlog.Record{r}})).To(Succeed())
 			for uint64(len(o.acked)) < tag {
 				c, err := w.Completions().Pop(ctx)
 				Expect(err).NotTo(HaveOccurred())
@@ -306,7 +306,7 @@
 				end(fmt.Sprint("short", i-5), 3)
 				dead[fmt.Sprint("short", i-5)] = true
 			}
-			replayed, err := journal.Replay(ctx, store, "a1", all)
+			replayed, err := fencedlog.Replay(ctx, store, "a1", all)
 			Expect(err).NotTo(HaveOccurred())
 			found := map[string]bool{}
 			for _, r := range replayed {
@@ -317,7 +317,7 @@
 				Expect(foundEnded).To(Equal(ended[name]), "program %s in round %d", name, i)
 			}
 		}
-		replayed, err := journal.Replay(ctx, store, "a1", all)
+		replayed, err := fencedlog.Replay(ctx, store, "a1", all)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(len(replayed)).To(BeNumerically("<", 60), "of 170 written")
 		items, _, err := store.List(ctx, "journal/a1/seg/")
@@ -331,7 +331,7 @@
 		for _, fault := range []storefault.Fault{storefault.LostBefore, storefault.LostAfter} {
 			for k := int64(1); k <= 8; k++ {
 				base := memstore.New(clock)
-				w := journal.NewWriter(base, clock, quiet, "a1", fast)
+				w := fencedlog.NewWriter(base, clock, quiet, "a1", fast)
 				Expect(w.Open(ctx)).To(Succeed())
 				store := storefault.New(base, func(c storefault.Call) storefault.Fault {
 					if c.N == k {
@@ -339,16 +339,16 @@
 					}
 					return storefault.None
 				})
-				Expect(journal.Delete(ctx, base, "a1")).To(MatchError(journal.ErrNotSealed))
-				try := func(do func(context.Context, platform.Store, string) error) {
+				Expect(fencedlog.Delete(ctx, base, "a1")).To(MatchError(fencedlog.ErrNotSealed))
+				try := func(do func(context.Context, kvstore.Store, string) error) {
 					if err := do(ctx, store, "a1"); err != nil { // a refused read
-						Expect(errors.Is(err, platform.ErrUnavailable)).To(BeTrue(), "%v", err)
+						Expect(errors.Is(err, kvstore.ErrUnavailable)).To(BeTrue(), "%v", err)
 						Expect(do(ctx, store, "a1")).To(Succeed())
 					}
 				}
-				try(journal.Seal)
-				Expect(journal.IsFenced(ctx, base, "a1")).To(BeTrue())
-				try(journal.Delete)
+				try(fencedlog.Seal)
+				Expect(fencedlog.IsFenced(ctx, base, "a1")).To(BeTrue())
+				try(fencedlog.Delete)
 				items, _, err := base.List(ctx, "journal/")
 				Expect(err).NotTo(HaveOccurred())
 				Expect(items).To(BeEmpty())
@@ -358,41 +358,41 @@
 })
 
 var _ = Describe("Replay", func() {
-	write := func(ctx context.Context, groups ...[]journal.Record) []string {
+	write := func(ctx context.Context, groups ...[]fencedlog.Record) []string {
 		store := memstore.New(clock)
-		w := journal.NewWriter(store, clock, quiet, "a1", fast)
+		w := fencedlog.NewWriter(store, clock, quiet, "a1", fast)
 		go w.Run(ctx)
 		for _, group := range groups {
-			Expect(journal.NewAppender(w).Append(ctx, group)).To(Succeed())
+			Expect(fencedlog.NewAppender(w).Append(ctx, group)).To(Succeed())
 		}
-		records, err := journal.Replay(ctx, store, "a1", all)
+		records, err := fencedlog.Replay(ctx, store, "a1", all)
 		Expect(err).NotTo(HaveOccurred())
 		return names(records)
 	}
-	old := []journal.Record{record("old", 1)}
-	copied := []journal.Record{record("new", 2), record("new", 1), record("new", 2)}
+	old := []fencedlog.Record{record("old", 1)}
+	copied := []fencedlog.Record{record("new", 2), record("new", 1), record("new", 2)}
 
 	It("drops what an adoption has superseded, so that an ended program does not come back", func(ctx SpecContext) {
-		begin := []journal.Record{journal.AdoptionBegin(1, 5, false)}
+		begin := []fencedlog.Record{fencedlog.AdoptionBegin(1, 5, false)}
 		Expect(write(ctx, old, begin, copied)).To(Equal([]string{"new/1", "new/2"}))
 	})
 
 	It("keeps the own records as long as their adoption is not complete", func(ctx SpecContext) {
-		begin := []journal.Record{journal.AdoptionBegin(1, 5, true)}
-		end := []journal.Record{journal.AdoptionEnd(1, 5)}
+		begin := []fencedlog.Record{fencedlog.AdoptionBegin(1, 5, true)}
+		end := []fencedlog.Record{fencedlog.AdoptionEnd(1, 5)}
 		Expect(write(ctx, old, begin, copied)).To(Equal([]string{"new/1", "new/2", "old/1"}))
 		Expect(write(ctx, old, begin, copied, end)).To(Equal([]string{"new/1", "new/2"}))
-		Expect(write(ctx, old, begin, copied, []journal.Record{journal.AdoptionEnd(1, 4)})).To(HaveLen(3))
+		Expect(write(ctx, old, begin, copied, []fencedlog.Record{fencedlog.AdoptionEnd(1, 4)})).To(HaveLen(3))
 	})
 
 	It("returns only the wanted shards and fails on a journal that does not exist", func(ctx SpecContext) {
 		store := memstore.New(clock)
-		_, err := journal.Replay(ctx, store, "none", all)
-		Expect(err).To(MatchError(platform.ErrNotFound))
-		w := journal.NewWriter(store, clock, quiet, "a1", fast)
+		_, err := fencedlog.Replay(ctx, store, "none", all)
+		Expect(err).To(MatchError(kvstore.ErrNotFound))
+		w := fencedlog.NewWriter(store, clock, quiet, "a1", fast)
 		go w.Run(ctx)
 		writeAll(ctx, w, 2, nil)
-		records, err := journal.Replay(ctx, store, "a1", func(shard int) bool { return shard != 1 })
+		records, err := fencedlog.Replay(ctx, store, "a1", func(shard int) bool { return shard != 1 })
 		Expect(err).NotTo(HaveOccurred())
 		Expect(records).To(BeEmpty())
 	})
--- a/journal/record.go
+++ b/fencedlog/record.go
@@ -1,11 +1,11 @@
-// Package journal keeps the group-committed journal of one node incarnation
+// Package fencedlog keeps the group-committed journal of one node incarnation
 // in the platform store.
 //
 // The journal is a head, which is written only by compare-and-swap, and closed
 // segments. The head is also the fence of its owner: sealing is a swap of the
 // same key, so whichever of a commit and a seal comes first wins. The records
 // are opaque to this package.
-package journal
+package fencedlog
 
 import (
 	"fmt"
--- a/journal/seal.go
+++ b/fencedlog/seal.go
@@ -1,4 +1,4 @@
-package journal
+package fencedlog
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"fmt"
 	"slices"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // sealAttempts bounds the swaps of one Seal. Each conflict means that the owner
@@ -24,21 +24,21 @@
 // cannot begin to write. A lost answer is resolved by reading the head back.
 // Seal returns the store's error when the store fails; the journal may then be
 // sealed or not, and the caller calls it again.
-func Seal(ctx context.Context, store platform.Store, incarnation string) error {
+func Seal(ctx context.Context, store kvstore.Store, incarnation string) error {
 	return seal(ctx, store, incarnation, true)
 }
 
 // SealExisting is Seal for a journal that may have been deleted meanwhile. It
-// returns platform.ErrNotFound, and creates nothing, if there is no head.
-func SealExisting(ctx context.Context, store platform.Store, incarnation string) error {
+// returns kvstore.ErrNotFound, and creates nothing, if there is no head.
+func SealExisting(ctx context.Context, store kvstore.Store, incarnation string) error {
 	return seal(ctx, store, incarnation, false)
 }
 
-func seal(ctx context.Context, store platform.Store, incarnation string, create bool) error {
+func seal(ctx context.Context, store kvstore.Store, incarnation string, create bool) error {
 	for range sealAttempts {
 		h, version, err := readHead(ctx, store, incarnation)
-		if create && errors.Is(err, platform.ErrNotFound) {
-			h, version = head{incarnation: incarnation}, platform.Absent
+		if create && errors.Is(err, kvstore.ErrNotFound) {
+			h, version = head{incarnation: incarnation}, kvstore.Absent
 		} else if err != nil {
 			return err
 		}
@@ -50,7 +50,7 @@
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrAmbiguous):
+		case errors.Is(err, kvstore.ErrConflict), errors.Is(err, kvstore.ErrAmbiguous):
 			continue
 		default:
 			return Error.Wrap(err)
@@ -61,9 +61,9 @@
 
 // IsFenced reports whether the incarnation can no longer write: its head is
 // sealed, deleted or foreign.
-func IsFenced(ctx context.Context, store platform.Store, incarnation string) (bool, error) {
+func IsFenced(ctx context.Context, store kvstore.Store, incarnation string) (bool, error) {
 	h, _, err := readHead(ctx, store, incarnation)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return true, nil
 	}
 	if err != nil {
@@ -76,9 +76,9 @@
 // sequence number, without repetitions. Copies are what a holder of a sealed
 // journal has; those that the head contains are left out. Replay is meaningful on a sealed journal, on the
 // own one, and for a shard that the owner has handed off. It returns
-// platform.ErrNotFound if the journal has no head, because a journal that is
+// kvstore.ErrNotFound if the journal has no head, because a journal that is
 // still named as a source is never deleted: an empty result would hide a loss.
-func Replay(ctx context.Context, store platform.Store, incarnation string, want func(shard int) bool, copies ...Copy) ([]Record, error) {
+func Replay(ctx context.Context, store kvstore.Store, incarnation string, want func(shard int) bool, copies ...Copy) ([]Record, error) {
 	for range readAttempts {
 		records, err := read(ctx, store, incarnation, copies)
 		if errors.Is(err, errMoved) {
@@ -101,9 +101,9 @@
 // Delete removes a sealed journal. It returns ErrNotSealed and changes nothing
 // if the journal is open. The sealed head of an incarnation that never wrote is
 // kept, because it is what keeps that incarnation from beginning.
-func Delete(ctx context.Context, store platform.Store, incarnation string) error {
+func Delete(ctx context.Context, store kvstore.Store, incarnation string) error {
 	h, _, err := readHead(ctx, store, incarnation)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -133,7 +133,7 @@
 var errMoved = Error.New("segment deleted during the read")
 
 // read returns all records in journal order.
-func read(ctx context.Context, store platform.Store, incarnation string, copies []Copy) ([]Record, error) {
+func read(ctx context.Context, store kvstore.Store, incarnation string, copies []Copy) ([]Record, error) {
 	h, version, err := readHead(ctx, store, incarnation)
 	if err != nil {
 		return nil, err
@@ -141,7 +141,7 @@
 	var records []Record
 	for n := h.first; n < h.open; n++ {
 		closed, err := readSegment(ctx, store, incarnation, n)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, kvstore.ErrNotFound) {
 			return nil, movedOrMissing(ctx, store, incarnation, n, version)
 		}
 		if err != nil {
@@ -157,7 +157,7 @@
 	return slices.Concat(records, last, held), err
 }
 
-func movedOrMissing(ctx context.Context, store platform.Store, incarnation string, n uint64, version platform.Version) error {
+func movedOrMissing(ctx context.Context, store kvstore.Store, incarnation string, n uint64, version kvstore.Version) error {
 	_, now, err := readHead(ctx, store, incarnation)
 	if err == nil && now == version {
 		return fmt.Errorf("%w: %s", ErrMissingSegment, segmentKey(incarnation, n))
@@ -165,7 +165,7 @@
 	return errMoved
 }
 
-func readSegment(ctx context.Context, store platform.Store, incarnation string, n uint64) ([]Record, error) {
+func readSegment(ctx context.Context, store kvstore.Store, incarnation string, n uint64) ([]Record, error) {
 	item, err := store.Get(ctx, segmentKey(incarnation, n))
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -180,7 +180,7 @@
 	return decodeRecords(segment.body)
 }
 
-func readHead(ctx context.Context, store platform.Store, incarnation string) (head, platform.Version, error) {
+func readHead(ctx context.Context, store kvstore.Store, incarnation string) (head, kvstore.Version, error) {
 	item, err := store.Get(ctx, HeadKey(incarnation))
 	if err != nil {
 		return head{}, 0, Error.Wrap(err)
@@ -196,13 +196,13 @@
 }
 
 // remove deletes a key. A lost answer is resolved by deleting it again.
-func remove(ctx context.Context, store platform.Store, key string) error {
+func remove(ctx context.Context, store kvstore.Store, key string) error {
 	for range sealAttempts {
-		err := store.Delete(ctx, key, platform.AnyVersion)
+		err := store.Delete(ctx, key, kvstore.AnyVersion)
 		switch {
-		case err == nil, errors.Is(err, platform.ErrNotFound):
+		case err == nil, errors.Is(err, kvstore.ErrNotFound):
 			return nil
-		case errors.Is(err, platform.ErrAmbiguous):
+		case errors.Is(err, kvstore.ErrAmbiguous):
 			continue
 		default:
 			return Error.Wrap(err)
--- a/journal/storefault/storefault.go
+++ b/fencedlog/storefault/storefault.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // Fault is how one call fails.
@@ -43,16 +43,16 @@
 	// call. Retries within it race with the write.
 	LateBy time.Duration
 
-	inner  platform.Store
+	inner  kvstore.Store
 	decide func(Call) Fault
 	calls  atomic.Int64
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ kvstore.Store = (*Store)(nil)
 
 // New returns a store whose calls fail as decide says. Decide may block to hold
 // a call back; it is called from many goroutines.
-func New(inner platform.Store, decide func(Call) Fault) *Store {
+func New(inner kvstore.Store, decide func(Call) Fault) *Store {
 	return &Store{LateBy: 2 * time.Millisecond, inner: inner, decide: decide}
 }
 
@@ -64,15 +64,15 @@
 func (s *Store) write(op, key string, do, late func() error) error {
 	switch s.decide(Call{s.calls.Add(1), op, key}) {
 	case Unavailable:
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	case LostBefore:
-		return platform.ErrAmbiguous
+		return kvstore.ErrAmbiguous
 	case LostAfter:
 		_ = do()
-		return platform.ErrAmbiguous
+		return kvstore.ErrAmbiguous
 	case LostLate:
 		time.AfterFunc(s.LateBy, func() { _ = late() })
-		return platform.ErrAmbiguous
+		return kvstore.ErrAmbiguous
 	default:
 		return do()
 	}
@@ -80,13 +80,13 @@
 
 func (s *Store) read(op, key string, do func() error) error {
 	if s.decide(Call{s.calls.Add(1), op, key}) != None {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
 	return do()
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (item platform.Item, err error) {
+// Get implements kvstore.Store.
+func (s *Store) Get(ctx context.Context, key string) (item kvstore.Item, err error) {
 	err = s.read("get", key, func() error {
 		item, err = s.inner.Get(ctx, key)
 		return err
@@ -94,8 +94,8 @@
 	return item, err
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (version platform.Version, err error) {
+// Put implements kvstore.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expected kvstore.Version, lease kvstore.LeaseID) (version kvstore.Version, err error) {
 	copied := bytes.Clone(value)
 	err = s.write("put", key, func() error {
 		version, err = s.inner.Put(ctx, key, value, expected, lease)
@@ -107,14 +107,14 @@
 	return version, err
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, expected platform.Version) error {
+// Delete implements kvstore.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected kvstore.Version) error {
 	do := func() error { return s.inner.Delete(context.WithoutCancel(ctx), key, expected) }
 	return s.write("delete", key, do, do)
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) (items []platform.Item, revision platform.Version, err error) {
+// List implements kvstore.Store.
+func (s *Store) List(ctx context.Context, prefix string) (items []kvstore.Item, revision kvstore.Version, err error) {
 	err = s.read("list", prefix, func() error {
 		items, revision, err = s.inner.List(ctx, prefix)
 		return err
@@ -122,8 +122,8 @@
 	return items, revision, err
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) (events []platform.Event, revision platform.Version, err error) {
+// Watch implements kvstore.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) (events []kvstore.Event, revision kvstore.Version, err error) {
 	err = s.read("watch", prefix, func() error {
 		events, revision, err = s.inner.Watch(ctx, prefix, after, wait)
 		return err
@@ -131,8 +131,8 @@
 	return events, revision, err
 }
 
-// Grant implements platform.Store.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (lease platform.LeaseID, err error) {
+// Grant implements kvstore.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (lease kvstore.LeaseID, err error) {
 	err = s.write("grant", "", func() error {
 		lease, err = s.inner.Grant(ctx, ttl)
 		return err
@@ -140,14 +140,14 @@
 	return lease, err
 }
 
-// Renew implements platform.Store.
-func (s *Store) Renew(ctx context.Context, lease platform.LeaseID) error {
+// Renew implements kvstore.Store.
+func (s *Store) Renew(ctx context.Context, lease kvstore.LeaseID) error {
 	do := func() error { return s.inner.Renew(context.WithoutCancel(ctx), lease) }
 	return s.write("renew", "", do, do)
 }
 
-// Revoke implements platform.Store.
-func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements kvstore.Store.
+func (s *Store) Revoke(ctx context.Context, lease kvstore.LeaseID) error {
 	do := func() error { return s.inner.Revoke(context.WithoutCancel(ctx), lease) }
 	return s.write("revoke", "", do, do)
 }
--- a/journal/writer.go
+++ b/fencedlog/writer.go
@@ -1,4 +1,4 @@
-package journal
+package fencedlog
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/ring"
 )
 
@@ -133,7 +133,7 @@
 // Writer is the duty that commits the records of one incarnation. Open and Run
 // are called once each, by the same duty; the rings and State are for others.
 type Writer struct {
-	store       platform.Store
+	store       kvstore.Store
 	clock       clockwork.Clock
 	log         *slog.Logger
 	incarnation string
@@ -147,7 +147,7 @@
 
 	// The fields below belong to the duty.
 	head    head // as last committed, but for an open segment just closed
-	version platform.Version
+	version kvstore.Version
 	tail    tail
 	now     State
 	value   []byte // scratch space for the value of a commit
@@ -159,7 +159,7 @@
 
 // NewWriter returns the writer of a new incarnation, whose name was never used
 // before.
-func NewWriter(store platform.Store, clock clockwork.Clock, log *slog.Logger, incarnation string, settings Settings) *Writer {
+func NewWriter(store kvstore.Store, clock clockwork.Clock, log *slog.Logger, incarnation string, settings Settings) *Writer {
 	settings = settings.withDefaults()
 	// Everything outstanding: what waits in the ring and the tail, each of it
 	// with a Copied and a Committed, one Query and one Fenced.
--- a/platform/budgeted/bucket.go
+++ b/kvstore/budgeted/bucket.go
@@ -7,7 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // maxWaiting bounds the calls that wait for one bucket. A node has some ten
@@ -38,14 +38,14 @@
 	return &bucket{clock: clock, perSecond: perSecond, burst: burst, tokens: burst, filled: clock.Now()}
 }
 
-// take waits for a token. It returns platform.ErrRateLimited when ctx ends or
+// take waits for a token. It returns kvstore.ErrRateLimited when ctx ends or
 // too many calls wait; the call had no effect then.
 func (b *bucket) take(ctx context.Context, priority Priority) error {
 	self := &waiter{granted: make(chan struct{})}
 	b.mu.Lock()
 	if b.count == maxWaiting {
 		b.mu.Unlock()
-		return platform.ErrRateLimited
+		return kvstore.ErrRateLimited
 	}
 	b.waiting[priority] = append(b.waiting[priority], self)
 	b.count++
@@ -57,7 +57,7 @@
 	case <-ctx.Done():
 	}
 	b.withdraw(priority, self)
-	return platform.ErrRateLimited
+	return kvstore.ErrRateLimited
 }
 
 // withdraw removes a waiter whose context ended, or returns its token.
--- a/platform/budgeted/budgeted.go
+++ b/kvstore/budgeted/budgeted.go
@@ -16,7 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // Priority is the order in which waiting calls are served.
@@ -41,7 +41,7 @@
 
 // Budget is the rate budget of one node.
 type Budget struct {
-	store  platform.Store
+	store  kvstore.Store
 	writes *bucket
 	reads  *bucket
 	set    *metrics.Set
@@ -49,7 +49,7 @@
 
 // New returns a budget for the calls to store. It registers its counters in
 // set. It panics when a rate is not positive, because no call would ever run.
-func New(store platform.Store, settings Settings, clock clockwork.Clock, set *metrics.Set) *Budget {
+func New(store kvstore.Store, settings Settings, clock clockwork.Clock, set *metrics.Set) *Budget {
 	if settings.WritesPerSecond <= 0 || settings.ReadsPerSecond <= 0 {
 		panic("budgeted: rates must be positive")
 	}
@@ -62,13 +62,13 @@
 }
 
 // Store returns the store for calls of one priority. Its methods wait for
-// their turn and return platform.ErrRateLimited when ctx ends before it.
-func (b *Budget) Store(priority Priority) platform.Store {
+// their turn and return kvstore.ErrRateLimited when ctx ends before it.
+func (b *Budget) Store(priority Priority) kvstore.Store {
 	return &view{budget: b, priority: priority}
 }
 
 // Hosts returns the host list within the read budget, at priority Status.
-func (b *Budget) Hosts(list platform.HostList) platform.HostList {
+func (b *Budget) Hosts(list kvstore.HostList) kvstore.HostList {
 	return &hosts{budget: b, list: list}
 }
 
@@ -77,34 +77,34 @@
 	priority Priority
 }
 
-func (v *view) Get(ctx context.Context, key string) (platform.Item, error) {
-	return call(ctx, v, v.budget.reads, "get", func() (platform.Item, error) {
+func (v *view) Get(ctx context.Context, key string) (kvstore.Item, error) {
+	return call(ctx, v, v.budget.reads, "get", func() (kvstore.Item, error) {
 		return v.budget.store.Get(ctx, key)
 	})
 }
 
-func (v *view) Put(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
-	return call(ctx, v, v.budget.writes, "put", func() (platform.Version, error) {
+func (v *view) Put(ctx context.Context, key string, value []byte, expected kvstore.Version, lease kvstore.LeaseID) (kvstore.Version, error) {
+	return call(ctx, v, v.budget.writes, "put", func() (kvstore.Version, error) {
 		return v.budget.store.Put(ctx, key, value, expected, lease)
 	})
 }
 
-func (v *view) Delete(ctx context.Context, key string, expected platform.Version) error {
+func (v *view) Delete(ctx context.Context, key string, expected kvstore.Version) error {
 	return v.write(ctx, "delete", func() error { return v.budget.store.Delete(ctx, key, expected) })
 }
 
 // listed and watched hold the two results of List and Watch.
 type listed struct {
-	items    []platform.Item
-	revision platform.Version
+	items    []kvstore.Item
+	revision kvstore.Version
 }
 
 type watched struct {
-	events   []platform.Event
-	revision platform.Version
+	events   []kvstore.Event
+	revision kvstore.Version
 }
 
-func (v *view) List(ctx context.Context, prefix string) ([]platform.Item, platform.Version, error) {
+func (v *view) List(ctx context.Context, prefix string) ([]kvstore.Item, kvstore.Version, error) {
 	result, err := call(ctx, v, v.budget.reads, "list", func() (listed, error) {
 		items, revision, err := v.budget.store.List(ctx, prefix)
 		return listed{items, revision}, err
@@ -112,7 +112,7 @@
 	return result.items, result.revision, err
 }
 
-func (v *view) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+func (v *view) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Event, kvstore.Version, error) {
 	result, err := call(ctx, v, v.budget.reads, "watch", func() (watched, error) {
 		events, revision, err := v.budget.store.Watch(ctx, prefix, after, wait)
 		return watched{events, revision}, err
@@ -123,17 +123,17 @@
 	return result.events, result.revision, nil
 }
 
-func (v *view) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	return call(ctx, v, v.budget.writes, "grant", func() (platform.LeaseID, error) {
+func (v *view) Grant(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
+	return call(ctx, v, v.budget.writes, "grant", func() (kvstore.LeaseID, error) {
 		return v.budget.store.Grant(ctx, ttl)
 	})
 }
 
-func (v *view) Renew(ctx context.Context, lease platform.LeaseID) error {
+func (v *view) Renew(ctx context.Context, lease kvstore.LeaseID) error {
 	return v.write(ctx, "renew", func() error { return v.budget.store.Renew(ctx, lease) })
 }
 
-func (v *view) Revoke(ctx context.Context, lease platform.LeaseID) error {
+func (v *view) Revoke(ctx context.Context, lease kvstore.LeaseID) error {
 	return v.write(ctx, "revoke", func() error { return v.budget.store.Revoke(ctx, lease) })
 }
 
@@ -144,12 +144,12 @@
 
 type hosts struct {
 	budget *Budget
-	list   platform.HostList
+	list   kvstore.HostList
 }
 
-func (h *hosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (h *hosts) Hosts(ctx context.Context) ([]kvstore.Host, error) {
 	v := &view{budget: h.budget, priority: Status}
-	return call(ctx, v, h.budget.reads, "hosts", func() ([]platform.Host, error) { return h.list.Hosts(ctx) })
+	return call(ctx, v, h.budget.reads, "hosts", func() ([]kvstore.Host, error) { return h.list.Hosts(ctx) })
 }
 
 // call waits for the budget, runs the call and counts its result.
@@ -173,11 +173,11 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.Is(err, platform.ErrNotFound), errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrLeaseLost):
+	case errors.Is(err, kvstore.ErrNotFound), errors.Is(err, kvstore.ErrConflict), errors.Is(err, kvstore.ErrLeaseLost):
 		return "refused"
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, kvstore.ErrAmbiguous):
 		return "ambiguous"
-	case errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, kvstore.ErrRateLimited):
 		return "rate_limited"
 	}
 	return "unavailable"
--- a/platform/budgeted/budgeted_test.go
+++ b/kvstore/budgeted/budgeted_test.go
@@ -11,9 +11,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/budgeted"
-	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/budgeted"
+	"dogwoodline.example/kvstore/memstore"
 )
 
 func TestBudgeted(t *testing.T) {
@@ -35,7 +35,7 @@
 		store = memstore.New(clock)
 		set = metrics.NewSet()
 		budget = budgeted.New(store, budgeted.Settings{WritesPerSecond: 1, ReadsPerSecond: 1000}, clock, set)
-		_, err := budget.Store(budgeted.Status).Put(ctx, "first", nil, platform.Absent, 0)
+		_, err := budget.Store(budgeted.Status).Put(ctx, "first", nil, kvstore.Absent, 0)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
@@ -44,7 +44,7 @@
 		waiting := budgeted.Waiting(budget)
 		done := make(chan error, 1)
 		go func() {
-			_, err := budget.Store(priority).Put(ctx, key, nil, platform.Absent, 0)
+			_, err := budget.Store(priority).Put(ctx, key, nil, kvstore.Absent, 0)
 			done <- err
 		}()
 		Eventually(func() int { return budgeted.Waiting(budget) }).Should(Equal(waiting + 1))
@@ -69,16 +69,16 @@
 		left := put(short, budgeted.Lease, "left")
 		stays := put(ctx, budgeted.Status, "stays")
 		cancel()
-		Eventually(left).Should(Receive(MatchError(platform.ErrRateLimited)))
+		Eventually(left).Should(Receive(MatchError(kvstore.ErrRateLimited)))
 		clock.Advance(time.Second + time.Millisecond)
 		Eventually(stays).Should(Receive(BeNil()))
 		_, err := store.Get(ctx, "left")
-		Expect(err).To(MatchError(platform.ErrNotFound))
+		Expect(err).To(MatchError(kvstore.ErrNotFound))
 	})
 
 	It("counts calls by kind and result", func() {
 		_, err := budget.Store(budgeted.Lease).Get(ctx, "absent")
-		Expect(err).To(MatchError(platform.ErrNotFound))
+		Expect(err).To(MatchError(kvstore.ErrNotFound))
 		var page bytes.Buffer
 		set.WritePrometheus(&page)
 		Expect(page.String()).To(ContainSubstring(`dogwoodline_platform_calls_total{kind="get",result="refused"} 1`))
--- a/platform/httpstore/call.go
+++ b/kvstore/httpstore/call.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/wire"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/wire"
 )
 
 // refusal is an error answer of the server. The call had no effect.
@@ -47,7 +47,7 @@
 	err := c.do(ctx, method, path, query, body, answer)
 	var lost *noAnswer
 	if errors.As(err, &lost) && lost.sent {
-		return platform.ErrAmbiguous
+		return kvstore.ErrAmbiguous
 	}
 	return asRead(err)
 }
@@ -55,7 +55,7 @@
 func asRead(err error) error {
 	var lost *noAnswer
 	if errors.As(err, &lost) {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
 	return err
 }
--- a/platform/httpstore/httpstore.go
+++ b/kvstore/httpstore/httpstore.go
@@ -16,8 +16,8 @@
 
 	"github.com/zeebo/errs"
 
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/wire"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/wire"
 )
 
 // Error is the class of errors that are not part of the platform's protocol.
@@ -51,8 +51,8 @@
 	WatchSlack time.Duration
 }
 
-// Client implements platform.Store, platform.HostList and
-// platform.WeightStore. It may be used by several duties at once.
+// Client implements kvstore.Store, kvstore.HostList and
+// kvstore.WeightStore. It may be used by several duties at once.
 type Client struct {
 	settings Settings
 	base     *url.URL
@@ -60,9 +60,9 @@
 }
 
 var (
-	_ platform.Store       = (*Client)(nil)
-	_ platform.HostList    = (*Client)(nil)
-	_ platform.WeightStore = (*Client)(nil)
+	_ kvstore.Store       = (*Client)(nil)
+	_ kvstore.HostList    = (*Client)(nil)
+	_ kvstore.WeightStore = (*Client)(nil)
 )
 
 // New returns a client. It opens no connection yet. It fails when the URL is
@@ -91,17 +91,17 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Item, error) {
-	var item platform.Item
+// Get implements kvstore.Store.
+func (c *Client) Get(ctx context.Context, key string) (kvstore.Item, error) {
+	var item kvstore.Item
 	err := c.read(ctx, http.MethodGet, "/kv/"+key, nil, nil, &item)
 	return item, err
 }
 
-// Put implements platform.Store.
-func (c *Client) Put(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+// Put implements kvstore.Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expected kvstore.Version, lease kvstore.LeaseID) (kvstore.Version, error) {
+	if len(value) > kvstore.MaxValueBytes {
+		return 0, kvstore.ErrTooLarge
 	}
 	query := url.Values{}
 	query.Set("if_version", formatInt(expected))
@@ -117,21 +117,21 @@
 	return written.Version, err
 }
 
-// Delete implements platform.Store.
-func (c *Client) Delete(ctx context.Context, key string, expected platform.Version) error {
+// Delete implements kvstore.Store.
+func (c *Client) Delete(ctx context.Context, key string, expected kvstore.Version) error {
 	query := url.Values{"if_version": {formatInt(expected)}}
 	return c.write(ctx, http.MethodDelete, "/kv/"+key, query, nil, &wire.Written{})
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Item, platform.Version, error) {
+// List implements kvstore.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]kvstore.Item, kvstore.Version, error) {
 	var answer wire.Items
 	err := c.read(ctx, http.MethodGet, "/kv", url.Values{"prefix": {prefix}}, nil, &answer)
 	return answer.Items, answer.Revision, err
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+// Watch implements kvstore.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Event, kvstore.Version, error) {
 	query := url.Values{
 		"prefix":  {prefix},
 		"after":   {formatInt(after)},
@@ -147,32 +147,32 @@
 	return answer.Events, answer.Revision, nil
 }
 
-// Grant implements platform.Store. After ErrAmbiguous an unknown lease may
+// Grant implements kvstore.Store. After ErrAmbiguous an unknown lease may
 // exist; it lapses by itself.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	var granted wire.Granted
 	err := c.write(ctx, http.MethodPost, "/leases", nil, encode(wire.GrantRequest{TTLMS: ttl.Milliseconds()}), &granted)
 	return granted.Lease, err
 }
 
-// Renew implements platform.Store.
-func (c *Client) Renew(ctx context.Context, lease platform.LeaseID) error {
+// Renew implements kvstore.Store.
+func (c *Client) Renew(ctx context.Context, lease kvstore.LeaseID) error {
 	return c.write(ctx, http.MethodPost, "/leases/"+formatInt(lease)+"/renew", nil, nil, &wire.Written{})
 }
 
-// Revoke implements platform.Store.
-func (c *Client) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements kvstore.Store.
+func (c *Client) Revoke(ctx context.Context, lease kvstore.LeaseID) error {
 	return c.write(ctx, http.MethodDelete, "/leases/"+formatInt(lease), nil, nil, &wire.Written{})
 }
 
-// Hosts implements platform.HostList.
-func (c *Client) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements kvstore.HostList.
+func (c *Client) Hosts(ctx context.Context) ([]kvstore.Host, error) {
 	var answer wire.Hosts
 	err := c.read(ctx, http.MethodGet, "/hosts", nil, nil, &answer)
 	return answer.Hosts, err
 }
 
-// Reserve implements platform.WeightStore. A lost answer is reported as
+// Reserve implements kvstore.WeightStore. A lost answer is reported as
 // ErrUnavailable: the reservation only delays other loads.
 func (c *Client) Reserve(ctx context.Context, model string, size int64) (time.Duration, error) {
 	var grant wire.WeightGrant
--- a/platform/httpstore/httpstore_test.go
+++ b/kvstore/httpstore/httpstore_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/httpstore"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/httpstore"
 )
 
 func TestHTTPStore(t *testing.T) {
@@ -25,11 +25,11 @@
 		DeferCleanup(server.Close)
 		client, err := httpstore.New(httpstore.Settings{URL: server.URL})
 		Expect(err).NotTo(HaveOccurred())
-		_, err = client.Put(context.Background(), "k", []byte("v"), platform.Absent, 0)
-		Expect(err).To(MatchError(platform.ErrAmbiguous))
-		Expect(client.Renew(context.Background(), 1)).To(MatchError(platform.ErrAmbiguous))
+		_, err = client.Put(context.Background(), "k", []byte("v"), kvstore.Absent, 0)
+		Expect(err).To(MatchError(kvstore.ErrAmbiguous))
+		Expect(client.Renew(context.Background(), 1)).To(MatchError(kvstore.ErrAmbiguous))
 		_, err = client.Get(context.Background(), "k")
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(err).To(MatchError(kvstore.ErrUnavailable))
 	},
 	Entry("server error without a code", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusBadGateway)
--- a/platform/platform.go
+++ b/kvstore/kvstore.go
@@ -1,9 +1,9 @@
-// Package platform is the interface to the platform's services: the small
+// Package kvstore is the interface to the platform's services: the small
 // key-value store, the host list and the weight store.
 //
 // The store is shared by everybody and takes several hundred writes and about
 // 2,000 reads a second, so callers of this package count their calls.
-package platform
+package kvstore
 
 import (
 	"context"
--- a/platform/memstore/memstore.go
+++ b/kvstore/memstore/memstore.go
@@ -14,7 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 const (
@@ -25,17 +25,17 @@
 	eventBytesKept = 64 << 20
 )
 
-// Store implements platform.Store in memory.
+// Store implements kvstore.Store in memory.
 type Store struct {
 	clock clockwork.Clock
 
 	mu       sync.Mutex
-	revision platform.Version
-	items    map[string]platform.Item
-	events   []platform.Event
+	revision kvstore.Version
+	items    map[string]kvstore.Item
+	events   []kvstore.Event
 	bytes    int // size of the values in events
-	leases   map[platform.LeaseID]*lease
-	nextID   platform.LeaseID
+	leases   map[kvstore.LeaseID]*lease
+	nextID   kvstore.LeaseID
 	changed  chan struct{} // closed and replaced at each change
 }
 
@@ -45,46 +45,46 @@
 	keys    map[string]struct{}
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ kvstore.Store = (*Store)(nil)
 
 // New returns an empty store that takes the time from clock.
 func New(clock clockwork.Clock) *Store {
 	return &Store{
 		clock:   clock,
-		items:   map[string]platform.Item{},
-		leases:  map[platform.LeaseID]*lease{},
+		items:   map[string]kvstore.Item{},
+		leases:  map[kvstore.LeaseID]*lease{},
 		changed: make(chan struct{}),
 	}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, key string) (platform.Item, error) {
+// Get implements kvstore.Store.
+func (s *Store) Get(_ context.Context, key string) (kvstore.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	item, ok := s.items[key]
 	if !ok {
-		return platform.Item{}, platform.ErrNotFound
+		return kvstore.Item{}, kvstore.ErrNotFound
 	}
 	return clone(item), nil
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(_ context.Context, key string, value []byte, expected platform.Version, id platform.LeaseID) (platform.Version, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+// Put implements kvstore.Store.
+func (s *Store) Put(_ context.Context, key string, value []byte, expected kvstore.Version, id kvstore.LeaseID) (kvstore.Version, error) {
+	if len(value) > kvstore.MaxValueBytes {
+		return 0, kvstore.ErrTooLarge
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	old := s.items[key]
-	if expected != platform.AnyVersion && old.Version != expected {
-		return old.Version, platform.ErrConflict
+	if expected != kvstore.AnyVersion && old.Version != expected {
+		return old.Version, kvstore.ErrConflict
 	}
 	if id != 0 {
 		held, ok := s.leases[id]
 		if !ok {
-			return 0, platform.ErrLeaseLost
+			return 0, kvstore.ErrLeaseLost
 		}
 		held.keys[key] = struct{}{}
 	}
@@ -92,38 +92,38 @@
 		delete(held.keys, key)
 	}
 	s.revision++
-	item := platform.Item{Key: key, Value: append([]byte(nil), value...), Version: s.revision, Lease: id}
+	item := kvstore.Item{Key: key, Value: append([]byte(nil), value...), Version: s.revision, Lease: id}
 	s.items[key] = item
-	s.publishLocked(platform.Event{Item: item})
+	s.publishLocked(kvstore.Event{Item: item})
 	return item.Version, nil
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(_ context.Context, key string, expected platform.Version) error {
+// Delete implements kvstore.Store.
+func (s *Store) Delete(_ context.Context, key string, expected kvstore.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	old, ok := s.items[key]
 	if !ok {
-		return platform.ErrNotFound
+		return kvstore.ErrNotFound
 	}
-	if expected != platform.AnyVersion && old.Version != expected {
-		return platform.ErrConflict
+	if expected != kvstore.AnyVersion && old.Version != expected {
+		return kvstore.ErrConflict
 	}
 	s.deleteLocked(key)
 	return nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, prefix string) ([]platform.Item, platform.Version, error) {
+// List implements kvstore.Store.
+func (s *Store) List(_ context.Context, prefix string) ([]kvstore.Item, kvstore.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	return s.listLocked(prefix), s.revision, nil
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+// Watch implements kvstore.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Event, kvstore.Version, error) {
 	end := s.clock.Now().Add(wait)
 	for {
 		found := s.eventsAfter(prefix, after)
@@ -138,7 +138,7 @@
 			wake = found.expiry
 		}
 		if !s.waitUntil(ctx, wake, found.changed) {
-			return nil, after, platform.ErrUnavailable
+			return nil, after, kvstore.ErrUnavailable
 		}
 	}
 }
@@ -160,8 +160,8 @@
 	return true
 }
 
-// Grant implements platform.Store.
-func (s *Store) Grant(_ context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements kvstore.Store.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextID++
@@ -169,26 +169,26 @@
 	return s.nextID, nil
 }
 
-// Renew implements platform.Store.
-func (s *Store) Renew(_ context.Context, id platform.LeaseID) error {
+// Renew implements kvstore.Store.
+func (s *Store) Renew(_ context.Context, id kvstore.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	held, ok := s.leases[id]
 	if !ok {
-		return platform.ErrLeaseLost
+		return kvstore.ErrLeaseLost
 	}
 	held.expires = s.clock.Now().Add(held.ttl)
 	return nil
 }
 
-// Revoke implements platform.Store.
-func (s *Store) Revoke(_ context.Context, id platform.LeaseID) error {
+// Revoke implements kvstore.Store.
+func (s *Store) Revoke(_ context.Context, id kvstore.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	if _, ok := s.leases[id]; !ok {
-		return platform.ErrLeaseLost
+		return kvstore.ErrLeaseLost
 	}
 	s.endLeaseLocked(id)
 	return nil
@@ -197,20 +197,20 @@
 // found is what a watch sees at one moment. expiry is the next end of a
 // lease, or zero.
 type found struct {
-	events   []platform.Event
-	revision platform.Version
+	events   []kvstore.Event
+	revision kvstore.Version
 	changed  <-chan struct{}
 	expiry   time.Time
 	err      error
 }
 
-func (s *Store) eventsAfter(prefix string, after platform.Version) found {
+func (s *Store) eventsAfter(prefix string, after kvstore.Version) found {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	result := found{revision: s.revision, changed: s.changed, expiry: s.nextExpiryLocked()}
 	if s.revision > after && (len(s.events) == 0 || after+1 < s.events[0].Version) {
-		result.err = platform.ErrCompacted
+		result.err = kvstore.ErrCompacted
 		return result
 	}
 	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Version > after })
@@ -223,8 +223,8 @@
 	return result
 }
 
-func (s *Store) listLocked(prefix string) []platform.Item {
-	var found []platform.Item
+func (s *Store) listLocked(prefix string) []kvstore.Item {
+	var found []kvstore.Item
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, clone(item))
@@ -248,7 +248,7 @@
 // a run with a fake clock assigns the same versions each time.
 func (s *Store) expireLocked() {
 	now := s.clock.Now()
-	var lapsed []platform.LeaseID
+	var lapsed []kvstore.LeaseID
 	for id, held := range s.leases {
 		if !held.expires.After(now) {
 			lapsed = append(lapsed, id)
@@ -260,7 +260,7 @@
 	}
 }
 
-func (s *Store) endLeaseLocked(id platform.LeaseID) {
+func (s *Store) endLeaseLocked(id kvstore.LeaseID) {
 	for _, key := range slices.Sorted(maps.Keys(s.leases[id].keys)) {
 		s.deleteLocked(key)
 	}
@@ -273,17 +273,17 @@
 	}
 	delete(s.items, key)
 	s.revision++
-	gone := platform.Item{Key: key, Version: s.revision}
-	s.publishLocked(platform.Event{Item: gone, Deleted: true})
+	gone := kvstore.Item{Key: key, Version: s.revision}
+	s.publishLocked(kvstore.Event{Item: gone, Deleted: true})
 }
 
-func (s *Store) publishLocked(event platform.Event) {
+func (s *Store) publishLocked(event kvstore.Event) {
 	s.events = append(s.events, event)
 	s.bytes += len(event.Value)
 	first := 0
 	for len(s.events)-first > eventsKept || s.bytes > eventBytesKept {
 		s.bytes -= len(s.events[first].Value)
-		s.events[first] = platform.Event{}
+		s.events[first] = kvstore.Event{}
 		first++
 	}
 	s.events = s.events[first:]
@@ -291,7 +291,7 @@
 	s.changed = make(chan struct{})
 }
 
-func clone(item platform.Item) platform.Item {
+func clone(item kvstore.Item) kvstore.Item {
 	item.Value = bytes.Clone(item.Value)
 	return item
 }
--- a/platform/memstore/memstore_test.go
+++ b/kvstore/memstore/memstore_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 )
 
 func TestMemstore(t *testing.T) {
@@ -34,9 +34,9 @@
 	It("wakes a waiting watch when a lease lapses and no call arrives", func() {
 		lease, err := store.Grant(ctx, 3*time.Second)
 		Expect(err).NotTo(HaveOccurred())
-		version, err := store.Put(ctx, "member/a", []byte("a"), platform.Absent, lease)
+		version, err := store.Put(ctx, "member/a", []byte("a"), kvstore.Absent, lease)
 		Expect(err).NotTo(HaveOccurred())
-		seen := make(chan []platform.Event, 1)
+		seen := make(chan []kvstore.Event, 1)
 		go func() {
 			events, _, _ := store.Watch(ctx, "member/", version, 10*time.Second)
 			seen <- events
@@ -49,10 +49,10 @@
 	It("keeps a value written without a lease when the lease of the deleted one ends", func() {
 		lease, err := store.Grant(ctx, time.Second)
 		Expect(err).NotTo(HaveOccurred())
-		version, err := store.Put(ctx, "k", []byte("leased"), platform.Absent, lease)
+		version, err := store.Put(ctx, "k", []byte("leased"), kvstore.Absent, lease)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(store.Delete(ctx, "k", version)).To(Succeed())
-		_, err = store.Put(ctx, "k", []byte("kept"), platform.Absent, 0)
+		_, err = store.Put(ctx, "k", []byte("kept"), kvstore.Absent, 0)
 		Expect(err).NotTo(HaveOccurred())
 		clock.Advance(time.Second)
 		item, err := store.Get(ctx, "k")
@@ -61,13 +61,13 @@
 	})
 
 	It("refuses a watch from a revision whose deletions it no longer holds", func() {
-		value := make([]byte, platform.MaxValueBytes)
+		value := make([]byte, kvstore.MaxValueBytes)
 		for i := range 70 {
-			_, err := store.Put(ctx, fmt.Sprint("k", i%2), value, platform.AnyVersion, 0)
+			_, err := store.Put(ctx, fmt.Sprint("k", i%2), value, kvstore.AnyVersion, 0)
 			Expect(err).NotTo(HaveOccurred())
 		}
 		_, _, err := store.Watch(ctx, "k", 1, 0)
-		Expect(err).To(MatchError(platform.ErrCompacted))
+		Expect(err).To(MatchError(kvstore.ErrCompacted))
 		events, revision, err := store.Watch(ctx, "k", 69, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(events).To(HaveLen(1))
@@ -76,7 +76,7 @@
 
 	It("does not share memory with its callers", func() {
 		value := []byte("v")
-		_, err := store.Put(ctx, "k", value, platform.Absent, 0)
+		_, err := store.Put(ctx, "k", value, kvstore.Absent, 0)
 		Expect(err).NotTo(HaveOccurred())
 		value[0] = 'x'
 		item, err := store.Get(ctx, "k")
--- a/platform/resolve.go
+++ b/kvstore/resolve.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"bytes"
--- a/platform/resolve_test.go
+++ b/kvstore/resolve_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 )
 
 func TestPlatform(t *testing.T) {
@@ -20,13 +20,13 @@
 
 // lossy loses the answer to the first write; before and after run around it.
 type lossy struct {
-	platform.Store
+	kvstore.Store
 	lost          bool
 	before, after func()
 	drop          bool // the lost write takes no effect either
 }
 
-func (l *lossy) Put(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
+func (l *lossy) Put(ctx context.Context, key string, value []byte, expected kvstore.Version, lease kvstore.LeaseID) (kvstore.Version, error) {
 	if l.lost {
 		return l.Store.Put(ctx, key, value, expected, lease)
 	}
@@ -36,7 +36,7 @@
 		_, _ = l.Store.Put(ctx, key, value, expected, lease)
 	}
 	l.after()
-	return 0, platform.ErrAmbiguous
+	return 0, kvstore.ErrAmbiguous
 }
 
 var _ = Describe("Resolver", func() {
@@ -44,23 +44,23 @@
 		ctx      = context.Background()
 		store    *memstore.Store
 		wrapped  *lossy
-		resolver platform.Resolver
-		first    platform.Version
+		resolver kvstore.Resolver
+		first    kvstore.Version
 	)
 
 	BeforeEach(func() {
 		clock := clockwork.NewFakeClock()
 		store = memstore.New(clock)
 		var err error
-		first, err = store.Put(ctx, "k", []byte("0"), platform.Absent, 0)
+		first, err = store.Put(ctx, "k", []byte("0"), kvstore.Absent, 0)
 		Expect(err).NotTo(HaveOccurred())
 		nothing := func() {}
 		wrapped = &lossy{Store: store, before: nothing, after: nothing}
-		resolver = platform.Resolver{Store: wrapped, Clock: clock}
+		resolver = kvstore.Resolver{Store: wrapped, Clock: clock}
 	})
 
 	overwrite := func() {
-		_, err := store.Put(ctx, "k", []byte("other"), platform.AnyVersion, 0)
+		_, err := store.Put(ctx, "k", []byte("other"), kvstore.AnyVersion, 0)
 		Expect(err).NotTo(HaveOccurred())
 	}
 
@@ -87,26 +87,26 @@
 	It("reports a conflict with the current version when another write came first", func() {
 		wrapped.before = overwrite
 		version, err := resolver.Put(ctx, "k", []byte("mine"), first, 0)
-		Expect(err).To(MatchError(platform.ErrConflict))
+		Expect(err).To(MatchError(kvstore.ErrConflict))
 		Expect(version).To(Equal(first + 1))
 	})
 
 	It("stays ambiguous while the store is unreachable", func() {
 		short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
 		defer cancel()
-		resolver = platform.Resolver{Store: down{}, Clock: clockwork.NewRealClock()}
+		resolver = kvstore.Resolver{Store: down{}, Clock: clockwork.NewRealClock()}
 		_, err := resolver.Put(short, "k", []byte("mine"), first, 0)
-		Expect(err).To(MatchError(platform.ErrAmbiguous))
+		Expect(err).To(MatchError(kvstore.ErrAmbiguous))
 	})
 })
 
 // down loses the answer to every write and refuses every read.
-type down struct{ platform.Store }
+type down struct{ kvstore.Store }
 
-func (down) Put(context.Context, string, []byte, platform.Version, platform.LeaseID) (platform.Version, error) {
-	return 0, platform.ErrAmbiguous
+func (down) Put(context.Context, string, []byte, kvstore.Version, kvstore.LeaseID) (kvstore.Version, error) {
+	return 0, kvstore.ErrAmbiguous
 }
 
-func (down) Get(context.Context, string) (platform.Item, error) {
-	return platform.Item{}, platform.ErrUnavailable
+func (down) Get(context.Context, string) (kvstore.Item, error) {
+	return kvstore.Item{}, kvstore.ErrUnavailable
 }
--- a/platform/wire/wire.go
+++ b/kvstore/wire/wire.go
@@ -9,7 +9,7 @@
 	"errors"
 	"net/http"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // Code names an error of the protocol.
@@ -30,26 +30,26 @@
 // Error is the body of a refused call. Version is the current version of the
 // key after a conflict.
 type Error struct {
-	Code    Code             `json:"code"`
-	Version platform.Version `json:"version,omitempty"`
-	Detail  string           `json:"detail,omitempty"`
+	Code    Code            `json:"code"`
+	Version kvstore.Version `json:"version,omitempty"`
+	Detail  string          `json:"detail,omitempty"`
 }
 
 // Written answers PUT and DELETE /kv/{key}.
 type Written struct {
-	Version platform.Version `json:"version"`
+	Version kvstore.Version `json:"version"`
 }
 
 // Items answers GET /kv?prefix=.
 type Items struct {
-	Items    []platform.Item  `json:"items"`
-	Revision platform.Version `json:"revision"`
+	Items    []kvstore.Item  `json:"items"`
+	Revision kvstore.Version `json:"revision"`
 }
 
 // Events answers GET /watch.
 type Events struct {
-	Events   []platform.Event `json:"events"`
-	Revision platform.Version `json:"revision"`
+	Events   []kvstore.Event `json:"events"`
+	Revision kvstore.Version `json:"revision"`
 }
 
 // GrantRequest is the body of POST /leases.
@@ -59,12 +59,12 @@
 
 // Granted answers POST /leases.
 type Granted struct {
-	Lease platform.LeaseID `json:"lease"`
+	Lease kvstore.LeaseID `json:"lease"`
 }
 
 // Hosts answers GET /hosts and is the body of PUT /admin/hosts.
 type Hosts struct {
-	Hosts []platform.Host `json:"hosts"`
+	Hosts []kvstore.Host `json:"hosts"`
 }
 
 // WeightRequest is the body of POST /weights/{model}.
@@ -82,13 +82,13 @@
 	status int
 	err    error
 }{
-	{CodeNotFound, http.StatusNotFound, platform.ErrNotFound},
-	{CodeConflict, http.StatusConflict, platform.ErrConflict},
-	{CodeLeaseLost, http.StatusGone, platform.ErrLeaseLost},
-	{CodeTooLarge, http.StatusRequestEntityTooLarge, platform.ErrTooLarge},
-	{CodeRateLimited, http.StatusTooManyRequests, platform.ErrRateLimited},
-	{CodeUnavailable, http.StatusServiceUnavailable, platform.ErrUnavailable},
-	{CodeCompacted, http.StatusPreconditionFailed, platform.ErrCompacted},
+	{CodeNotFound, http.StatusNotFound, kvstore.ErrNotFound},
+	{CodeConflict, http.StatusConflict, kvstore.ErrConflict},
+	{CodeLeaseLost, http.StatusGone, kvstore.ErrLeaseLost},
+	{CodeTooLarge, http.StatusRequestEntityTooLarge, kvstore.ErrTooLarge},
+	{CodeRateLimited, http.StatusTooManyRequests, kvstore.ErrRateLimited},
+	{CodeUnavailable, http.StatusServiceUnavailable, kvstore.ErrUnavailable},
+	{CodeCompacted, http.StatusPreconditionFailed, kvstore.ErrCompacted},
 }
 
 // FromError returns the code and HTTP status of a platform error.
--- a/membership/follow.go
+++ b/membership/follow.go
@@ -7,7 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 const (
@@ -25,17 +25,17 @@
 // one goroutine.
 type Follower interface {
 	// Listed replaces everything known so far.
-	Listed(ctx context.Context, items []platform.Item, revision platform.Version)
+	Listed(ctx context.Context, items []kvstore.Item, revision kvstore.Version)
 	// Changed gives the changes since the last call. It is also called
 	// without events when a wait ended.
-	Changed(ctx context.Context, events []platform.Event, revision platform.Version)
+	Changed(ctx context.Context, events []kvstore.Event, revision kvstore.Version)
 	// Failed tells that the store did not answer.
 	Failed(ctx context.Context, err error)
 }
 
 // Follow lists and then watches a prefix of the store until ctx ends. After a
 // failure it lists again, so that no deletion is missed.
-func Follow(ctx context.Context, store platform.Store, clock clockwork.Clock, prefix string, f Follower) error {
+func Follow(ctx context.Context, store kvstore.Store, clock clockwork.Clock, prefix string, f Follower) error {
 	for ctx.Err() == nil {
 		err := followOnce(ctx, store, prefix, f)
 		if ctx.Err() != nil {
@@ -51,7 +51,7 @@
 	return ctx.Err()
 }
 
-func followOnce(ctx context.Context, store platform.Store, prefix string, f Follower) error {
+func followOnce(ctx context.Context, store kvstore.Store, prefix string, f Follower) error {
 	items, revision, err := store.List(ctx, prefix)
 	if err != nil {
 		return err
@@ -67,7 +67,7 @@
 	}
 }
 
-func watchOnce(ctx context.Context, store platform.Store, prefix string, after platform.Version) ([]platform.Event, platform.Version, error) {
+func watchOnce(ctx context.Context, store kvstore.Store, prefix string, after kvstore.Version) ([]kvstore.Event, kvstore.Version, error) {
 	call, cancel := context.WithTimeout(ctx, pollWait+pollGrace)
 	defer cancel()
 	return store.Watch(call, prefix, after, pollWait)
--- a/membership/member.go
+++ b/membership/member.go
@@ -16,7 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // Error is the class of all errors of this package.
@@ -44,10 +44,10 @@
 	Zone        string `json:"zone"`
 	Draining    bool   `json:"draining,omitempty"`
 	// Version is the store revision of the record.
-	Version platform.Version `json:"-"`
+	Version kvstore.Version `json:"-"`
 }
 
-func decodeMember(item platform.Item) (Member, error) {
+func decodeMember(item kvstore.Item) (Member, error) {
 	var m Member
 	if err := json.Unmarshal(item.Value, &m); err != nil {
 		return Member{}, errs.Combine(ErrMalformed, err)
@@ -64,7 +64,7 @@
 	// Members are sorted by ID. The rank of a member is its index.
 	Members []Member
 	// Revision is the store revision that the view reflects.
-	Revision platform.Version
+	Revision kvstore.Version
 	// StoreDown is set while the watch of the store fails. The view may then
 	// be stale.
 	StoreDown bool
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -13,9 +13,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 	"dogwoodline.example/membership"
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
 	"dogwoodline.example/ring"
 )
 
@@ -34,44 +34,44 @@
 // faulty fails every call while err is set, and loses the answers of the puts
 // that lose counts down.
 type faulty struct {
-	platform.Store
+	kvstore.Store
 	down atomic.Bool
 	lose atomic.Int32
 }
 
 func (f *faulty) check() error {
 	if f.down.Load() {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
 	return nil
 }
 
-func (f *faulty) Get(ctx context.Context, key string) (platform.Item, error) {
+func (f *faulty) Get(ctx context.Context, key string) (kvstore.Item, error) {
 	if err := f.check(); err != nil {
-		return platform.Item{}, err
+		return kvstore.Item{}, err
 	}
 	return f.Store.Get(ctx, key)
 }
 
-func (f *faulty) Put(ctx context.Context, key string, value []byte, v platform.Version, l platform.LeaseID) (platform.Version, error) {
+func (f *faulty) Put(ctx context.Context, key string, value []byte, v kvstore.Version, l kvstore.LeaseID) (kvstore.Version, error) {
 	if err := f.check(); err != nil {
 		return 0, err
 	}
 	version, err := f.Store.Put(ctx, key, value, v, l)
 	if f.lose.Add(-1) >= 0 {
-		return 0, platform.ErrAmbiguous
+		return 0, kvstore.ErrAmbiguous
 	}
 	return version, err
 }
 
-func (f *faulty) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (f *faulty) Grant(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	if err := f.check(); err != nil {
 		return 0, err
 	}
 	return f.Store.Grant(ctx, ttl)
 }
 
-func (f *faulty) Renew(ctx context.Context, l platform.LeaseID) error {
+func (f *faulty) Renew(ctx context.Context, l kvstore.LeaseID) error {
 	if err := f.check(); err != nil {
 		return err
 	}
@@ -79,7 +79,7 @@
 }
 
 // Watch fails at once when the store goes down, like a broken connection.
-func (f *faulty) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+func (f *faulty) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Event, kvstore.Version, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -91,7 +91,7 @@
 	return f.Store.Watch(ctx, prefix, after, wait)
 }
 
-func (f *faulty) List(ctx context.Context, prefix string) ([]platform.Item, platform.Version, error) {
+func (f *faulty) List(ctx context.Context, prefix string) ([]kvstore.Item, kvstore.Version, error) {
 	if err := f.check(); err != nil {
 		return nil, 0, err
 	}
@@ -324,7 +324,7 @@
 		tracker := membership.NewTracker(store, clock, quiet, ttl, lapses)
 		go tracker.Run(ctx)
 		put := func(value string) {
-			_, err := store.Put(ctx, "member/a", []byte(value), platform.AnyVersion, 0)
+			_, err := store.Put(ctx, "member/a", []byte(value), kvstore.AnyVersion, 0)
 			Expect(err).NotTo(HaveOccurred())
 		}
 		put(`{"id":"a","incarnation":"a1"}`)
--- a/membership/session.go
+++ b/membership/session.go
@@ -11,7 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/ring"
 )
 
@@ -42,7 +42,7 @@
 
 // Session is the duty that keeps this node's member record under its lease.
 type Session struct {
-	store    platform.Store
+	store    kvstore.Store
 	clock    clockwork.Clock
 	log      *slog.Logger
 	ttl      time.Duration
@@ -52,14 +52,14 @@
 
 	// The fields below belong to the duty.
 	member Member
-	lease  platform.LeaseID
+	lease  kvstore.LeaseID
 	before bool // registered before in this incarnation
 	stale  bool // the stored record differs from member
 }
 
 // NewSession returns the session of a member. Fenced tells whether the journal
 // of the incarnation is sealed; it is asked before each registration.
-func NewSession(store platform.Store, clock clockwork.Clock, log *slog.Logger, member Member, ttl time.Duration, fenced func(context.Context) (bool, error)) *Session {
+func NewSession(store kvstore.Store, clock clockwork.Clock, log *slog.Logger, member Member, ttl time.Duration, fenced func(context.Context) (bool, error)) *Session {
 	s := &Session{
 		store:    store,
 		clock:    clock,
@@ -135,11 +135,11 @@
 func (s *Session) keep(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, sessionCallTimeout)
 	defer cancel()
-	err := platform.ErrLeaseLost
+	err := kvstore.ErrLeaseLost
 	if s.lease != 0 {
 		err = s.store.Renew(ctx, s.lease)
 	}
-	if errors.Is(err, platform.ErrLeaseLost) {
+	if errors.Is(err, kvstore.ErrLeaseLost) {
 		s.note(false)
 		s.lease, s.stale = 0, true
 		s.lease, err = s.store.Grant(ctx, s.ttl)
@@ -164,7 +164,7 @@
 		return ErrFenced
 	}
 	item, err := s.store.Get(ctx, Prefix+s.member.ID)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 		return err
 	}
 	if err == nil && s.before {
@@ -180,7 +180,7 @@
 	if _, err := s.store.Put(ctx, Prefix+s.member.ID, value, item.Version, s.lease); err != nil {
 		// The write may have taken effect, so a foreign record found later is
 		// newer.
-		s.before = s.before || errors.Is(err, platform.ErrAmbiguous)
+		s.before = s.before || errors.Is(err, kvstore.ErrAmbiguous)
 		return err
 	}
 	s.before, s.stale = true, false
@@ -195,7 +195,7 @@
 	ctx, cancel := context.WithTimeout(ctx, sessionCallTimeout)
 	defer cancel()
 	err := s.store.Revoke(ctx, s.lease)
-	if errors.Is(err, platform.ErrLeaseLost) {
+	if errors.Is(err, kvstore.ErrLeaseLost) {
 		return nil
 	}
 	return Error.Wrap(err)
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -11,7 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/ring"
 )
 
@@ -27,7 +27,7 @@
 
 // Tracker is the duty that watches the member records and publishes the view.
 type Tracker struct {
-	store       platform.Store
+	store       kvstore.Store
 	clock       clockwork.Clock
 	log         *slog.Logger
 	ttl         time.Duration
@@ -42,7 +42,7 @@
 }
 
 // NewTracker returns a tracker that reports lapsed members to lapses.
-func NewTracker(store platform.Store, clock clockwork.Clock, log *slog.Logger, ttl time.Duration, lapses *ring.Ring[Lapsed]) *Tracker {
+func NewTracker(store kvstore.Store, clock clockwork.Clock, log *slog.Logger, ttl time.Duration, lapses *ring.Ring[Lapsed]) *Tracker {
 	now := clock.Now()
 	t := &Tracker{
 		store:    store,
@@ -75,7 +75,7 @@
 }
 
 // Listed implements Follower.
-func (t *Tracker) Listed(ctx context.Context, items []platform.Item, revision platform.Version) {
+func (t *Tracker) Listed(ctx context.Context, items []kvstore.Item, revision kvstore.Version) {
 	t.noteAnswer()
 	listed := map[string]bool{}
 	for _, item := range items {
@@ -92,7 +92,7 @@
 }
 
 // Changed implements Follower.
-func (t *Tracker) Changed(ctx context.Context, events []platform.Event, revision platform.Version) {
+func (t *Tracker) Changed(ctx context.Context, events []kvstore.Event, revision kvstore.Version) {
 	t.noteAnswer()
 	for _, e := range events {
 		if e.Deleted {
@@ -109,7 +109,7 @@
 
 // Failed implements Follower.
 func (t *Tracker) Failed(_ context.Context, err error) {
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, kvstore.ErrCompacted) {
 		// The store answered, and the list that follows fills the gap. A busy
 		// store drops its changes every few seconds; were that an outage, no
 		// dead node would be confirmed for a lease period after each.
@@ -139,7 +139,7 @@
 	t.answered = now
 }
 
-func (t *Tracker) put(ctx context.Context, item platform.Item) {
+func (t *Tracker) put(ctx context.Context, item kvstore.Item) {
 	m, err := decodeMember(item)
 	if err != nil {
 		t.log.Error("membership: member record ignored", "key", item.Key, "error", err)
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -9,9 +9,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 	"dogwoodline.example/membership"
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
 	"dogwoodline.example/ring"
 )
 
@@ -22,17 +22,17 @@
 	compact chan struct{}
 }
 
-func (s *compactedStore) List(ctx context.Context, prefix string) ([]platform.Item, platform.Version, error) {
+func (s *compactedStore) List(ctx context.Context, prefix string) ([]kvstore.Item, kvstore.Version, error) {
 	s.lists.Add(1)
 	return s.Store.List(ctx, prefix)
 }
 
 func (s *compactedStore) Watch(
-	ctx context.Context, _ string, after platform.Version, _ time.Duration,
-) ([]platform.Event, platform.Version, error) {
+	ctx context.Context, _ string, after kvstore.Version, _ time.Duration,
+) ([]kvstore.Event, kvstore.Version, error) {
 	select {
 	case <-s.compact:
-		return nil, 0, platform.ErrCompacted
+		return nil, 0, kvstore.ErrCompacted
 	case <-ctx.Done():
 		return nil, after, ctx.Err()
 	}
--- a/node/backends_test.go
+++ b/node/backends_test.go
@@ -16,17 +16,17 @@
 	"dogwoodline.example/api"
 	"dogwoodline.example/emulator/engine"
 	"dogwoodline.example/emulator/service"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/outcome"
-	"dogwoodline.example/platform"
 	"dogwoodline.example/program"
 )
 
 // hostList is the platform's host list, as the test sets it.
 type hostList struct {
-	hosts atomic.Pointer[[]platform.Host]
+	hosts atomic.Pointer[[]kvstore.Host]
 }
 
-func (h *hostList) Hosts(context.Context) ([]platform.Host, error) {
+func (h *hostList) Hosts(context.Context) ([]kvstore.Host, error) {
 	if hosts := h.hosts.Load(); hosts != nil {
 		return *hosts, nil
 	}
@@ -57,7 +57,7 @@
 	It("get no new call within 3 s after the host list shows them leaving", func(ctx context.Context) {
 		c := newCluster(ctx, 2, 2)
 		s := c.nodes[0].Service()
-		leaving := []platform.Host{{Name: "e1", Address: c.engines[0].Address(), State: platform.HostLeaving}}
+		leaving := []kvstore.Host{{Name: "e1", Address: c.engines[0].Address(), State: kvstore.HostLeaving}}
 		c.hosts.hosts.Store(&leaving)
 		time.Sleep(3 * time.Second)
 		before := report(c.engines[0]).Totals.Started
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -19,9 +19,9 @@
 	"dogwoodline.example/api"
 	"dogwoodline.example/emulator/engine"
 	"dogwoodline.example/emulator/service"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 	"dogwoodline.example/node"
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/rpc"
@@ -55,48 +55,48 @@
 // cutStore fails every call while it is cut, as a node that is parted from
 // the platform sees it.
 type cutStore struct {
-	platform.Store
+	kvstore.Store
 	cut atomic.Bool
 }
 
-func (s *cutStore) Put(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
+func (s *cutStore) Put(ctx context.Context, key string, value []byte, expected kvstore.Version, lease kvstore.LeaseID) (kvstore.Version, error) {
 	if s.cut.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, kvstore.ErrUnavailable
 	}
 	return s.Store.Put(ctx, key, value, expected, lease)
 }
 
-func (s *cutStore) Get(ctx context.Context, key string) (platform.Item, error) {
+func (s *cutStore) Get(ctx context.Context, key string) (kvstore.Item, error) {
 	if s.cut.Load() {
-		return platform.Item{}, platform.ErrUnavailable
+		return kvstore.Item{}, kvstore.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s *cutStore) List(ctx context.Context, prefix string) ([]platform.Item, platform.Version, error) {
+func (s *cutStore) List(ctx context.Context, prefix string) ([]kvstore.Item, kvstore.Version, error) {
 	if s.cut.Load() {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, kvstore.ErrUnavailable
 	}
 	return s.Store.List(ctx, prefix)
 }
 
-func (s *cutStore) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+func (s *cutStore) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Event, kvstore.Version, error) {
 	if s.cut.Load() {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, kvstore.ErrUnavailable
 	}
 	return s.Store.Watch(ctx, prefix, after, min(wait, 200*time.Millisecond))
 }
 
-func (s *cutStore) Renew(ctx context.Context, lease platform.LeaseID) error {
+func (s *cutStore) Renew(ctx context.Context, lease kvstore.LeaseID) error {
 	if s.cut.Load() {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
 	return s.Store.Renew(ctx, lease)
 }
 
-func (s *cutStore) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *cutStore) Grant(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	if s.cut.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, kvstore.ErrUnavailable
 	}
 	return s.Store.Grant(ctx, ttl)
 }
@@ -128,7 +128,7 @@
 func (c *cluster) declare() *resource.Set {
 	high := 9
 	set := resource.NewSet()
-	version := platform.Version(0)
+	version := kvstore.Version(0)
 	put := func(kind resource.Kind, name string, spec resource.Spec) {
 		version++
 		set = set.With(resource.Change{ID: resource.ID{Kind: kind, Name: name}, Version: version, Spec: spec})
--- a/node/copies.go
+++ b/node/copies.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"dogwoodline.example/copies"
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 	"dogwoodline.example/membership"
 	"dogwoodline.example/placement"
 	"dogwoodline.example/rpc"
@@ -29,9 +29,9 @@
 	id, zone string
 }
 
-var _ journal.Holders = holders{}
+var _ fencedlog.Holders = holders{}
 
-// Holders implements journal.Holders.
+// Holders implements fencedlog.Holders.
 func (h holders) Holders() []string { return copies.Choose(h.view(), h.id, h.zone) }
 
 // collector asks the holders of a sealed journal for its copies.
@@ -44,7 +44,7 @@
 
 // Collect implements placement.Collector. The holder is gone when its process
 // is replaced, or when it is no member and does not answer directly.
-func (c collector) Collect(ctx context.Context, holder, incarnation string) ([]journal.Copy, error) {
+func (c collector) Collect(ctx context.Context, holder, incarnation string) ([]fencedlog.Copy, error) {
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
 	if c.node.ran(holder) {
@@ -114,7 +114,7 @@
 }
 
 // HoldCopies implements rpc.Handler.
-func (h *peerHandler) HoldCopies(ctx context.Context, holder, incarnation string, c journal.Copy) (copies.Verdict, error) {
+func (h *peerHandler) HoldCopies(ctx context.Context, holder, incarnation string, c fencedlog.Copy) (copies.Verdict, error) {
 	if !h.node.ran(holder) {
 		return 0, rpc.ErrNotHolder
 	}
@@ -122,7 +122,7 @@
 }
 
 // CollectCopies implements rpc.Handler.
-func (h *peerHandler) CollectCopies(ctx context.Context, holder, incarnation string) ([]journal.Copy, error) {
+func (h *peerHandler) CollectCopies(ctx context.Context, holder, incarnation string) ([]fencedlog.Copy, error) {
 	if !h.node.ran(holder) {
 		return nil, rpc.ErrNotHolder
 	}
--- a/node/effects.go
+++ b/node/effects.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 	"dogwoodline.example/program"
 )
 
@@ -41,9 +41,9 @@
 	if p.fenced {
 		return
 	}
-	entry := journal.Append{Tag: uint64(batch.Tag)}
+	entry := fencedlog.Append{Tag: uint64(batch.Tag)}
 	for _, r := range batch.Records {
-		entry.Records = append(entry.Records, journal.Record{
+		entry.Records = append(entry.Records, fencedlog.Record{
 			Shard: p.table.ShardOf(r.Program), Program: r.Program, Seq: r.Seq, Ended: r.Final != nil, Data: r.Encode(),
 		})
 	}
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // hostsInterval is how often the host list is read. It leaves most of the 3 s
@@ -12,13 +12,13 @@
 
 // hostView is a snapshot of the host list.
 type hostView struct {
-	state map[string]platform.HostState // by address
+	state map[string]kvstore.HostState // by address
 }
 
 // leaving reports whether the host list says that the server is leaving. A
 // host that is not listed may be too new for the lagging list.
 func (v *hostView) leaving(address string) bool {
-	return v.state[address] == platform.HostLeaving
+	return v.state[address] == kvstore.HostLeaving
 }
 
 func (i *incarnation) watchHosts(ctx context.Context) error {
@@ -29,7 +29,7 @@
 	defer ticker.Stop()
 	for {
 		if hosts, err := i.node.deps.Hosts.Hosts(ctx); err == nil {
-			view := &hostView{state: make(map[string]platform.HostState, len(hosts))}
+			view := &hostView{state: make(map[string]kvstore.HostState, len(hosts))}
 			for _, h := range hosts {
 				view.state[h.Address] = h.State
 			}
--- a/node/incarnation.go
+++ b/node/incarnation.go
@@ -9,10 +9,10 @@
 
 	"dogwoodline.example/dispatch"
 	"dogwoodline.example/duty"
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
 	"dogwoodline.example/placement"
-	"dogwoodline.example/platform"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/ring"
@@ -34,7 +34,7 @@
 type incarnation struct {
 	node      *Node
 	name      string
-	writer    *journal.Writer
+	writer    *fencedlog.Writer
 	session   *membership.Session
 	tracker   *membership.Tracker
 	detector  *membership.Detector
@@ -63,7 +63,7 @@
 	i.hosts.Store(&hostView{})
 	i.starts.Store(&startIDs{})
 	i.busy.Store(&busyPools{})
-	i.writer = journal.NewWriter(d.Store.Journal, d.Clock, d.Log, name, s.Journal)
+	i.writer = fencedlog.NewWriter(d.Store.Journal, d.Clock, d.Log, name, s.Journal)
 	i.detector = membership.NewDetector(d.Clock, d.Log, s.LeaseTTL, pinger{links: n.links, ttl: s.LeaseTTL})
 	i.tracker = membership.NewTracker(d.Store.Lease, d.Clock, d.Log, s.LeaseTTL, i.detector.Suspects())
 	self := membership.Member{ID: s.ID, Incarnation: name, HTTP: s.HTTP, GRPC: s.GRPC, Zone: s.Zone}
@@ -71,14 +71,14 @@
 	i.writer.CopyTo(holders{view: i.tracker.View, id: s.ID, zone: s.Zone}, n.links)
 	i.placement = placement.New(d.Store.Placement, d.Clock, d.Log, name, placement.Settings{Shards: s.Shards}, placement.Inputs{
 		View: i.tracker.View, Changed: i.tracker.Subscribe(), Suspects: i.detector.Suspects(), Dead: i.detector.Dead(),
-		Appender: journal.NewAppender(i.writer), Collector: collector{node: n, view: i.tracker.View},
+		Appender: fencedlog.NewAppender(i.writer), Collector: collector{node: n, view: i.tracker.View},
 	})
 	i.programs = i.newPrograms()
 	return i
 }
 
 func (i *incarnation) isFenced(ctx context.Context) (bool, error) {
-	return journal.IsFenced(ctx, i.node.deps.Store.Lease, i.name)
+	return fencedlog.IsFenced(ctx, i.node.deps.Store.Lease, i.name)
 }
 
 func (i *incarnation) newPrograms() *programs {
@@ -136,7 +136,7 @@
 		return ctx.Err()
 	case <-i.fenced:
 		d.Log.Warn("node: another node took the journal over", "incarnation", i.name)
-		return journal.ErrFenced
+		return fencedlog.ErrFenced
 	case err := <-i.left:
 		return err
 	}
@@ -244,8 +244,8 @@
 
 // leave ends the journal and the membership.
 func (i *incarnation) leave(ctx context.Context) error {
-	sealed := journal.SealExisting(ctx, i.node.deps.Store.Placement, i.name)
-	if errors.Is(sealed, platform.ErrNotFound) {
+	sealed := fencedlog.SealExisting(ctx, i.node.deps.Store.Placement, i.name)
+	if errors.Is(sealed, kvstore.ErrNotFound) {
 		sealed = nil // the drain sealed it, and another node deleted it since
 	}
 	return errors.Join(sealed, i.session.Commands().Push(ctx, membership.Leave{}))
--- a/node/node.go
+++ b/node/node.go
@@ -26,10 +26,10 @@
 	"dogwoodline.example/config"
 	"dogwoodline.example/copies"
 	"dogwoodline.example/duty"
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
 	"dogwoodline.example/placement"
-	"dogwoodline.example/platform"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/rpc"
 	"dogwoodline.example/schedule"
@@ -84,7 +84,7 @@
 	// Schedule tunes the policy.
 	Schedule schedule.Settings
 	// Journal bounds the journal writer.
-	Journal journal.Settings
+	Journal fencedlog.Settings
 }
 
 func (s Settings) withDefaults() Settings {
@@ -108,7 +108,7 @@
 // Dependencies are what a node needs from outside.
 type Dependencies struct {
 	Store Stores
-	Hosts platform.HostList
+	Hosts kvstore.HostList
 	// Resources returns the declared resources in force.
 	Resources func() *resource.Set
 	// Config serves other nodes' questions about the configuration.
@@ -138,9 +138,9 @@
 // Stores gives the platform store by the use of it, so that a lease renewal
 // does not wait behind other calls for the node's share of the store's rate.
 type Stores struct {
-	Lease     platform.Store
-	Journal   platform.Store
-	Placement platform.Store
+	Lease     kvstore.Store
+	Journal   kvstore.Store
+	Placement kvstore.Store
 }
 
 // Node is one node of the system.
@@ -199,7 +199,7 @@
 // fencing reports whether an incarnation ended because another node took its
 // programs over or a newer run of the node is registered.
 func fencing(err error) bool {
-	return errors.Is(err, journal.ErrFenced) || errors.Is(err, membership.ErrFenced) ||
+	return errors.Is(err, fencedlog.ErrFenced) || errors.Is(err, membership.ErrFenced) ||
 		errors.Is(err, membership.ErrSuperseded) || errors.Is(err, context.Canceled)
 }
 
--- a/node/programs.go
+++ b/node/programs.go
@@ -12,7 +12,7 @@
 	"dogwoodline.example/budget"
 	"dogwoodline.example/dispatch"
 	"dogwoodline.example/duty"
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
@@ -61,16 +61,16 @@
 
 	callers map[program.Waiter]caller
 	orders  map[program.CallID]*underway
-	backlog []journal.Append // batches that the journal's ring had no room for
+	backlog []fencedlog.Append // batches that the journal's ring had no room for
 	out     program.Effects
 	fenced  bool
 }
 
 // journalEnd is the programs duty's end of the journal.
 type journalEnd struct {
-	appends     *ring.Ring[journal.Append]
-	completions *ring.Ring[journal.Completion]
-	verdicts    *ring.Ring[journal.Verdict]
+	appends     *ring.Ring[fencedlog.Append]
+	completions *ring.Ring[fencedlog.Completion]
+	verdicts    *ring.Ring[fencedlog.Verdict]
 }
 
 // notice is a message of the programs duty to the duties around it.
@@ -343,20 +343,20 @@
 	p.sendBacklog()
 }
 
-func (p *programs) handleCompletion(ctx context.Context, completion journal.Completion) {
+func (p *programs) handleCompletion(ctx context.Context, completion fencedlog.Completion) {
 	switch c := completion.(type) {
-	case journal.Committed:
+	case fencedlog.Committed:
 		p.recorded(c.Tags)
-	case journal.Copied:
+	case fencedlog.Copied:
 		p.recorded(c.Tags)
-	case journal.Rejected:
+	case fencedlog.Rejected:
 		panic("node: the journal rejected a record of this node: " + c.Err.Error())
-	case journal.Fenced:
+	case fencedlog.Fenced:
 		p.fenced = true
 		p.backlog = nil
 		p.table.DropAll(&p.out)
 		p.notify(ctx, notice{kind: journalFenced})
-	case journal.Query:
+	case fencedlog.Query:
 		_ = p.journal.verdicts.TryPush(p.verdict(c))
 	}
 }
@@ -372,13 +372,13 @@
 // verdict tells which records of a segment are needed. The compaction is put
 // off while a shard of the segment is being adopted, because its programs may
 // not be known yet.
-func (p *programs) verdict(query journal.Query) journal.Verdict {
+func (p *programs) verdict(query fencedlog.Query) fencedlog.Verdict {
 	live := make([]bool, len(query.Records))
 	for i, r := range query.Records {
 		if p.table.Phase(r.Shard) == program.Adopting {
-			return journal.Verdict{Segment: query.Segment}
+			return fencedlog.Verdict{Segment: query.Segment}
 		}
 		live[i] = p.table.Known(r.Program) || p.retains(r.Shard)
 	}
-	return journal.Verdict{Segment: query.Segment, Live: live}
+	return fencedlog.Verdict{Segment: query.Segment, Live: live}
 }
--- a/placement/cluster_test.go
+++ b/placement/cluster_test.go
@@ -12,12 +12,12 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/journal"
-	"dogwoodline.example/journal/storefault"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/fencedlog/storefault"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 	"dogwoodline.example/membership"
 	"dogwoodline.example/placement"
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
 	"dogwoodline.example/ring"
 )
 
@@ -53,7 +53,7 @@
 	name    string
 	cluster *cluster
 	cancel  context.CancelFunc
-	writer  *journal.Writer
+	writer  *fencedlog.Writer
 	duty    *placement.Duty
 	changed *ring.Ring[membership.Changed]
 	dead    *ring.Ring[membership.Dead]
@@ -93,7 +93,7 @@
 	return c.startOn(storefault.New(c.base, decide), name, settings)
 }
 
-func (c *cluster) startOn(store platform.Store, name string, settings placement.Settings) *testNode {
+func (c *cluster) startOn(store kvstore.Store, name string, settings placement.Settings) *testNode {
 	ctx, cancel := context.WithCancel(c.ctx)
 	n := &testNode{
 		name: name, cluster: c, cancel: cancel,
@@ -105,7 +105,7 @@
 	}
 	n.left.Store(-1)
 	n.serving.Store(&map[int]map[string][]string{})
-	n.writer = journal.NewWriter(store, clock, quiet, name, journal.Settings{
+	n.writer = fencedlog.NewWriter(store, clock, quiet, name, fencedlog.Settings{
 		WritesPerSecond: 1e6, RetryMin: 50 * time.Microsecond, RetryMax: time.Millisecond, SegmentBytes: 1024, CompactAbove: 2,
 	})
 	settings.Shards = testShards
@@ -115,7 +115,7 @@
 		Changed:  n.changed,
 		Suspects: ring.New[membership.Lapsed](64),
 		Dead:     n.dead,
-		Appender: journal.NewAppender(n.writer),
+		Appender: fencedlog.NewAppender(n.writer),
 
 		Collector: c.collector,
 	})
@@ -225,8 +225,8 @@
 		delete(s.programs, w.program)
 	}
 	n.tag++
-	r := journal.Record{Shard: shard, Program: w.program, Seq: w.seq, Ended: w.end, Data: []byte(w.data)}
-	if n.writer.Appends().TryPush(journal.Append{Tag: n.tag, Records: []journal.Record{r}}) != nil {
+	r := fencedlog.Record{Shard: shard, Program: w.program, Seq: w.seq, Ended: w.end, Data: []byte(w.data)}
+	if n.writer.Appends().TryPush(fencedlog.Append{Tag: n.tag, Records: []fencedlog.Record{r}}) != nil {
 		w.done <- false // fenced: the state is not used any more
 		return
 	}
@@ -234,9 +234,9 @@
 	n.pending[n.tag] = w
 }
 
-func (n *testNode) takeCompletion(completion journal.Completion) {
+func (n *testNode) takeCompletion(completion fencedlog.Completion) {
 	switch c := completion.(type) {
-	case journal.Committed:
+	case fencedlog.Committed:
 		for _, tag := range c.Tags {
 			w := n.pending[tag]
 			delete(n.pending, tag)
@@ -247,25 +247,25 @@
 			}
 			w.done <- true
 		}
-	case journal.Fenced:
+	case fencedlog.Fenced:
 		n.fenced.Store(true)
 		for _, w := range n.pending {
 			w.done <- false
 		}
-	case journal.Query:
+	case fencedlog.Query:
 		_ = n.writer.Verdicts().TryPush(n.judge(c))
 	}
 }
 
 // judge keeps the records of own shards and of those that another node has
 // still to adopt from this journal.
-func (n *testNode) judge(q journal.Query) journal.Verdict {
-	v := journal.Verdict{Segment: q.Segment}
+func (n *testNode) judge(q fencedlog.Query) fencedlog.Verdict {
+	v := fencedlog.Verdict{Segment: q.Segment}
 	view := n.duty.View()
 	for _, r := range q.Records {
 		own := n.shards[r.Shard] != nil
 		if own && !n.shards[r.Shard].serving {
-			return journal.Verdict{Segment: q.Segment}
+			return fencedlog.Verdict{Segment: q.Segment}
 		}
 		if own {
 			_, running := n.shards[r.Shard].programs[r.Program]
--- a/placement/collect.go
+++ b/placement/collect.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 )
 
 // ErrHolderGone reports that a holder of copies does not exist any more: it is
@@ -16,17 +16,17 @@
 	// Collect returns the copies that a holder has. From then on the holder
 	// refuses further ones. It returns ErrHolderGone, or another error when
 	// the holder may answer later.
-	Collect(ctx context.Context, holder, incarnation string) ([]journal.Copy, error)
+	Collect(ctx context.Context, holder, incarnation string) ([]fencedlog.Copy, error)
 }
 
 // collect returns the copies of a source. Every recorded entry is at all of
 // its holders, so one that answers is enough. It returns an error while none
 // answers and one of them may still do.
-func (d *Duty) collect(ctx context.Context, source string) ([]journal.Copy, error) {
+func (d *Duty) collect(ctx context.Context, source string) ([]fencedlog.Copy, error) {
 	if d.in.Collector == nil {
 		return nil, nil
 	}
-	holders, err := journal.SealedHolders(ctx, d.store, source)
+	holders, err := fencedlog.SealedHolders(ctx, d.store, source)
 	if err != nil || len(holders) == 0 {
 		return nil, err
 	}
--- a/placement/collect_test.go
+++ b/placement/collect_test.go
@@ -10,23 +10,23 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/journal"
-	"dogwoodline.example/journal/storefault"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/fencedlog/storefault"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/placement"
-	"dogwoodline.example/platform"
 )
 
 // vault is a set of holders in one place, and their Collector.
 type vault struct {
 	mu      sync.Mutex
-	copies  []journal.Copy
+	copies  []fencedlog.Copy
 	answers map[string]error // of holders that do not answer
 	asked   map[string]int
 }
 
 func (v *vault) Holders() []string { return []string{"h1", "h2"} }
 
-func (v *vault) Hold(_ context.Context, holder, _ string, c journal.Copy) error {
+func (v *vault) Hold(_ context.Context, holder, _ string, c fencedlog.Copy) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if holder == "h1" {
@@ -37,7 +37,7 @@
 
 func (v *vault) Drop(context.Context, string, string, uint64) error { return nil }
 
-func (v *vault) Collect(_ context.Context, holder, _ string) ([]journal.Copy, error) {
+func (v *vault) Collect(_ context.Context, holder, _ string) ([]fencedlog.Copy, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.asked[holder]++
@@ -57,25 +57,25 @@
 			}
 			return storefault.None
 		})
-		dead := journal.NewWriter(store, clock, quiet, "a", journal.Settings{})
+		dead := fencedlog.NewWriter(store, clock, quiet, "a", fencedlog.Settings{})
 		dead.CopyTo(v, v)
 		owned, kill := context.WithCancel(ctx)
 		go dead.Run(owned)
-		r := func(seq uint64, data string) journal.Append {
+		r := func(seq uint64, data string) fencedlog.Append {
 			shard := placement.Shard("program0", testShards)
-			return journal.Append{Tag: seq, Records: []journal.Record{{Shard: shard, Program: "program0", Seq: seq, Data: []byte(data)}}}
+			return fencedlog.Append{Tag: seq, Records: []fencedlog.Record{{Shard: shard, Program: "program0", Seq: seq, Data: []byte(data)}}}
 		}
 		Expect(dead.Appends().TryPush(r(1, "stored"))).To(Succeed())
-		Expect(dead.Completions().Pop(ctx)).To(Equal(journal.Committed{Tags: []uint64{1}}))
+		Expect(dead.Completions().Pop(ctx)).To(Equal(fencedlog.Committed{Tags: []uint64{1}}))
 		down.Store(true)
 		Expect(dead.Appends().TryPush(r(2, "copied"))).To(Succeed())
-		Expect(dead.Completions().Pop(ctx)).To(Equal(journal.Copied{Tags: []uint64{2}}))
+		Expect(dead.Completions().Pop(ctx)).To(Equal(fencedlog.Copied{Tags: []uint64{2}}))
 		kill()
 		m := placement.NewMap(testShards)
 		m.Assign([]string{"a"})
 		value, err := m.Encode()
 		Expect(err).NotTo(HaveOccurred())
-		_, err = c.base.Put(ctx, placement.MapKey, value, platform.Absent, 0)
+		_, err = c.base.Put(ctx, placement.MapKey, value, kvstore.Absent, 0)
 		Expect(err).NotTo(HaveOccurred())
 		c.collector = v
 		b := c.start("b", noRank, nil)
--- a/placement/duty.go
+++ b/placement/duty.go
@@ -9,9 +9,9 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
-	"dogwoodline.example/platform"
 	"dogwoodline.example/ring"
 )
 
@@ -47,9 +47,9 @@
 }
 
 // Appender writes records into this node's own journal and returns when they
-// are durable. journal.Appender is one.
+// are durable. fencedlog.Appender is one.
 type Appender interface {
-	Append(ctx context.Context, records []journal.Record) error
+	Append(ctx context.Context, records []fencedlog.Record) error
 }
 
 // Inputs are the rings and views that other duties feed.
@@ -69,7 +69,7 @@
 // Duty carries out the placement of one node. It does blocking I/O and nothing
 // waits for it.
 type Duty struct {
-	store    platform.Store
+	store    kvstore.Store
 	clock    clockwork.Clock
 	log      *slog.Logger
 	self     string // incarnation
@@ -77,13 +77,13 @@
 	in       Inputs
 	messages *ring.Ring[Message]
 	orders   *ring.Ring[Order]
-	updates  *ring.Ring[platform.Item]
+	updates  *ring.Ring[kvstore.Item]
 	view     atomic.Pointer[View]
 
 	// The fields below belong to the duty.
 	current   Map
-	version   platform.Version // 0 before the map is read
-	doubt     *write           // a swap whose answer was lost
+	version   kvstore.Version // 0 before the map is read
+	doubt     *write          // a swap whose answer was lost
 	states    []state
 	adopting  map[int][]string  // sources that were replayed
 	deaths    map[string]*death // by incarnation
@@ -96,7 +96,7 @@
 
 type write struct {
 	value   []byte
-	version platform.Version // expected
+	version kvstore.Version // expected
 }
 
 type death struct {
@@ -105,7 +105,7 @@
 }
 
 // New returns the placement duty of an incarnation.
-func New(store platform.Store, clock clockwork.Clock, log *slog.Logger, self string, settings Settings, in Inputs) *Duty {
+func New(store kvstore.Store, clock clockwork.Clock, log *slog.Logger, self string, settings Settings, in Inputs) *Duty {
 	settings = settings.withDefaults()
 	d := &Duty{
 		store:    store,
@@ -118,7 +118,7 @@
 		// Drain, so that the owner of the programs never waits.
 		messages: ring.New[Message](2*settings.Shards + 1),
 		orders:   ring.New[Order](settings.Shards),
-		updates:  ring.New[platform.Item](1),
+		updates:  ring.New[kvstore.Item](1),
 		states:   make([]state, settings.Shards),
 		adopting: map[int][]string{},
 		deaths:   map[string]*death{},
@@ -140,7 +140,7 @@
 func (d *Duty) View() *View { return d.view.Load() }
 
 // Run acts until ctx ends or the journal of this incarnation is fenced, when
-// it returns journal.ErrFenced.
+// it returns fencedlog.ErrFenced.
 func (d *Duty) Run(ctx context.Context) error {
 	ticker := d.clock.NewTicker(d.settings.Tick)
 	defer ticker.Stop()
@@ -162,7 +162,7 @@
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
-		case errors.Is(err, journal.ErrFenced):
+		case errors.Is(err, fencedlog.ErrFenced):
 			return err
 		case err != nil:
 			d.log.Warn("placement: step failed, retrying", "error", err)
--- a/placement/duty_test.go
+++ b/placement/duty_test.go
@@ -11,11 +11,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/journal"
-	"dogwoodline.example/journal/storefault"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/fencedlog/storefault"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
 	"dogwoodline.example/placement"
-	"dogwoodline.example/platform"
 )
 
 // noRank makes all nodes act at the same time, so that they race.
@@ -140,9 +140,9 @@
 		Expect(b.end(ended)).To(BeTrue())
 		Eventually(func() bool { // written until compaction has removed the program from b's journal
 			c.writeEach()
-			records, err := journal.Replay(ctx, c.base, "b", func(int) bool { return true })
+			records, err := fencedlog.Replay(ctx, c.base, "b", func(int) bool { return true })
 			Expect(err).NotTo(HaveOccurred())
-			return !slices.ContainsFunc(records, func(r journal.Record) bool { return r.Program == ended })
+			return !slices.ContainsFunc(records, func(r fencedlog.Record) bool { return r.Program == ended })
 		}).Should(BeTrue())
 		drain(c, "b", []string{"a"})
 		c.settled("", "a")
@@ -159,7 +159,7 @@
 		c := newCluster(ctx)
 		var slow atomic.Bool
 		a := c.start("a", noRank, func(call storefault.Call) storefault.Fault {
-			if slow.Load() && call.Key == journal.HeadKey("a") {
+			if slow.Load() && call.Key == fencedlog.HeadKey("a") {
 				time.Sleep(20 * time.Millisecond)
 			}
 			return storefault.None
@@ -319,7 +319,7 @@
 	Eventually(n.left.Load).Should(BeZero(), name)
 	n.writer.Appends().Close()
 	// The drain sealed the journal, and another node may have deleted it.
-	Expect(journal.SealExisting(c.ctx, c.base, name)).To(Or(Succeed(), MatchError(platform.ErrNotFound)))
+	Expect(fencedlog.SealExisting(c.ctx, c.base, name)).To(Or(Succeed(), MatchError(kvstore.ErrNotFound)))
 	n.kill()
 	c.members(live(rest...)...)
 	c.confirmDead(name)
--- a/placement/steps.go
+++ b/placement/steps.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
-	"dogwoodline.example/platform"
 )
 
 // reconcile brings the states in line with the map: it gives up lost shards
@@ -37,26 +37,26 @@
 // records to the owner of the programs. Each source is read once for all
 // shards.
 func (d *Duty) adopt(ctx context.Context) error {
-	replayed := map[string]map[int][]journal.Record{}
-	var marked []journal.Record
+	replayed := map[string]map[int][]fencedlog.Record{}
+	var marked []fencedlog.Record
 	var orders []Adopt
 	for shard, e := range d.current.Shards {
 		if e.Owner != d.self || len(e.Sources) == 0 || d.states[shard] != elsewhere {
 			continue
 		}
-		var lists [][]journal.Record
+		var lists [][]fencedlog.Record
 		for _, source := range e.Sources {
 			if err := d.replay(ctx, replayed, source); err != nil {
 				return err
 			}
 			lists = append(lists, replayed[source][shard])
 		}
-		records := journal.Merge(lists...)
+		records := fencedlog.Merge(lists...)
 		generation := uint64(d.version) //nolint:gosec // versions are positive
 		own := slices.Contains(e.Sources, d.self)
-		marked = append(marked, journal.AdoptionBegin(shard, generation, own))
+		marked = append(marked, fencedlog.AdoptionBegin(shard, generation, own))
 		marked = append(marked, records...)
-		marked = append(marked, journal.AdoptionEnd(shard, generation))
+		marked = append(marked, fencedlog.AdoptionEnd(shard, generation))
 		orders = append(orders, Adopt{Shard: shard, Records: records})
 	}
 	if err := d.in.Appender.Append(ctx, marked); err != nil {
@@ -73,7 +73,7 @@
 }
 
 // replay reads a source for all shards that this node adopts from it.
-func (d *Duty) replay(ctx context.Context, replayed map[string]map[int][]journal.Record, source string) error {
+func (d *Duty) replay(ctx context.Context, replayed map[string]map[int][]fencedlog.Record, source string) error {
 	if replayed[source] != nil {
 		return nil
 	}
@@ -81,13 +81,13 @@
 	if err != nil {
 		return err
 	}
-	records, err := journal.Replay(ctx, d.store, source, func(shard int) bool {
+	records, err := fencedlog.Replay(ctx, d.store, source, func(shard int) bool {
 		return shard < len(d.current.Shards) && d.current.Shards[shard].Owner == d.self
 	}, copies...)
 	if err != nil {
 		return err
 	}
-	replayed[source] = map[int][]journal.Record{}
+	replayed[source] = map[int][]fencedlog.Record{}
 	for _, r := range records {
 		replayed[source][r.Shard] = append(replayed[source][r.Shard], r)
 	}
@@ -121,14 +121,14 @@
 	if !slices.Contains(d.states, idle) {
 		return nil
 	}
-	var marks []journal.Record
+	var marks []fencedlog.Record
 	targets := d.ownMoves()
 	for shard, s := range d.states {
 		_, planned := targets[shard]
 		switch {
 		case s != idle:
 		case planned:
-			marks = append(marks, journal.Handoff(shard))
+			marks = append(marks, fencedlog.Handoff(shard))
 		default: // no longer needed
 			d.states[shard] = serving
 			if err := d.send(ctx, Serve{Shard: shard, Version: d.version}); err != nil {
@@ -242,12 +242,12 @@
 // deleted the journal, while this node had an older map: then there is nothing
 // to do, and no head is created that nobody would delete.
 func (d *Duty) takeOverFrom(ctx context.Context, name string) error {
-	err := journal.SealExisting(ctx, d.store, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	err := fencedlog.SealExisting(ctx, d.store, name)
+	if errors.Is(err, kvstore.ErrNotFound) {
 		if err = d.reload(ctx); err != nil || d.current.Owned(name) == 0 {
 			return err
 		}
-		err = journal.Seal(ctx, d.store, name)
+		err = fencedlog.Seal(ctx, d.store, name)
 	}
 	if err != nil {
 		return err
@@ -265,8 +265,8 @@
 	}
 	var deleted []string
 	for _, name := range unused {
-		err := journal.Delete(ctx, d.store, name)
-		if errors.Is(err, journal.ErrNotSealed) {
+		err := fencedlog.Delete(ctx, d.store, name)
+		if errors.Is(err, fencedlog.ErrNotSealed) {
 			continue // its owner retires and seals it next
 		}
 		if err != nil {
@@ -325,5 +325,5 @@
 	if err != nil || !retired {
 		return false, err
 	}
-	return true, journal.Seal(ctx, d.store, d.self)
+	return true, fencedlog.Seal(ctx, d.store, d.self)
 }
--- a/placement/swap.go
+++ b/placement/swap.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
-	"dogwoodline.example/platform"
 	"dogwoodline.example/ring"
 )
 
@@ -45,11 +45,11 @@
 	version, err := d.store.Put(ctx, MapKey, w.value, w.version, 0)
 	switch {
 	case err == nil:
-		d.installItem(platform.Item{Key: MapKey, Value: w.value, Version: version})
+		d.installItem(kvstore.Item{Key: MapKey, Value: w.value, Version: version})
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kvstore.ErrConflict):
 		return d.reload(ctx)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, kvstore.ErrUnavailable), errors.Is(err, kvstore.ErrRateLimited):
 		return Error.Wrap(err)
 	default:
 		d.doubt = &w
@@ -76,7 +76,7 @@
 	return Error.New("answers to %d swaps of the map were lost", swapAttempts)
 }
 
-// reload installs the stored map. It returns platform.ErrNotFound if there is
+// reload installs the stored map. It returns kvstore.ErrNotFound if there is
 // none.
 func (d *Duty) reload(ctx context.Context) error {
 	item, err := d.store.Get(ctx, MapKey)
@@ -89,7 +89,7 @@
 
 // installItem makes a stored map the current one. A map that cannot be decoded
 // is an operator's or a newer build's; the last good one stays in force.
-func (d *Duty) installItem(item platform.Item) {
+func (d *Duty) installItem(item kvstore.Item) {
 	m, err := Decode(item.Value)
 	if err == nil && len(m.Shards) != d.settings.Shards {
 		err = Error.New("map has %d shards, the settings say %d", len(m.Shards), d.settings.Shards)
@@ -111,7 +111,7 @@
 		return nil
 	}
 	err := d.reload(ctx)
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, kvstore.ErrNotFound) {
 		return err
 	}
 	now := d.clock.Now()
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	return d.put(ctx, write{value: value, version: platform.Absent})
+	return d.put(ctx, write{value: value, version: kvstore.Absent})
 }
 
 // Watch returns the duty that feeds map changes to this one.
@@ -140,15 +140,15 @@
 }
 
 // mapFollower keeps the newest map in a ring of one slot.
-type mapFollower struct{ updates *ring.Ring[platform.Item] }
+type mapFollower struct{ updates *ring.Ring[kvstore.Item] }
 
-func (f mapFollower) Listed(_ context.Context, items []platform.Item, _ platform.Version) {
+func (f mapFollower) Listed(_ context.Context, items []kvstore.Item, _ kvstore.Version) {
 	for _, item := range items {
 		f.offer(item)
 	}
 }
 
-func (f mapFollower) Changed(_ context.Context, events []platform.Event, _ platform.Version) {
+func (f mapFollower) Changed(_ context.Context, events []kvstore.Event, _ kvstore.Version) {
 	for _, e := range events {
 		if !e.Deleted {
 			f.offer(e.Item)
@@ -158,7 +158,7 @@
 
 func (mapFollower) Failed(context.Context, error) {}
 
-func (f mapFollower) offer(item platform.Item) {
+func (f mapFollower) offer(item kvstore.Item) {
 	if item.Key != MapKey {
 		return
 	}
--- a/placement/view.go
+++ b/placement/view.go
@@ -3,9 +3,9 @@
 import (
 	"slices"
 
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
-	"dogwoodline.example/platform"
 )
 
 // Phase tells what happens to a shard.
@@ -26,7 +26,7 @@
 // View is an immutable snapshot of the placement.
 type View struct {
 	Map     Map
-	Version platform.Version // of the map
+	Version kvstore.Version // of the map
 	Members *membership.View
 	self    string
 	states  []state
@@ -73,7 +73,7 @@
 // whatever the owner of the programs has for it. It answers with Adopted.
 type Adopt struct {
 	Shard   int
-	Records []journal.Record
+	Records []fencedlog.Record
 }
 
 // Serve tells that calls for a shard are taken from now on, or again after a
@@ -82,7 +82,7 @@
 	Shard int
 	// Version is that of the map. It is greater for each later owner of the
 	// shard.
-	Version platform.Version
+	Version kvstore.Version
 }
 
 // Release asks to hold the calls for a shard. The answer is Idle when none of
--- a/resource/codec.go
+++ b/resource/codec.go
@@ -9,7 +9,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // Format is a text form of resources.
@@ -23,12 +23,12 @@
 
 // document is the text form of one resource.
 type document struct {
-	Kind    Kind             `json:"kind"`
-	Name    string           `json:"name"`
-	Version platform.Version `json:"version,omitempty"`
-	Deleted bool             `json:"deleted,omitempty"`
-	Spec    json.RawMessage  `json:"spec,omitempty"`
-	Status  *Status          `json:"status,omitempty"`
+	Kind    Kind            `json:"kind"`
+	Name    string          `json:"name"`
+	Version kvstore.Version `json:"version,omitempty"`
+	Deleted bool            `json:"deleted,omitempty"`
+	Spec    json.RawMessage `json:"spec,omitempty"`
+	Status  *Status         `json:"status,omitempty"`
 }
 
 // listDocument is the text form of several resources, in TOML as [[resources]].
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -12,7 +12,7 @@
 
 	"github.com/zeebo/errs"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // Error is the class of all errors of this package.
@@ -61,7 +61,7 @@
 type Resource struct {
 	Kind    Kind
 	Name    string
-	Version platform.Version
+	Version kvstore.Version
 	Spec    Spec
 	Status  Status
 }
@@ -87,7 +87,7 @@
 // spec.
 type Change struct {
 	ID      ID
-	Version platform.Version
+	Version kvstore.Version
 	Spec    Spec
 	Deleted bool
 }
--- a/resource/set.go
+++ b/resource/set.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strconv"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 )
 
 // Set is an immutable set of resources with their versions. Deletions leave
@@ -20,8 +20,8 @@
 	entries  map[ID]Change
 	backends map[string][]Resource // by pool, in order of name
 	tenants  map[string][]string   // names by key digest, in order
-	revision platform.Version
-	complete platform.Version
+	revision kvstore.Version
+	complete kvstore.Version
 	digest   uint64
 }
 
@@ -51,7 +51,7 @@
 
 // WithComplete returns a set whose Complete revision is at least the given
 // one.
-func (s *Set) WithComplete(revision platform.Version) *Set {
+func (s *Set) WithComplete(revision kvstore.Version) *Set {
 	if revision <= s.complete {
 		return s
 	}
@@ -63,7 +63,7 @@
 // WithView applies a full list of the resources, taken at the given revision.
 // A resource that is not listed and not newer was deleted without a tombstone
 // in the list; it gets one with that revision.
-func (s *Set) WithView(listed []Change, revision platform.Version) *Set {
+func (s *Set) WithView(listed []Change, revision kvstore.Version) *Set {
 	present := make(map[ID]bool, len(listed))
 	for _, change := range listed {
 		present[change.ID] = true
@@ -112,7 +112,7 @@
 
 // ChangesAfter returns all changes above a revision in order of version,
 // tombstones included.
-func (s *Set) ChangesAfter(revision platform.Version) []Change {
+func (s *Set) ChangesAfter(revision kvstore.Version) []Change {
 	var found []Change
 	for _, entry := range s.entries {
 		if entry.Version > revision {
@@ -126,10 +126,10 @@
 }
 
 // Revision returns the greatest version in the set, deletions included.
-func (s *Set) Revision() platform.Version { return s.revision }
+func (s *Set) Revision() kvstore.Version { return s.revision }
 
 // Complete returns the revision up to which no change is missing.
-func (s *Set) Complete() platform.Version { return s.complete }
+func (s *Set) Complete() kvstore.Version { return s.complete }
 
 // Digest is equal for sets with the same resources, tombstones and versions.
 func (s *Set) Digest() uint64 { return s.digest }
--- a/resource/set_test.go
+++ b/resource/set_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/resource"
 )
 
@@ -26,7 +26,7 @@
 	number := rapid.IntRange(0, 3).Draw(t, "name")
 	change := resource.Change{
 		ID:      resource.ID{Kind: resource.KindBackend, Name: fmt.Sprint("b", number)},
-		Version: platform.Version(rapid.IntRange(1, 20).Draw(t, "version")),
+		Version: kvstore.Version(rapid.IntRange(1, 20).Draw(t, "version")),
 	}
 	// The content follows from id and version, as in the platform store.
 	change.Spec = &resource.Backend{Pool: fmt.Sprint("p", (int(change.Version)+number)%3), Slots: int(change.Version)}
@@ -52,7 +52,7 @@
 }
 
 func (m *setMachine) View(t *rapid.T) {
-	revision := platform.Version(rapid.IntRange(1, 20).Draw(t, "revision"))
+	revision := kvstore.Version(rapid.IntRange(1, 20).Draw(t, "revision"))
 	m.set = m.set.WithView(nil, revision)
 	for id, change := range m.model {
 		if !change.Deleted && change.Version < revision {
@@ -107,7 +107,7 @@
 	})
 }
 
-func put(kind resource.Kind, name string, version platform.Version, spec resource.Spec) resource.Change {
+func put(kind resource.Kind, name string, version kvstore.Version, spec resource.Spec) resource.Change {
 	return resource.Change{ID: resource.ID{Kind: kind, Name: name}, Version: version, Spec: spec}
 }
 
--- a/rpc/copies.go
+++ b/rpc/copies.go
@@ -10,14 +10,14 @@
 	"google.golang.org/grpc/status"
 
 	"dogwoodline.example/copies"
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 	"dogwoodline.example/rpc/peerpb"
 )
 
-var _ journal.Sender = (*Links)(nil)
+var _ fencedlog.Sender = (*Links)(nil)
 
-// Hold implements journal.Sender.
-func (l *Links) Hold(ctx context.Context, holder, incarnation string, c journal.Copy) error {
+// Hold implements fencedlog.Sender.
+func (l *Links) Hold(ctx context.Context, holder, incarnation string, c fencedlog.Copy) error {
 	link, err := l.To(holder)
 	if err != nil {
 		return err
@@ -32,13 +32,13 @@
 	case copies.Held:
 		return nil
 	case copies.Fenced:
-		return journal.ErrCopiesFenced
+		return fencedlog.ErrCopiesFenced
 	case copies.Full, copies.Gap:
 	}
 	return Error.New("holder refused the copy: %s", answer.GetVerdict())
 }
 
-// Drop implements journal.Sender.
+// Drop implements fencedlog.Sender.
 func (l *Links) Drop(ctx context.Context, holder, incarnation string, commit uint64) error {
 	link, err := l.To(holder)
 	if err != nil {
@@ -53,7 +53,7 @@
 // CollectAt asks the node at an address for the copies of a journal, over a
 // connection of its own, because the holder may be no member any more. It
 // returns ErrNotHolder, or another error when the answer did not come.
-func (l *Links) CollectAt(ctx context.Context, address, holder, incarnation string) ([]journal.Copy, error) {
+func (l *Links) CollectAt(ctx context.Context, address, holder, incarnation string) ([]fencedlog.Copy, error) {
 	link, err := l.dial(holder, address)
 	if err != nil {
 		return nil, err
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, holderError(err)
 	}
-	var all []journal.Copy
+	var all []fencedlog.Copy
 	for {
 		message, err := stream.Recv()
 		switch {
@@ -96,12 +96,12 @@
 	}
 }
 
-func encodeCopy(c journal.Copy) *peerpb.JournalCopy {
+func encodeCopy(c fencedlog.Copy) *peerpb.JournalCopy {
 	return &peerpb.JournalCopy{Number: c.Number, Oldest: c.Oldest, Commit: c.Commit, Records: int32(c.Records), Body: c.Body}
 }
 
-func decodeCopy(c *peerpb.JournalCopy) journal.Copy {
-	return journal.Copy{
+func decodeCopy(c *peerpb.JournalCopy) fencedlog.Copy {
+	return fencedlog.Copy{
 		Number: c.GetNumber(), Oldest: c.GetOldest(), Commit: c.GetCommit(), Records: int(c.GetRecords()), Body: c.GetBody(),
 	}
 }
--- a/rpc/links.go
+++ b/rpc/links.go
@@ -11,7 +11,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"dogwoodline.example/config"
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/rpc/peerpb"
@@ -200,7 +200,7 @@
 	}
 	return config.PullAnswer{
 		Ready: answer.GetReady(), Changes: changes,
-		Complete: platform.Version(answer.GetComplete()), Digest: answer.GetDigest(),
+		Complete: kvstore.Version(answer.GetComplete()), Digest: answer.GetDigest(),
 	}, nil
 }
 
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -13,7 +13,7 @@
 
 	"dogwoodline.example/config"
 	"dogwoodline.example/copies"
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/rpc/peerpb"
@@ -80,10 +80,10 @@
 	NoteCrashes(ctx context.Context, crashes []program.Crash)
 	// HoldCopies takes a copy of a journal's tail for the named holder. It
 	// returns ErrNotHolder, or another error if the copy was not taken.
-	HoldCopies(ctx context.Context, holder, incarnation string, c journal.Copy) (copies.Verdict, error)
+	HoldCopies(ctx context.Context, holder, incarnation string, c fencedlog.Copy) (copies.Verdict, error)
 	// CollectCopies returns the copies of a journal and refuses further ones.
 	// It returns ErrNotHolder, or another error when it may be asked again.
-	CollectCopies(ctx context.Context, holder, incarnation string) ([]journal.Copy, error)
+	CollectCopies(ctx context.Context, holder, incarnation string) ([]fencedlog.Copy, error)
 	// DropCopies drops the copies up to a commit number.
 	DropCopies(ctx context.Context, holder, incarnation string, commit uint64) error
 	// Schedule serves the owner of programs that asks for slots of a pool. It
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -19,7 +19,7 @@
 
 	"dogwoodline.example/config"
 	"dogwoodline.example/copies"
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/program"
 	"dogwoodline.example/resource"
@@ -59,11 +59,11 @@
 
 func (*fakeNode) NoteCrashes(context.Context, []program.Crash) {}
 
-func (*fakeNode) HoldCopies(context.Context, string, string, journal.Copy) (copies.Verdict, error) {
+func (*fakeNode) HoldCopies(context.Context, string, string, fencedlog.Copy) (copies.Verdict, error) {
 	return copies.Held, nil
 }
 
-func (*fakeNode) CollectCopies(context.Context, string, string) ([]journal.Copy, error) {
+func (*fakeNode) CollectCopies(context.Context, string, string) ([]fencedlog.Copy, error) {
 	return nil, nil
 }
 
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -12,7 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"dogwoodline.example/config"
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/program"
 	"dogwoodline.example/rpc/peerpb"
 )
@@ -89,7 +89,7 @@
 
 func (s *service) PullConfig(ctx context.Context, pull *peerpb.ConfigPull) (*peerpb.ConfigAnswer, error) {
 	answer := s.handler.PullConfig(ctx, config.PullRequest{
-		Complete: platform.Version(pull.GetComplete()), Digest: pull.GetDigest(),
+		Complete: kvstore.Version(pull.GetComplete()), Digest: pull.GetDigest(),
 	})
 	return &peerpb.ConfigAnswer{
 		Ready: answer.Ready, Changes: encodeChanges(answer.Changes), Complete: int64(answer.Complete), Digest: answer.Digest,
--- a/slopes/config.go
+++ b/slopes/config.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"dogwoodline.example/daemon"
-	"dogwoodline.example/platform"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/resource"
 )
 
@@ -18,7 +18,7 @@
 
 func keyOf(tenant int) string { return fmt.Sprint("key-of-tenant-", tenant) }
 
-func tenantChange(number int, version platform.Version) resource.Change {
+func tenantChange(number int, version kvstore.Version) resource.Change {
 	sum := sha256.Sum256([]byte(keyOf(number)))
 	highest := 9
 	return resource.Change{ID: resource.ID{Kind: resource.KindTenant, Name: fmt.Sprint("tenant-", number)}, Version: version,
@@ -38,7 +38,7 @@
 	before := heapBytes()
 	changes := make([]resource.Change, tenants)
 	for i := range changes {
-		changes[i] = tenantChange(i, platform.Version(i+1))
+		changes[i] = tenantChange(i, kvstore.Version(i+1))
 	}
 	set := resource.NewSet().With(changes...)
 	used := heapBytes() - before
@@ -47,7 +47,7 @@
 	const times = 20
 	begin := time.Now()
 	for i := range times {
-		set = set.With(tenantChange(i, platform.Version(tenants+i+1)))
+		set = set.With(tenantChange(i, kvstore.Version(tenants+i+1)))
 	}
 	applied := time.Since(begin)
 
--- a/slopes/journal.go
+++ b/slopes/journal.go
@@ -9,9 +9,9 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"dogwoodline.example/journal"
-	"dogwoodline.example/platform"
-	"dogwoodline.example/platform/memstore"
+	"dogwoodline.example/fencedlog"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
 )
 
 const (
@@ -25,25 +25,25 @@
 
 // countedStore counts what a journal reads and writes.
 type countedStore struct {
-	platform.Store
+	kvstore.Store
 	writes, written, reads, read atomic.Int64
 }
 
-// Put implements platform.Store.
-func (s *countedStore) Put(ctx context.Context, key string, value []byte, expected platform.Version, lease platform.LeaseID) (platform.Version, error) {
+// Put implements kvstore.Store.
+func (s *countedStore) Put(ctx context.Context, key string, value []byte, expected kvstore.Version, lease kvstore.LeaseID) (kvstore.Version, error) {
 	s.writes.Add(1)
 	s.written.Add(int64(len(value)))
 	return s.Store.Put(ctx, key, value, expected, lease) //nolint:wrapcheck // callers compare it with platform errors
 }
 
-// Delete implements platform.Store.
-func (s *countedStore) Delete(ctx context.Context, key string, expected platform.Version) error {
+// Delete implements kvstore.Store.
+func (s *countedStore) Delete(ctx context.Context, key string, expected kvstore.Version) error {
 	s.writes.Add(1)
 	return s.Store.Delete(ctx, key, expected) //nolint:wrapcheck // callers compare it with platform errors
 }
 
-// Get implements platform.Store.
-func (s *countedStore) Get(ctx context.Context, key string) (platform.Item, error) {
+// Get implements kvstore.Store.
+func (s *countedStore) Get(ctx context.Context, key string) (kvstore.Item, error) {
 	item, err := s.Store.Get(ctx, key)
 	s.reads.Add(1)
 	s.read.Add(int64(len(item.Value)))
@@ -55,8 +55,8 @@
 }
 
 // openJournal runs a writer whose owner needs the given share of its records.
-func openJournal(ctx context.Context, store platform.Store, name string, settings journal.Settings, liveInTen int) *journal.Writer {
-	w := journal.NewWriter(store, clockwork.NewRealClock(), slog.New(slog.DiscardHandler), name, settings)
+func openJournal(ctx context.Context, store kvstore.Store, name string, settings fencedlog.Settings, liveInTen int) *fencedlog.Writer {
+	w := fencedlog.NewWriter(store, clockwork.NewRealClock(), slog.New(slog.DiscardHandler), name, settings)
 	go func() { _ = w.Run(ctx) }() // ends with ctx
 	go func() {
 		for {
@@ -64,12 +64,12 @@
 			if err != nil {
 				return
 			}
-			if q, ok := completion.(journal.Query); ok {
+			if q, ok := completion.(fencedlog.Query); ok {
 				live := make([]bool, len(q.Records))
 				for i := range live {
 					live[i] = i%10 < liveInTen
 				}
-				_ = w.Verdicts().TryPush(journal.Verdict{Segment: q.Segment, Live: live}) // one question is open at a time
+				_ = w.Verdicts().TryPush(fencedlog.Verdict{Segment: q.Segment, Live: live}) // one question is open at a time
 			}
 		}
 	}()
@@ -94,7 +94,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	store := newStore()
-	w := openJournal(ctx, store, "node", journal.Settings{}, liveInTen)
+	w := openJournal(ctx, store, "node", fencedlog.Settings{}, liveInTen)
 	source := newPopulation(true)
 	calls, own := 0, 0
 	for begin := time.Now(); time.Since(begin) < appendTime; {
@@ -104,7 +104,7 @@
 			for _, r := range source.records[1:] { // without the start of the program
 				r.Program = fmt.Sprint("program-", calls%runningPrograms)
 				own += len(r.Data)
-				if err := w.Appends().Push(ctx, journal.Append{Records: []journal.Record{r}}); err != nil {
+				if err := w.Appends().Push(ctx, fencedlog.Append{Records: []fencedlog.Record{r}}); err != nil {
 					return nil, Error.Wrap(err)
 				}
 			}
@@ -137,7 +137,7 @@
 	store := newStore()
 	const name = "dead"
 	// All segments stay, because compaction is not what is measured here.
-	w := openJournal(ctx, store, name, journal.Settings{WritesPerSecond: unlimited, CompactAbove: 1 << 30}, 10)
+	w := openJournal(ctx, store, name, fencedlog.Settings{WritesPerSecond: unlimited, CompactAbove: 1 << 30}, 10)
 	source := newPopulation(true)
 	for i := range programs {
 		source.add(i, fewTurns, turnBytes)
@@ -150,10 +150,10 @@
 	store.reads.Store(0)
 	store.read.Store(0)
 	begin := time.Now()
-	if err := journal.Seal(cancelled, store, name); err != nil {
+	if err := fencedlog.Seal(cancelled, store, name); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	records, err := journal.Replay(cancelled, store, name, func(int) bool { return true })
+	records, err := fencedlog.Replay(cancelled, store, name, func(int) bool { return true })
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -173,6 +173,6 @@
 }
 
 // appendAll appends records and waits until they are durable.
-func appendAll(ctx context.Context, w *journal.Writer, records []journal.Record) error {
-	return Error.Wrap(journal.NewAppender(w).Append(ctx, records))
+func appendAll(ctx context.Context, w *fencedlog.Writer, records []fencedlog.Record) error {
+	return Error.Wrap(fencedlog.NewAppender(w).Append(ctx, records))
 }
--- a/slopes/programs.go
+++ b/slopes/programs.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"dogwoodline.example/journal"
+	"dogwoodline.example/fencedlog"
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/program"
 )
@@ -34,7 +34,7 @@
 	now     time.Time
 	out     program.Effects
 	waiter  program.Waiter
-	records []journal.Record // kept when keep is set
+	records []fencedlog.Record // kept when keep is set
 	keep    bool
 }
 
@@ -58,7 +58,7 @@
 		for _, a := range appends {
 			for _, r := range a.Records {
 				if p.keep {
-					p.records = append(p.records, journal.Record{Program: r.Program, Seq: r.Seq, Data: r.Encode()})
+					p.records = append(p.records, fencedlog.Record{Program: r.Program, Seq: r.Seq, Data: r.Encode()})
 				}
 			}
 			p.table.Committed(p.now, a.Tag, &p.out)
--- a/soak/deploy.go
+++ b/soak/deploy.go
@@ -15,8 +15,8 @@
 	"dogwoodline.example/emulator/engine"
 	"dogwoodline.example/emulator/platformserver"
 	"dogwoodline.example/emulator/service"
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/outcome"
-	"dogwoodline.example/platform"
 	"dogwoodline.example/resource"
 	"dogwoodline.example/settings"
 	"dogwoodline.example/soak/relay"
@@ -120,12 +120,12 @@
 }
 
 // hosts returns the host list with one engine leaving, or none.
-func (d *deployment) hosts(leaving *backend) []platform.Host {
-	var hosts []platform.Host
+func (d *deployment) hosts(leaving *backend) []kvstore.Host {
+	var hosts []kvstore.Host
 	for i, b := range d.engines {
-		host := platform.Host{Name: b.name, Address: b.in.Address(), Zone: zoneOf(i), State: platform.HostLive}
+		host := kvstore.Host{Name: b.name, Address: b.in.Address(), Zone: zoneOf(i), State: kvstore.HostLive}
 		if b == leaving {
-			host.State = platform.HostLeaving
+			host.State = kvstore.HostLeaving
 		}
 		hosts = append(hosts, host)
 	}
--- a/soak/members.go
+++ b/soak/members.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
+	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
-	"dogwoodline.example/platform"
 	"dogwoodline.example/soak/check"
 )
 
@@ -18,7 +18,7 @@
 // the deployment on.
 func (r *run) watchMembers(ctx context.Context) error {
 	store := r.deploy.platform.Store()
-	revision := platform.Absent
+	revision := kvstore.Absent
 	for {
 		events, next, err := store.Watch(ctx, membership.Prefix, revision, memberWait)
 		if err != nil {
