--- /dev/null
+++ b/call/call.go
@@ -0,0 +1,98 @@
+// Package call describes one request of a client as the front decoded it, and
+// the answers of backend servers as the upstream client decoded them.
+package call
+
+import (
+	"net/http"
+	"time"
+)
+
+// Part is a shared part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is one attempt of a client.
+type Request struct {
+	// ID is unique for each attempt.
+	ID     string
+	Method string
+	// Target is the path and query exactly as the client sent them.
+	Target string
+	Host   string
+	// Header holds what may be forwarded; fields that the system sets itself
+	// and fields that concern one connection are removed.
+	Header http.Header
+	Body   []byte
+
+	Arrived time.Time
+	// Wait is how long the client waits for the answer; 0 if it did not say.
+	Wait time.Duration
+
+	Program string
+	Session string
+	// FinishIn is the time in which the whole program should end; 0 if unknown.
+	FinishIn time.Duration
+	// TokenBudget bounds the tokens that all turns of the program generate;
+	// 0 if the request has none.
+	TokenBudget int
+	// MaxOutput is the most tokens that this turn generates.
+	MaxOutput    int
+	PromptTokens int
+	// PreviousTurn is the id of the turn that this one continues.
+	PreviousTurn string
+	// ResumeAfter is the id of the last event that the client has; empty for
+	// a stream from its start.
+	ResumeAfter string
+	// Affinity names the object that the request concerns.
+	Affinity string
+	// Prefix lists the parts of the prompt in order.
+	Prefix []Part
+}
+
+// Verdict says what an answer, or the lack of one, proves about a request.
+type Verdict int
+
+const (
+	// Unknown means that the request may have run.
+	Unknown Verdict = iota
+	// NotRun means that the request has not run and will not.
+	NotRun
+	// Answered means that the backend server answered.
+	Answered
+)
+
+// String returns the verdict for logs.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not_run"
+	case Answered:
+		return "answered"
+	default:
+		return "unknown"
+	}
+}
+
+// Answer is the head of a backend server's answer.
+type Answer struct {
+	Status int
+	// Header holds what may be passed on to the client.
+	Header http.Header
+	// RequestID is the request that the answer belongs to.
+	RequestID string
+	// Signed reports that the answer bears the backend server's signature.
+	Signed bool
+	// NotRun reports that the backend server did not run the request.
+	NotRun bool
+	// WrongServer reports that another backend server has the address now.
+	WrongServer bool
+	// Leaving reports that the connection ends with this answer.
+	Leaving bool
+	// Encoded reports that the body is not the backend server's own bytes.
+	Encoded bool
+	// KeepIdle is how long the backend server keeps an idle connection; 0 if
+	// it did not say.
+	KeepIdle time.Duration
+}
--- a/cmd/dogwoodline/main.go
+++ b/cmd/dogwoodline/main.go
@@ -28,6 +28,8 @@
 
 type commandLine struct {
 	Node        nodeCommand        `cmd:"" help:"Run a node. SIGTERM drains it and exits with 0; a second signal ends it at once."`
+	Front       frontCommand       `cmd:"" help:"Run a front on the users' platform. DOGWOODLINE_BOOT names the settings file. SIGTERM drains it."`
+	Store       storeCommand       `cmd:"" help:"Run a turn store on a platform host with a disk. DOGWOODLINE_BOOT names the settings file."`
 	Emulate     emulateCommand     `cmd:"" help:"Run a stand-in for an outside system."`
 	Demo        demoCommand        `cmd:"" help:"Run a small deployment in one process and one program on it."`
 	Load        loadCommand        `cmd:"" help:"Load a deployment and check what it answers."`
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,295 @@
+// Package fleet keeps what a front believes about the backend servers and
+// chooses one for a call. It does no I/O; its caller passes the time.
+package fleet
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// returnWindow is how long entries that vanished while the platform's
+	// store was away are still used: live backend servers are back within
+	// about two seconds.
+	returnWindow = 2 * time.Second
+	// suspectFor is how long a backend server that could not be connected to
+	// is avoided while others are left.
+	suspectFor = time.Second
+)
+
+// Backend is the registration of a backend server.
+type Backend struct {
+	ID               string
+	Service          string
+	Address          string
+	AvailabilityZone string
+	Slots            int
+	// Draining backend servers get nothing new.
+	Draining bool
+	// ColdFor is how much longer it is slow after its start.
+	ColdFor time.Duration
+	// Incarnation is the Unix millisecond of its start; 0 if unknown.
+	Incarnation int64
+}
+
+type state struct {
+	Backend
+	running   int
+	peers     int // running for other fronts
+	suspect   time.Time
+	fullUntil time.Time
+	latency   latency
+	goneAt    time.Time // when to forget it; zero while it is registered
+}
+
+// Fleet is the set of backend servers. One duty owns it.
+type Fleet struct {
+	byID      map[string]*state
+	byService map[string][]*state
+	zone      string
+}
+
+// New returns an empty fleet, seen from an availability zone.
+func New(zone string) *Fleet {
+	return &Fleet{byID: map[string]*state{}, byService: map[string][]*state{}, zone: zone}
+}
+
+// Put adds or replaces a registration. It reports whether the entry changed
+// in what decides.
+func (f *Fleet) Put(b Backend) bool {
+	known := f.byID[b.ID]
+	if known == nil {
+		f.byID[b.ID] = &state{Backend: b}
+		f.index()
+		return true
+	}
+	changed := known.Draining != b.Draining || known.Address != b.Address || known.Service != b.Service ||
+		known.Incarnation != b.Incarnation || !known.goneAt.IsZero()
+	if known.Incarnation != b.Incarnation {
+		known.latency, known.suspect, known.fullUntil = latency{}, time.Time{}, time.Time{}
+	}
+	known.Backend, known.goneAt = b, time.Time{}
+	f.index()
+	return changed
+}
+
+// Remove takes a registration out. While the store has just been away, the
+// entry stays in use for the return window.
+func (f *Fleet) Remove(id string, now time.Time, storeWasAway bool) {
+	known := f.byID[id]
+	if known == nil || !known.goneAt.IsZero() {
+		return
+	}
+	if storeWasAway {
+		known.goneAt = now.Add(returnWindow)
+		return
+	}
+	delete(f.byID, id)
+	f.index()
+}
+
+// Keep removes all registrations that are not in the list.
+func (f *Fleet) Keep(present map[string]bool, now time.Time, storeWasAway bool) {
+	for id := range f.byID {
+		if !present[id] {
+			f.Remove(id, now, storeWasAway)
+		}
+	}
+}
+
+// Expire forgets entries whose return window has passed and returns their ids.
+func (f *Fleet) Expire(now time.Time) []string {
+	var gone []string
+	for id, s := range f.byID {
+		if !s.goneAt.IsZero() && !now.Before(s.goneAt) {
+			delete(f.byID, id)
+			gone = append(gone, id)
+		}
+	}
+	if len(gone) > 0 {
+		f.index()
+	}
+	return gone
+}
+
+func (f *Fleet) index() {
+	f.byService = map[string][]*state{}
+	for _, s := range f.byID {
+		if !s.Draining {
+			f.byService[s.Service] = append(f.byService[s.Service], s)
+		}
+	}
+}
+
+// Size returns the number of backend servers that may get calls of a service.
+func (f *Fleet) Size(service string) int { return len(f.byService[service]) }
+
+// Total returns the number of backend servers.
+func (f *Fleet) Total() int { return len(f.byID) }
+
+// Ask is what a choice depends on.
+type Ask struct {
+	Service string
+	// Affinity is the session or object whose earlier calls make a backend
+	// server faster; empty for none.
+	Affinity string
+	// Exclude names backend servers that this call must not go to again.
+	Exclude []string
+	// Batched says that the service works in batches of its slots, so that
+	// running calls slow each other.
+	Batched bool
+	// Draw is a random number that breaks ties.
+	Draw uint64
+}
+
+// Choose returns the backend server for a call and the number of calls that
+// run there. It reports false when no backend server may get it.
+func (f *Fleet) Choose(ask Ask, now time.Time) (Backend, int, bool) {
+	var best *state
+	var bestCost float64
+	for _, s := range f.byService[ask.Service] {
+		if excluded(ask.Exclude, s.ID) {
+			continue
+		}
+		cost := f.cost(s, ask, now)
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	if best == nil {
+		return Backend{}, 0, false
+	}
+	return best.Backend, best.running + best.peers, true
+}
+
+const (
+	// affinityGain is the part of a backend server's slots that may be busier
+	// on the preferred backend server than elsewhere. A turn's shared prompt
+	// and history take about as long to read as one or two running calls add.
+	affinityGain = 0.2
+	// otherZoneCost is the part of the slots by which a backend server in
+	// another availability zone must be less busy.
+	otherZoneCost = 0.03
+	// suspectCost and fullCost keep a backend server out of the choice while
+	// any other is left.
+	suspectCost = 100
+	fullCost    = 10
+	// tieSpread breaks ties; it is far below the cost of one running call.
+	tieSpread = 0.01
+)
+
+// cost estimates the expected delay at a backend server in units of the time
+// that a full batch takes.
+func (f *Fleet) cost(s *state, ask Ask, now time.Time) float64 {
+	load := float64(s.running+s.peers) / float64(s.Slots)
+	cost := load * s.latency.factor(now)
+	if load >= 1 {
+		cost += load // beyond its slots a call waits
+	}
+	if s.AvailabilityZone != f.zone {
+		cost += otherZoneCost
+	}
+	if now.Before(s.suspect) {
+		cost += suspectCost
+	}
+	if now.Before(s.fullUntil) {
+		cost += fullCost
+	}
+	if ask.Affinity != "" {
+		cost += affinityGain * (1 - rank(ask.Affinity, s.ID))
+	}
+	return cost + tieSpread*float64(xxhash.Sum64String(s.ID)^ask.Draw)/(1<<64)
+}
+
+// rank draws a number between 0 and 1 for a pair, the same on all fronts, so
+// that calls of a session meet at the backend server with the highest rank.
+func rank(affinity, id string) float64 {
+	hash := xxhash.Sum64String(affinity + "\x00" + id)
+	draw := float64(hash>>11) / (1 << 53)
+	// The power keeps the gain close to one backend server.
+	draw *= draw
+	draw *= draw
+	return draw * draw
+}
+
+func excluded(list []string, id string) bool {
+	for _, one := range list {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Started counts a call that goes to a backend server.
+func (f *Fleet) Started(id string) {
+	if s := f.byID[id]; s != nil {
+		s.running++
+	}
+}
+
+// Report is how a call at a backend server ended.
+type Report struct {
+	ID string
+	// Unreachable says that no connection could be opened.
+	Unreachable bool
+	// Full says that the backend server refused the call for want of room.
+	Full bool
+	// Misdirected says that another backend server has the address now.
+	Misdirected bool
+	// First is the time to the first byte of the answer; 0 if none came.
+	First time.Duration
+	// Typical says that First may be compared between backend servers.
+	Typical bool
+}
+
+// fullFor is how long a backend server that refused a call is avoided.
+const fullFor = 100 * time.Millisecond
+
+// Ended counts the end of a call and learns from it.
+func (f *Fleet) Ended(report Report, now time.Time) {
+	s := f.byID[report.ID]
+	if s == nil {
+		return
+	}
+	s.running = max(0, s.running-1)
+	switch {
+	case report.Unreachable, report.Misdirected:
+		s.suspect = now.Add(suspectFor)
+	case report.Full:
+		s.fullUntil = now.Add(fullFor)
+	case report.First > 0:
+		s.suspect = time.Time{}
+		if report.Typical {
+			s.latency.observe(report.First, f.typical(s.Service), now)
+		}
+	}
+}
+
+// SetPeers replaces the numbers of calls that run for other fronts.
+func (f *Fleet) SetPeers(running map[string]int) {
+	for id, s := range f.byID {
+		s.peers = running[id]
+	}
+}
+
+// Running returns the calls of this front by backend server.
+func (f *Fleet) Running() map[string]int {
+	running := map[string]int{}
+	for id, s := range f.byID {
+		if s.running > 0 {
+			running[id] = s.running
+		}
+	}
+	return running
+}
+
+// Get returns a registration.
+func (f *Fleet) Get(id string) (Backend, bool) {
+	s := f.byID[id]
+	if s == nil {
+		return Backend{}, false
+	}
+	return s.Backend, true
+}
--- /dev/null
+++ b/gateway/scheduler.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"dogwoodline.example/call"
+	"dogwoodline.example/duty"
+	"dogwoodline.example/fleet"
+	"dogwoodline.example/ring"
+)
+
+const (
+	// schedulerSlots is the number of messages that may wait for the duty.
+	schedulerSlots = 4096
+	// retryAfterFull is when a client should come back after all backend
+	// servers refused its call. A slot frees every few tens of ms.
+	retryAfterFull = 100 * time.Millisecond
+	// expireEvery is how often entries past their return window are removed.
+	expireEvery = 250 * time.Millisecond
+)
+
+// FleetNews is a change of the registered backend servers.
+type FleetNews struct {
+	Put    *fleet.Backend
+	Remove string
+	// Present replaces all registrations; entries follow as Put.
+	Present map[string]bool
+	// StoreWasAway says that the platform's store has just returned, so that
+	// live backend servers may be missing for a moment.
+	StoreWasAway bool
+}
+
+type attempt struct {
+	job     *job
+	backend fleet.Backend
+	started time.Time
+}
+
+// attemptEnd is how an attempt at a backend server ended.
+type attemptEnd struct {
+	attempt
+	verdict call.Verdict
+	report  fleet.Report
+	reason  string
+	// done says that the client has its answer, or nobody waits.
+	done bool
+}
+
+type schedulerItem struct {
+	job  *job
+	end  *attemptEnd
+	news *FleetNews
+}
+
+// Scheduler is the duty that decides which backend server gets which call. It
+// owns the fleet.
+type Scheduler struct {
+	log      *slog.Logger
+	items    *ring.Ring[schedulerItem]
+	attempts *ring.Ring[attempt]
+	fleet    *fleet.Fleet
+	random   *rand.Rand
+	drop     func(address string)
+	size     atomic.Int64
+}
+
+func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], drop func(string)) *Scheduler {
+	s := &Scheduler{
+		log: log, items: ring.New[schedulerItem](schedulerSlots), attempts: attempts, fleet: fleet.New(zone), drop: drop,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	group.Go("scheduler", s.run)
+	group.Depth("scheduler", "items", s.items.Len)
+	group.Gauge("dogwoodline_backend_servers", func() int { return int(s.size.Load()) })
+	return s
+}
+
+// Learn tells the scheduler about backend servers.
+func (s *Scheduler) Learn(ctx context.Context, news FleetNews) error {
+	return s.items.Push(ctx, schedulerItem{news: &news})
+}
+
+func (s *Scheduler) run(ctx context.Context) error {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		for item, ok := s.items.TryPop(); ok; item, ok = s.items.TryPop() {
+			s.handle(item, time.Now())
+		}
+		select {
+		case <-s.items.Ready():
+		case now := <-ticker.C:
+			for _, id := range s.fleet.Expire(now) {
+				s.log.Info("gateway: backend server did not return", "backend", id)
+			}
+			s.size.Store(int64(s.fleet.Total()))
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Scheduler) handle(item schedulerItem, now time.Time) {
+	switch {
+	case item.job != nil:
+		s.offer(item.job, now)
+	case item.end != nil:
+		s.ended(*item.end, now)
+	case item.news != nil:
+		s.learn(*item.news, now)
+		s.size.Store(int64(s.fleet.Total()))
+	}
+}
+
+func (s *Scheduler) learn(news FleetNews, now time.Time) {
+	switch {
+	case news.Put != nil:
+		if s.fleet.Put(*news.Put) {
+			s.log.Info("gateway: backend server changed", "backend", news.Put.ID, "service", news.Put.Service,
+				"address", news.Put.Address, "draining", news.Put.Draining, "incarnation", news.Put.Incarnation)
+		}
+	case news.Remove != "":
+		b, known := s.fleet.Get(news.Remove)
+		s.fleet.Remove(news.Remove, now, news.StoreWasAway)
+		if known {
+			s.log.Info("gateway: backend server gone", "backend", b.ID, "address", b.Address, "kept_for_return", news.StoreWasAway)
+			if !news.StoreWasAway {
+				s.drop(b.Address)
+			}
+		}
+	case news.Present != nil:
+		s.fleet.Keep(news.Present, now, news.StoreWasAway)
+	}
+}
+
+// offer gives a job to a backend server, or refuses it.
+func (s *Scheduler) offer(j *job, now time.Time) {
+	if j.ctx.Err() != nil {
+		return // the handler has answered already
+	}
+	affinity := j.request.Session
+	if affinity == "" {
+		affinity = j.request.Affinity
+	}
+	ask := fleet.Ask{
+		Service: j.service.Name, Exclude: j.exclude, Batched: j.service.Engine != nil, Draw: s.random.Uint64(),
+	}
+	if j.route.Sticky {
+		ask.Affinity = affinity
+	}
+	backend, running, ok := s.fleet.Choose(ask, now)
+	if !ok {
+		s.refuse(j, "no backend server is left for this call", now)
+		return
+	}
+	if err := s.attempts.TryPush(attempt{job: j, backend: backend, started: now}); err != nil {
+		s.refuse(j, "all callers are busy", now)
+		return
+	}
+	s.fleet.Started(backend.ID)
+	j.tries++
+	s.log.Info("gateway: call offered", "request", j.request.ID, "route", j.route.Name, "backend", backend.ID,
+		"running", running, "slots", backend.Slots, "try", j.tries, "waited_ms", now.Sub(j.request.Arrived).Milliseconds(),
+		"choices", s.fleet.Size(j.service.Name), "resume_after", j.resumeAfter)
+}
+
+// refuse ends a job for which no backend server is left.
+func (s *Scheduler) refuse(j *job, reason string, now time.Time) {
+	if j.lastReason != "" {
+		reason += ": " + j.lastReason
+	}
+	f := &failure{notRun: j.ran == 0 && !j.headSent && j.refusable(), reason: reason, retryAfter: retryAfterFull}
+	s.log.Warn("gateway: call not answered", "request", j.request.ID, "route", j.route.Name, "tries", j.tries, "ran", j.ran,
+		"not_run", f.notRun, "reason", reason, "age_ms", now.Sub(j.request.Arrived).Milliseconds())
+	finish(j, part{failure: f})
+}
+
+// finish hands the last part to the handler. The ring cannot be full unless
+// the handler has left.
+func finish(j *job, last part) {
+	_ = j.parts.Push(j.ctx, last)
+}
+
+// ended counts the end of an attempt and decides what follows.
+func (s *Scheduler) ended(end attemptEnd, now time.Time) {
+	s.fleet.Ended(end.report, now)
+	j := end.job
+	if end.done {
+		return
+	}
+	j.lastReason = end.reason
+	j.exclude = append(j.exclude, end.backend.ID)
+	s.log.Info("gateway: attempt failed", "request", j.request.ID, "backend", end.backend.ID, "verdict", end.verdict.String(),
+		"reason", end.reason, "events", j.events, "took_ms", now.Sub(end.started).Milliseconds())
+	switch {
+	case end.verdict == call.NotRun:
+		j.release()
+		if j.tries < mostTries {
+			s.offer(j, now)
+			return
+		}
+	default:
+		j.ran++
+		if j.mayRunAgain() {
+			s.offer(j, now)
+			return
+		}
+	}
+	s.refuse(j, "gave up", now)
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -43,11 +43,14 @@
 	GRPC        string `json:"grpc"`
 	Zone        string `json:"zone"`
 	Draining    bool   `json:"draining,omitempty"`
+	// Disk names the disk of a turn store; empty for other processes.
+	Disk string `json:"disk,omitempty"`
 	// Version is the store revision of the record.
 	Version kvstore.Version `json:"-"`
 }
 
-func decodeMember(item kvstore.Item) (Member, error) {
+// Decode reads a member record.
+func Decode(item kvstore.Item) (Member, error) {
 	var m Member
 	if err := json.Unmarshal(item.Value, &m); err != nil {
 		return Member{}, errs.Combine(ErrMalformed, err)
--- a/membership/session.go
+++ b/membership/session.go
@@ -168,7 +168,7 @@
 		return err
 	}
 	if err == nil && s.before {
-		old, err := decodeMember(item)
+		old, err := Decode(item)
 		if err != nil || old.Incarnation != s.member.Incarnation {
 			return ErrSuperseded
 		}
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -140,7 +140,7 @@
 }
 
 func (t *Tracker) put(ctx context.Context, item kvstore.Item) {
-	m, err := decodeMember(item)
+	m, err := Decode(item)
 	if err != nil {
 		t.log.Error("membership: member record ignored", "key", item.Key, "error", err)
 		return
--- /dev/null
+++ b/turnstore/keeper.go
@@ -0,0 +1,298 @@
+package turnstore
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"dogwoodline.example/copyset"
+	"dogwoodline.example/duty"
+	"dogwoodline.example/ring"
+	"dogwoodline.example/turnstore/turnpb"
+)
+
+const (
+	// memberSlots is the number of stores that a front can talk to.
+	memberSlots = 64
+	// operationSlots is the number of operations that may wait.
+	operationSlots = 1024
+	// sendBatch is how many operations one message carries at most.
+	sendBatch = 64
+	// exchangeTimeout bounds one message. A disk that stalls answers later;
+	// its operations then count as unanswered.
+	exchangeTimeout = 700 * time.Millisecond
+)
+
+// Keeper is a front's client of the turn stores. Its duty sends each operation
+// to all members and counts their answers; a duty for each member sends.
+type Keeper struct {
+	log       *slog.Logger
+	zone      string
+	tolerated int
+	commands  *ring.Ring[command]
+	senders   [memberSlots]*sender
+	serving   atomic.Bool
+
+	// The fields below belong to the duty.
+	set     copyset.Set
+	known   bool
+	slotOf  map[string]int // disk to sender
+	pending map[uint64]*pending
+	nextID  uint64
+}
+
+type command struct {
+	start  *start
+	answer *answer
+	copies *copyset.Set
+}
+
+type start struct {
+	op    Operation
+	reply chan<- Result // one slot
+}
+
+type pending struct {
+	start
+	tally  *tally
+	left   int
+	wide   bool // all members were asked for the chain
+	asked  map[int]bool
+	answer Result
+	done   bool
+}
+
+// answer is one member's part of a message, for one operation.
+type answer struct {
+	id     uint64
+	slot   int
+	disk   string
+	ok     bool
+	reply  *turnpb.ExchangeReply
+	ledger *turnpb.Ledger
+	chain  *turnpb.Chain
+	err    error
+}
+
+// NewKeeper returns a keeper whose duties run in group.
+func NewKeeper(group *duty.Group, log *slog.Logger, zone string, tolerated int,
+	connect func(address string) (grpc.ClientConnInterface, func(), error)) *Keeper {
+	k := &Keeper{
+		log: log, zone: zone, tolerated: tolerated, commands: ring.New[command](4 * operationSlots),
+		slotOf: map[string]int{}, pending: map[uint64]*pending{},
+	}
+	for i := range k.senders {
+		k.senders[i] = newSender(i, log, connect, k.commands)
+		group.Go("turn-sender", k.senders[i].run)
+	}
+	group.Go("turn-keeper", k.run)
+	group.Depth("turn-keeper", "commands", k.commands.Len)
+	return k
+}
+
+// Serving reports whether enough stores are known to keep turns.
+func (k *Keeper) Serving() bool { return k.serving.Load() }
+
+// SetCopies tells the newest copy set.
+func (k *Keeper) SetCopies(ctx context.Context, set copyset.Set) error {
+	return k.commands.Push(ctx, command{copies: &set})
+}
+
+// Do runs an operation. Uncertain is the verdict when ctx ends first.
+func (k *Keeper) Do(ctx context.Context, op Operation) Result {
+	reply := make(chan Result, 1)
+	if err := k.commands.TryPush(command{start: &start{op: op, reply: reply}}); err != nil {
+		return Result{Verdict: Uncertain}
+	}
+	select {
+	case result := <-reply:
+		return result
+	case <-ctx.Done():
+		return Result{Verdict: Uncertain}
+	}
+}
+
+// Send stores records without waiting for the stores. It reports whether the
+// operation was taken.
+func (k *Keeper) Send(records ...*turnpb.Record) bool {
+	err := k.commands.TryPush(command{start: &start{op: Operation{Records: records}, reply: make(chan Result, 1)}})
+	return err == nil
+}
+
+func (k *Keeper) run(ctx context.Context) error {
+	for {
+		c, err := k.commands.Pop(ctx)
+		if err != nil {
+			return err
+		}
+		switch {
+		case c.start != nil:
+			k.begin(*c.start)
+		case c.answer != nil:
+			k.count(*c.answer)
+		case c.copies != nil:
+			k.adopt(*c.copies)
+		}
+	}
+}
+
+// adopt takes a newer copy set and gives each member a sender.
+func (k *Keeper) adopt(set copyset.Set) {
+	if k.known && set.Version <= k.set.Version {
+		return
+	}
+	k.set, k.known = set, true
+	k.serving.Store(set.Serves(k.tolerated))
+	for disk, slot := range k.slotOf {
+		if _, member := set.Find(disk); !member {
+			k.senders[slot].assign("")
+			delete(k.slotOf, disk)
+		}
+	}
+	for _, m := range set.Members {
+		slot, known := k.slotOf[m.Disk]
+		if !known {
+			slot = k.freeSlot()
+			if slot < 0 {
+				k.log.Error("turnstore: too many members", "members", len(set.Members), "limit", memberSlots)
+				continue
+			}
+			k.slotOf[m.Disk] = slot
+		}
+		k.senders[slot].assign(m.Address)
+	}
+	k.log.Info("turnstore: copy set adopted", "version", set.Version, "members", len(set.Members),
+		"majority", set.Majority(), "serves", set.Serves(k.tolerated))
+}
+
+func (k *Keeper) freeSlot() int {
+	used := map[int]bool{}
+	for _, slot := range k.slotOf {
+		used[slot] = true
+	}
+	for slot := range k.senders {
+		if !used[slot] {
+			return slot
+		}
+	}
+	return -1
+}
+
+func (k *Keeper) begin(s start) {
+	if !k.known || !k.set.Serves(k.tolerated) {
+		s.reply <- Result{Verdict: Uncertain, CopySet: k.set.Version}
+		return
+	}
+	k.nextID++
+	p := &pending{start: s, tally: newTally(s.op, k.set), asked: map[int]bool{}}
+	k.pending[k.nextID] = p
+	reader := k.reader(s.op.Chain)
+	for _, m := range k.set.Members {
+		chain := ""
+		if m.Disk == reader {
+			chain = s.op.Chain
+		}
+		k.send(k.nextID, p, m, s.op.Records, chain)
+	}
+	k.decide(k.nextID, p)
+}
+
+// reader returns the disk that is asked for a conversation first: one in this
+// availability zone, because its answer is long.
+func (k *Keeper) reader(chain string) string {
+	if chain == "" {
+		return ""
+	}
+	first := ""
+	for _, m := range k.set.Members {
+		if !m.Ready || k.senders[k.slotOf[m.Disk]].failing.Load() {
+			continue
+		}
+		if m.Zone == k.zone {
+			return m.Disk
+		}
+		if first == "" {
+			first = m.Disk
+		}
+	}
+	return first
+}
+
+func (k *Keeper) send(id uint64, p *pending, m copyset.Member, records []*turnpb.Record, chain string) {
+	slot, ok := k.slotOf[m.Disk]
+	if !ok {
+		return
+	}
+	message := message{id: id, version: k.set.Version, disk: m.Disk, records: records, chain: chain}
+	if k.senders[slot].queue.TryPush(message) != nil {
+		return // this member does not keep up; the others decide
+	}
+	if chain != "" {
+		p.asked[slot] = true
+	}
+	p.left++
+}
+
+func (k *Keeper) count(a answer) {
+	p := k.pending[a.id]
+	if p == nil {
+		return
+	}
+	p.left--
+	member, found := p.tally.set.Find(a.disk)
+	switch {
+	case a.reply != nil && a.reply.Status == turnpb.Status_STATUS_STALE:
+		k.learnStale(a.reply)
+	case a.ok && found && member.Ready:
+		p.tally.ok(a.reply, a.ledger, a.chain)
+	}
+	k.decide(a.id, p)
+}
+
+// learnStale adopts the copy set of a store that knows a newer one.
+func (k *Keeper) learnStale(reply *turnpb.ExchangeReply) {
+	if len(reply.CopySet) == 0 {
+		return
+	}
+	set, err := decodeVersioned(reply.CopySet)
+	if err != nil {
+		k.log.Error("turnstore: copy set of a store not decoded", "error", err)
+		return
+	}
+	k.adopt(set)
+}
+
+func (k *Keeper) decide(id uint64, p *pending) {
+	result := p.tally.result(p.left)
+	if !p.done && result.Verdict != Stored && p.op.Chain != "" && !p.wide && k.wantsMore(p) {
+		p.wide = true
+		for _, m := range p.tally.set.Members {
+			if slot, ok := k.slotOf[m.Disk]; ok && m.Ready && !p.asked[slot] {
+				k.send(id, p, m, nil, p.op.Chain)
+			}
+		}
+		result = p.tally.result(p.left)
+	}
+	if !p.done && result.Verdict != Pending {
+		p.done = true
+		p.reply <- result
+	}
+	if p.left == 0 {
+		if !p.done {
+			p.reply <- Result{Verdict: Uncertain, Synced: p.tally.synced, CopySet: p.tally.set.Version}
+		}
+		delete(k.pending, id)
+	}
+}
+
+// wantsMore reports whether the first reader has not given the conversation
+// although enough members have answered.
+func (k *Keeper) wantsMore(p *pending) bool {
+	if _, whole := p.tally.conversation(); whole {
+		return false
+	}
+	return p.tally.synced >= p.tally.set.Majority() || p.tally.readers > 0
+}
--- /dev/null
+++ b/turnstore/sender.go
@@ -0,0 +1,174 @@
+package turnstore
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync/atomic"
+
+	"google.golang.org/grpc"
+
+	"dogwoodline.example/copyset"
+	"dogwoodline.example/ring"
+	"dogwoodline.example/turnstore/turnpb"
+)
+
+// message is one operation's part for one member.
+type message struct {
+	id      uint64
+	version uint64
+	disk    string
+	records []*turnpb.Record
+	chain   string
+}
+
+// sender is the duty that talks to one member.
+type sender struct {
+	slot    int
+	log     *slog.Logger
+	connect func(address string) (grpc.ClientConnInterface, func(), error)
+	queue   *ring.Ring[message]
+	answers *ring.Ring[command]
+	address atomic.Pointer[string]
+	failing atomic.Bool
+
+	// The fields below belong to the duty.
+	conn      turnpb.TurnStoreClient
+	connected string
+	closeConn func()
+}
+
+func newSender(slot int, log *slog.Logger, connect func(string) (grpc.ClientConnInterface, func(), error), answers *ring.Ring[command]) *sender {
+	s := &sender{slot: slot, log: log, connect: connect, queue: ring.New[message](operationSlots), answers: answers}
+	s.assign("")
+	return s
+}
+
+func (s *sender) assign(address string) { s.address.Store(&address) }
+
+func (s *sender) run(ctx context.Context) error {
+	defer s.disconnect()
+	var batch []message
+	for {
+		first, err := s.queue.Pop(ctx)
+		if err != nil {
+			return err
+		}
+		batch = s.queue.PopBatch(append(batch[:0], first), sendBatch-1)
+		for len(batch) > 0 {
+			count := sameVersion(batch)
+			if err := s.exchange(ctx, batch[:count]); err != nil {
+				return err
+			}
+			batch = batch[count:]
+		}
+	}
+}
+
+// sameVersion returns how many messages at the front share a copy set version.
+func sameVersion(batch []message) int {
+	count := 1
+	for count < len(batch) && batch[count].version == batch[0].version && batch[count].disk == batch[0].disk {
+		count++
+	}
+	return count
+}
+
+func (s *sender) exchange(ctx context.Context, batch []message) error {
+	request := &turnpb.ExchangeRequest{CopySet: batch[0].version}
+	for _, m := range batch {
+		request.Records = append(request.Records, m.records...)
+		if m.chain != "" {
+			request.Chains = append(request.Chains, m.chain)
+		}
+	}
+	reply, err := s.call(ctx, request)
+	s.note(err)
+	ledgers, chains := 0, 0
+	for _, m := range batch {
+		a := &answer{id: m.id, slot: s.slot, disk: m.disk, err: err, reply: reply}
+		a.ok = err == nil && reply.Status == turnpb.Status_STATUS_OK
+		if a.ok {
+			for _, record := range m.records {
+				if record.GetReservation() != nil && ledgers < len(reply.Ledgers) {
+					a.ledger = reply.Ledgers[ledgers]
+					ledgers++
+				}
+			}
+			if m.chain != "" && chains < len(reply.Chains) {
+				a.chain = reply.Chains[chains]
+				chains++
+			}
+		}
+		if err := s.answers.Push(ctx, command{answer: a}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *sender) call(ctx context.Context, request *turnpb.ExchangeRequest) (*turnpb.ExchangeReply, error) {
+	address := *s.address.Load()
+	if address == "" {
+		return nil, Error.New("no member in this place")
+	}
+	if s.connected != address {
+		s.disconnect()
+		conn, closeConn, err := s.connect(address)
+		if err != nil {
+			return nil, err
+		}
+		s.conn, s.closeConn, s.connected = turnpb.NewTurnStoreClient(conn), closeConn, address
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := s.conn.Exchange(ctx, request)
+	if ctx.Err() != nil {
+		// The connection may have gone silent; a new one tells.
+		s.disconnect()
+	}
+	return reply, err
+}
+
+func (s *sender) disconnect() {
+	if s.closeConn != nil {
+		s.closeConn()
+	}
+	s.conn, s.closeConn, s.connected = nil, nil, ""
+}
+
+// note logs when the member is lost and regained.
+func (s *sender) note(err error) {
+	failing := err != nil
+	if s.failing.Swap(failing) == failing {
+		return
+	}
+	if failing {
+		s.log.Warn("turnstore: store lost", "address", *s.address.Load(), "error", err)
+		return
+	}
+	s.log.Info("turnstore: store regained", "address", *s.address.Load())
+}
+
+// versioned carries a copy set with its version between processes.
+type versioned struct {
+	Version uint64      `json:"version"`
+	Set     copyset.Set `json:"set"`
+}
+
+func encodeVersioned(set copyset.Set) []byte {
+	content, err := json.Marshal(versioned{Version: set.Version, Set: set})
+	if err != nil {
+		panic("turnstore: a copy set cannot be encoded: " + err.Error())
+	}
+	return content
+}
+
+func decodeVersioned(content []byte) (copyset.Set, error) {
+	var v versioned
+	if err := json.Unmarshal(content, &v); err != nil {
+		return copyset.Set{}, Error.Wrap(err)
+	}
+	v.Set.Version = v.Version
+	return v.Set, nil
+}
--- /dev/null
+++ b/turnstore/tally.go
@@ -0,0 +1,160 @@
+package turnstore
+
+import (
+	"dogwoodline.example/copyset"
+	"dogwoodline.example/turnstore/turnpb"
+)
+
+// Verdict is what the stores' answers to an operation add up to.
+type Verdict int
+
+const (
+	// Pending means that more answers are needed.
+	Pending Verdict = iota
+	// Stored means that a majority has synced the records and that what was
+	// asked for is known.
+	Stored
+	// Spent means that the program's budget has no room for the reservation.
+	Spent
+	// Missing means that the turn that is continued was never stored.
+	Missing
+	// Uncertain means that too few stores answered to know.
+	Uncertain
+)
+
+// String returns the verdict for logs.
+func (v Verdict) String() string {
+	return [...]string{"pending", "stored", "spent", "missing", "uncertain"}[v]
+}
+
+// Operation is what a front asks of the stores.
+type Operation struct {
+	Records []*turnpb.Record
+	// Budget bounds the reservations of the program; it is checked if the
+	// first record is a reservation.
+	Budget int64
+	// Chain is the turn whose conversation is wanted; empty for none.
+	Chain string
+}
+
+func (o Operation) reservation() *turnpb.Reservation {
+	if len(o.Records) == 0 {
+		return nil
+	}
+	return o.Records[0].GetReservation()
+}
+
+// Result is the outcome of an operation.
+type Result struct {
+	Verdict Verdict
+	// Conversation is the content of the chain's turns, oldest first.
+	Conversation [][]byte
+	// Spent and Reserved are the tokens of the program that others settled
+	// and hold.
+	Spent, Reserved int64
+	// Synced is the number of members that have stored the records.
+	Synced int
+	// CopySet is the version that the answers were counted under.
+	CopySet uint64
+}
+
+// tally counts the answers to one operation. It is pure.
+type tally struct {
+	op       Operation
+	set      copyset.Set
+	answered int
+	synced   int
+	asked    int // members that were asked for the chain
+	readers  int // of those, how many answered
+	entries  map[string]*turnpb.LedgerEntry
+	links    map[string]*turnpb.Turn
+	stale    *copyset.Set
+}
+
+func newTally(op Operation, set copyset.Set) *tally {
+	return &tally{op: op, set: set, entries: map[string]*turnpb.LedgerEntry{}, links: map[string]*turnpb.Turn{}}
+}
+
+// ok counts the answer of a ready member.
+func (t *tally) ok(reply *turnpb.ExchangeReply, ledger *turnpb.Ledger, chain *turnpb.Chain) {
+	t.synced++
+	if ledger != nil {
+		for _, e := range ledger.Entries {
+			known := t.entries[e.Attempt]
+			if known == nil || (e.Settled && !known.Settled) {
+				t.entries[e.Attempt] = e
+			}
+		}
+	}
+	if chain != nil {
+		t.readers++
+		for _, turn := range chain.Turns {
+			t.links[turn.Id] = turn
+		}
+	}
+}
+
+// conversation returns the chain's contents, oldest first, if all are known.
+func (t *tally) conversation() ([][]byte, bool) {
+	var contents [][]byte
+	for id := t.op.Chain; id != ""; {
+		link := t.links[id]
+		if link == nil {
+			return nil, false
+		}
+		contents = append(contents, link.Content)
+		id = link.Previous
+	}
+	for a, b := 0, len(contents)-1; a < b; a, b = a+1, b-1 {
+		contents[a], contents[b] = contents[b], contents[a]
+	}
+	return contents, true
+}
+
+// others returns the tokens of the program beside this reservation.
+func (t *tally) others() (spent, reserved int64) {
+	own := t.op.reservation()
+	for attempt, e := range t.entries {
+		switch {
+		case attempt == own.Attempt:
+		case e.Settled:
+			spent += e.Tokens
+		default:
+			reserved += e.Tokens
+		}
+	}
+	return spent, reserved
+}
+
+// result decides. Left is the number of members whose answer may still come.
+func (t *tally) result(left int) Result {
+	out := Result{Synced: t.synced, CopySet: t.set.Version}
+	need := t.set.Majority()
+	if t.synced < need {
+		if t.synced+left < need {
+			out.Verdict = Uncertain
+		}
+		return out
+	}
+	if own := t.op.reservation(); own != nil {
+		out.Spent, out.Reserved = t.others()
+		if t.op.Budget > 0 && out.Spent+out.Reserved+own.Tokens > t.op.Budget {
+			out.Verdict = Spent
+			return out
+		}
+	}
+	if t.op.Chain == "" {
+		out.Verdict = Stored
+		return out
+	}
+	contents, whole := t.conversation()
+	switch {
+	case whole:
+		out.Verdict, out.Conversation = Stored, contents
+	case t.readers >= t.set.Witnesses() && t.links[t.op.Chain] == nil:
+		out.Verdict = Missing
+	case left == 0:
+		out.Verdict = Uncertain
+	}
+	return out
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,167 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dogwoodline.example/duty"
+	"dogwoodline.example/netdial"
+	"dogwoodline.example/ring"
+)
+
+const (
+	// writerCount is the number of duties that write long requests.
+	writerCount = 32
+	// sweepEvery is how often idle connections are looked through.
+	sweepEvery = time.Second
+)
+
+// Pool keeps idle connections to backend servers. Its lock is held for a few
+// instructions, because callers on many goroutines share it.
+type Pool struct {
+	decoder Decoder
+	writers *ring.Ring[func()]
+
+	mu      sync.Mutex
+	idle    map[string][]*conn
+	open    map[string]int
+	dialled int
+}
+
+// NewPool returns a pool whose duties run in group.
+func NewPool(group *duty.Group, decoder Decoder) *Pool {
+	p := &Pool{
+		decoder: decoder, writers: ring.New[func()](writerCount),
+		idle: map[string][]*conn{}, open: map[string]int{},
+	}
+	for range writerCount {
+		group.Go("upstream-writer", p.runWriter)
+	}
+	group.Go("upstream-sweep", p.runSweep)
+	return p
+}
+
+func (p *Pool) runWriter(ctx context.Context) error {
+	for {
+		send, err := p.writers.Pop(ctx)
+		if err != nil {
+			return err
+		}
+		send()
+	}
+}
+
+func (p *Pool) runSweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			p.sweep(now)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (p *Pool) sweep(now time.Time) {
+	var expired []*conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.After(c.expires) {
+				expired = append(expired, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = kept
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range expired {
+		p.discard(c)
+	}
+}
+
+// take returns the idle connection that was used last, or opens one.
+func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
+	for {
+		c := p.takeIdle(address)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.expires) && netdial.Usable(c.Conn) {
+			return c, nil
+		}
+		p.discard(c)
+	}
+	c, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.open[address]++
+	p.dialled++
+	p.mu.Unlock()
+	return c, nil
+}
+
+func (p *Pool) takeIdle(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	last := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return last
+}
+
+func (p *Pool) put(c *conn) {
+	keep := c.keep
+	if keep <= 0 {
+		keep = idleUnknown
+	}
+	c.expires = time.Now().Add(keep)
+	p.mu.Lock()
+	p.idle[c.address] = append(p.idle[c.address], c)
+	p.mu.Unlock()
+}
+
+func (p *Pool) discard(c *conn) {
+	c.Conn.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[c.address]--
+	if p.open[c.address] <= 0 {
+		delete(p.open, c.address)
+	}
+}
+
+// Drop closes the idle connections to a backend server that is gone.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		p.discard(c)
+	}
+}
+
+// Open returns the number of open connections and of those opened so far.
+func (p *Pool) Open() (open, dialled int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, count := range p.open {
+		open += count
+	}
+	return open, p.dialled
+}
