--- a/turnstore/keeper.go
+++ b/turnstore/keeper.go
@@ -276,7 +276,7 @@
 		}
 		result = p.tally.result(p.left)
 	}
-	if !p.done && result.Verdict != Pending {
+	if !p.done && result.Verdict != Undecided {
 		p.done = true
 		p.reply <- result
 	}
--- /dev/null
+++ b/turnstore/state_test.go
@@ -0,0 +1,82 @@
+package turnstore
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/turnstore/turnpb"
+)
+
+func reserve(program, attempt string, tokens int64) *turnpb.Record {
+	return &turnpb.Record{Kind: &turnpb.Record_Reservation{Reservation: &turnpb.Reservation{
+		Program: program, Attempt: attempt, Tokens: tokens, ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli(),
+	}}}
+}
+
+func settle(program, attempt string, tokens int64) *turnpb.Record {
+	return &turnpb.Record{Kind: &turnpb.Record_Settlement{Settlement: &turnpb.Settlement{
+		Program: program, Attempt: attempt, Tokens: tokens, ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli(),
+	}}}
+}
+
+func ended(id, previous, content string, left time.Duration) *turnpb.Record {
+	return &turnpb.Record{Kind: &turnpb.Record_Turn{Turn: &turnpb.Turn{
+		Id: id, Previous: previous, Content: []byte(content), ExpiresUnixMs: time.Now().Add(left).UnixMilli(),
+	}}}
+}
+
+var _ = Describe("State", func() {
+	It("does not let a reservation that arrives late undo its settlement", func() {
+		s := newState()
+		s.apply(settle("p", "a", 7), 1)
+		s.apply(reserve("p", "a", 100), 1)
+		Expect(s.ledger("p").Entries).To(HaveLen(1))
+		Expect(s.ledger("p").Entries[0].Tokens).To(BeEquivalentTo(7))
+	})
+
+	It("keeps a turn as long as a turn that continues it", func() {
+		s := newState()
+		s.apply(ended("a", "", "one", time.Second), 1)
+		s.apply(ended("b", "a", "two", time.Hour), 1)
+		s.expire(time.Now().Add(time.Minute))
+		Expect(s.chain("b").Whole).To(BeTrue())
+	})
+
+	It("says that a conversation is not whole when an earlier turn is not here", func() {
+		s := newState()
+		s.apply(ended("b", "a", "two", time.Hour), 1)
+		chain := s.chain("b")
+		Expect(chain.Whole).To(BeFalse())
+		Expect(chain.Turns).To(HaveLen(1))
+	})
+
+	It("forgets what has expired, and pages through the rest for a joining store", func() {
+		s := newState()
+		s.apply(ended("old", "", "x", time.Second), 1)
+		s.apply(ended("new", "", "y", time.Hour), 1)
+		s.apply(reserve("p", "a", 5), 1)
+		s.expire(time.Now().Add(10 * time.Second))
+		records, _, done := s.page(0, 1<<20)
+		Expect(done).To(BeTrue())
+		Expect(records).To(HaveLen(2))
+		Expect(s.chain("old").Turns).To(BeEmpty())
+	})
+
+	It("pages without leaving a record out when pages are small", func() {
+		s := newState()
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			s.apply(ended(id, "", "content", time.Hour), 1)
+		}
+		seen := map[string]bool{}
+		for cursor, done := uint64(0), false; !done; {
+			var records []*turnpb.Record
+			records, cursor, done = s.page(cursor, 1)
+			for _, r := range records {
+				seen[r.GetTurn().Id] = true
+			}
+		}
+		Expect(seen).To(HaveLen(5))
+	})
+})
--- a/turnstore/tally.go
+++ b/turnstore/tally.go
@@ -9,8 +9,8 @@
 type Verdict int
 
 const (
-	// Pending means that more answers are needed.
-	Pending Verdict = iota
+	// Undecided means that more answers are needed.
+	Undecided Verdict = iota
 	// Stored means that a majority has synced the records and that what was
 	// asked for is known.
 	Stored
@@ -24,7 +24,7 @@
 
 // String returns the verdict for logs.
 func (v Verdict) String() string {
-	return [...]string{"pending", "stored", "spent", "missing", "uncertain"}[v]
+	return [...]string{"undecided", "stored", "spent", "missing", "uncertain"}[v]
 }
 
 // Operation is what a front asks of the stores.
