Spread the copy set with the messages; notice a watch that went deaf

Change: a watch waits 2 s; pulls and the first message of each version carry the copy set, and a store that refuses an old one answers with the new one.

Ruled out: listing again at once after dropped changes (a test of membership asks for the pause, as all nodes would list together).

Test: turnstore 'tell a front of a copy set that neither it nor they have heard of'.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,7 +76,9 @@
 }
 
 // Learn tells the scheduler about backend servers.
-func (g *Gateway) Learn(ctx context.Context, news FleetNews) error { return g.scheduler.Learn(ctx, news) }
+func (g *Gateway) Learn(ctx context.Context, news FleetNews) error {
+	return g.scheduler.Learn(ctx, news)
+}
 
 // SetTable brings a configuration into force. Older ones are ignored, so that
 // nothing goes back while the process runs.
--- a/membership/follow.go
+++ b/membership/follow.go
@@ -36,8 +36,14 @@
 // Follow lists and then watches a prefix of the store until ctx ends. After a
 // failure it lists again, so that no deletion is missed.
 func Follow(ctx context.Context, store kvstore.Store, clock clockwork.Clock, prefix string, f Follower) error {
+	return FollowEvery(ctx, store, clock, prefix, pollWait, f)
+}
+
+// FollowEvery is Follow with another longest wait of one watch call. A watch
+// that the store silently stopped serving is noticed after that time.
+func FollowEvery(ctx context.Context, store kvstore.Store, clock clockwork.Clock, prefix string, poll time.Duration, f Follower) error {
 	for ctx.Err() == nil {
-		err := followOnce(ctx, store, prefix, f)
+		err := followOnce(ctx, store, prefix, poll, f)
 		if ctx.Err() != nil {
 			break
 		}
@@ -51,14 +57,14 @@
 	return ctx.Err()
 }
 
-func followOnce(ctx context.Context, store kvstore.Store, prefix string, f Follower) error {
+func followOnce(ctx context.Context, store kvstore.Store, prefix string, poll time.Duration, f Follower) error {
 	items, revision, err := store.List(ctx, prefix)
 	if err != nil {
 		return err
 	}
 	f.Listed(ctx, items, revision)
 	for {
-		events, next, err := watchOnce(ctx, store, prefix, revision)
+		events, next, err := watchOnce(ctx, store, prefix, revision, poll)
 		if err != nil {
 			return err
 		}
@@ -67,8 +73,8 @@
 	}
 }
 
-func watchOnce(ctx context.Context, store kvstore.Store, prefix string, after kvstore.Version) ([]kvstore.Event, kvstore.Version, error) {
-	call, cancel := context.WithTimeout(ctx, pollWait+pollGrace)
+func watchOnce(ctx context.Context, store kvstore.Store, prefix string, after kvstore.Version, poll time.Duration) ([]kvstore.Event, kvstore.Version, error) {
+	call, cancel := context.WithTimeout(ctx, poll+pollGrace)
 	defer cancel()
-	return store.Watch(call, prefix, after, pollWait)
+	return store.Watch(call, prefix, after, poll)
 }
--- a/role/follow.go
+++ b/role/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"strings"
 	"time"
@@ -18,6 +19,11 @@
 // entries may still come back.
 const returnGrace = 2 * time.Second
 
+// watchWait is the longest wait of one watch. A watch may go deaf while the
+// store drops its history; three seconds after the store is stable again its
+// news must be in force.
+const watchWait = 2 * time.Second
+
 // topic is what a process wants to know of keys with one prefix.
 type topic struct {
 	prefix string
@@ -44,7 +50,7 @@
 func (p *process) follow(topics []topic, onLost func(ctx context.Context)) {
 	f := &follower{log: p.log, topics: topics, onLost: onLost}
 	p.group.Go("follow", func(ctx context.Context) error {
-		return membership.Follow(ctx, p.store, clockwork.NewRealClock(), "", f)
+		return membership.FollowEvery(ctx, p.store, clockwork.NewRealClock(), "", watchWait, f)
 	})
 }
 
@@ -91,6 +97,10 @@
 
 // Failed implements membership.Follower.
 func (f *follower) Failed(ctx context.Context, err error) {
+	if errors.Is(err, kvstore.ErrCompacted) {
+		f.log.Info("role: platform store dropped changes, listing again") // it answers, so nothing may be missing
+		return
+	}
 	if !f.lost {
 		f.lost = true
 		f.log.Warn("role: platform store lost", "error", err)
--- a/role/front.go
+++ b/role/front.go
@@ -146,4 +146,3 @@
 		}
 	}
 }
-
--- /dev/null
+++ b/turnstore/cluster_test.go
@@ -0,0 +1,185 @@
+package turnstore
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"dogwoodline.example/copyset"
+	"dogwoodline.example/duty"
+	"dogwoodline.example/kvstore"
+	"dogwoodline.example/kvstore/memstore"
+	"dogwoodline.example/turnstore/turnpb"
+)
+
+// cluster is a few stores in this process with a shared platform store. News
+// reach a store only through tell, so that a test can keep one ignorant.
+type cluster struct {
+	kv     *memstore.Store
+	stores map[string]*testStore
+}
+
+type testStore struct {
+	host, folder, address string
+	group                 *duty.Group
+	server                *Server
+	joiner                *Joiner
+	grpc                  *grpc.Server
+}
+
+func dialTest(address string) (grpc.ClientConnInterface, func(), error) {
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, nil, err
+	}
+	return conn, func() { conn.Close() }, nil
+}
+
+func newCluster(hosts ...string) *cluster {
+	c := &cluster{kv: memstore.New(clockwork.NewRealClock()), stores: map[string]*testStore{}}
+	for _, host := range hosts {
+		c.start(host, GinkgoT().TempDir())
+	}
+	return c
+}
+
+func (c *cluster) start(host, folder string) *testStore {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
+	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, 64<<20)
+	Expect(err).NotTo(HaveOccurred())
+	s := &testStore{host: host, folder: folder, address: listener.Addr().String(), group: group, server: server, grpc: grpc.NewServer()}
+	turnpb.RegisterTurnStoreServer(s.grpc, server)
+	var served sync.WaitGroup
+	served.Go(func() { _ = s.grpc.Serve(listener) })
+	report := func(done bool) (string, []byte) { return "report/" + host, fmt.Append(nil, done) }
+	s.joiner = NewJoiner(server, c.kv, slog.New(slog.DiscardHandler), copyset.Member{Host: host, Address: s.address, Zone: host}, 1, report, dialTest)
+	group.Go("joiner", s.joiner.Run)
+	c.stores[host] = s
+	c.tell(host)
+	Eventually(func() bool { m, _ := c.set().Find(server.Disk()); return m.Ready }, "5s", "10ms").Should(BeTrue())
+	DeferCleanup(func() { c.stop(s); served.Wait() })
+	return s
+}
+
+func (c *cluster) stop(s *testStore) {
+	s.grpc.Stop()
+	s.group.Stop()
+}
+
+// tell passes the present copy set on to a host.
+func (c *cluster) tell(host string) {
+	set := c.set()
+	present := map[string]bool{}
+	for _, s := range c.stores {
+		present[s.server.Disk()] = true
+	}
+	Expect(c.stores[host].joiner.News().TryPush(News{Copies: &set})).To(Succeed())
+	Expect(c.stores[host].joiner.News().TryPush(News{Present: present})).To(Succeed())
+}
+
+func (c *cluster) set() copyset.Set {
+	item, err := c.kv.Get(context.Background(), copyset.Key)
+	if err == kvstore.ErrNotFound {
+		return copyset.Set{}
+	}
+	Expect(err).NotTo(HaveOccurred())
+	set, err := copyset.Decode(item.Value, uint64(item.Version))
+	Expect(err).NotTo(HaveOccurred())
+	return set
+}
+
+func (c *cluster) keeper() *Keeper {
+	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
+	DeferCleanup(group.Stop)
+	k := NewKeeper(group, slog.New(slog.DiscardHandler), "a", 1, dialTest)
+	Expect(k.SetCopies(context.Background(), c.set())).To(Succeed())
+	Eventually(k.Serving, "5s", "5ms").Should(BeTrue())
+	return k
+}
+
+func do(k *Keeper, op Operation) Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return k.Do(ctx, op)
+}
+
+var _ = Describe("Stores", func() {
+	It("give a conversation to a front that has not seen it", func() {
+		c := newCluster("a", "b", "c", "d")
+		Expect(do(c.keeper(), Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour)}}).Verdict).To(Equal(Stored))
+		k := c.keeper()
+		Expect(do(k, Operation{Records: []*turnpb.Record{ended("t2", "t1", "two", time.Hour)}}).Verdict).To(Equal(Stored))
+		result := do(c.keeper(), Operation{Chain: "t2"})
+		Expect(result.Conversation).To(Equal([][]byte{[]byte("one"), []byte("two")}))
+		Expect(do(k, Operation{Chain: "never"}).Verdict).To(Equal(Missing))
+	})
+
+	It("hold the budget over fronts", func() {
+		c := newCluster("a", "b", "c", "d")
+		one, two := c.keeper(), c.keeper()
+		Expect(do(one, Operation{Records: []*turnpb.Record{reserve("p", "x", 60)}, Budget: 100}).Verdict).To(Equal(Stored))
+		Expect(do(two, Operation{Records: []*turnpb.Record{reserve("p", "y", 60)}, Budget: 100}).Verdict).To(Equal(Spent))
+		Expect(do(two, Operation{Records: []*turnpb.Record{settle("p", "y", 0), settle("p", "x", 30)}}).Verdict).To(Equal(Stored))
+		Expect(do(one, Operation{Records: []*turnpb.Record{reserve("p", "z", 60)}, Budget: 100}).Verdict).To(Equal(Stored))
+	})
+
+	It("answer from the others, and remember, when one was killed and another came back empty", func() {
+		c := newCluster("a", "b", "c", "d")
+		Expect(do(c.keeper(), Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour), settle("p", "x", 70)}}).Verdict).To(Equal(Stored))
+		c.stop(c.stores["a"])
+		c.start("a", GinkgoT().TempDir())
+		c.stop(c.stores["b"])
+		k := c.keeper()
+		Expect(do(k, Operation{Chain: "t1"}).Verdict).To(Equal(Stored))
+		Expect(do(k, Operation{Records: []*turnpb.Record{reserve("p", "y", 60)}, Budget: 100}).Verdict).To(Equal(Spent))
+	})
+
+	It("remember after all were stopped", func() {
+		c := newCluster("a", "b", "c", "d")
+		Expect(do(c.keeper(), Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour)}}).Verdict).To(Equal(Stored))
+		for _, host := range []string{"a", "b", "c", "d"} {
+			s := c.stores[host]
+			c.stop(s)
+			c.start(host, s.folder)
+		}
+		Expect(do(c.keeper(), Operation{Chain: "t1"}).Verdict).To(Equal(Stored))
+	})
+
+	// On scale-1 of ortak-fiyat the watches went deaf while a store joined: the
+	// stores refused the fronts' copy set as old and could not tell the new one.
+	It("tell a front of a copy set that neither it nor they have heard of at the platform", func() {
+		c := newCluster("a", "b", "c", "d")
+		deaf := c.keeper()
+		c.start("e", GinkgoT().TempDir())
+		Eventually(func() Verdict {
+			return do(deaf, Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour)}}).Verdict
+		}, "2s", "20ms").Should(Equal(Stored))
+	})
+
+	It("hand over everything before a disk is taken away", func() {
+		c := newCluster("a", "b", "c", "d")
+		Expect(do(c.keeper(), Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour)}}).Verdict).To(Equal(Stored))
+		c.tell("d")
+		Expect(c.stores["d"].joiner.News().TryPush(News{Retire: true})).To(Succeed())
+		Eventually(func() string {
+			item, _ := c.kv.Get(context.Background(), "report/d")
+			return string(item.Value)
+		}, "5s", "10ms").Should(Equal("true"))
+		c.stop(c.stores["d"])
+		c.stop(c.stores["a"])
+		Expect(c.set().Members).To(HaveLen(3))
+		Expect(do(c.keeper(), Operation{Chain: "t1"}).Verdict).To(Equal(Stored))
+	})
+})
--- a/turnstore/join.go
+++ b/turnstore/join.go
@@ -108,7 +108,7 @@
 	switch {
 	case news.Copies != nil:
 		j.listed = true
-		if news.Copies.Version >= j.copies.Version {
+		if news.Copies.Version >= j.copies.Version { // an empty set has version 0
 			j.copies = *news.Copies
 			j.server.SetCopies(j.copies)
 		}
@@ -231,7 +231,7 @@
 	}
 	defer closeConn()
 	client := turnpb.NewTurnStoreClient(conn)
-	request := &turnpb.PullRequest{CopySet: j.copies.Version}
+	request := &turnpb.PullRequest{CopySet: j.copies.Version, Set: encodeVersioned(j.copies)}
 	count := 0
 	for {
 		page, err := pullPage(ctx, client, request)
--- a/turnstore/keeper.go
+++ b/turnstore/keeper.go
@@ -37,7 +37,7 @@
 	serving   atomic.Bool
 
 	// The fields below belong to the duty.
-	set     copyset.Set
+	set     *copyset.Set // replaced as a whole, as senders share it
 	known   bool
 	slotOf  map[string]int // disk to sender
 	pending map[uint64]*pending
@@ -82,7 +82,7 @@
 	connect func(address string) (grpc.ClientConnInterface, func(), error)) *Keeper {
 	k := &Keeper{
 		log: log, zone: zone, tolerated: tolerated, commands: ring.New[command](4 * operationSlots),
-		slotOf: map[string]int{}, pending: map[uint64]*pending{},
+		set: &copyset.Set{}, slotOf: map[string]int{}, pending: map[uint64]*pending{},
 	}
 	for i := range k.senders {
 		k.senders[i] = newSender(i, log, connect, k.commands)
@@ -144,7 +144,7 @@
 	if k.known && set.Version <= k.set.Version {
 		return
 	}
-	k.set, k.known = set, true
+	k.set, k.known = &set, true
 	k.serving.Store(set.Serves(k.tolerated))
 	for disk, slot := range k.slotOf {
 		if _, member := set.Find(disk); !member {
@@ -187,7 +187,7 @@
 		return
 	}
 	k.nextID++
-	p := &pending{start: s, tally: newTally(s.op, k.set), asked: map[int]bool{}}
+	p := &pending{start: s, tally: newTally(s.op, *k.set), asked: map[int]bool{}}
 	k.pending[k.nextID] = p
 	reader := k.reader(s.op.Chain)
 	for _, m := range k.set.Members {
@@ -226,7 +226,7 @@
 	if !ok {
 		return
 	}
-	message := message{id: id, version: k.set.Version, disk: m.Disk, records: records, chain: chain}
+	message := message{id: id, set: k.set, disk: m.Disk, records: records, chain: chain}
 	if k.senders[slot].queue.TryPush(message) != nil {
 		return // this member does not keep up; the others decide
 	}
@@ -254,10 +254,10 @@
 
 // learnStale adopts the copy set of a store that knows a newer one.
 func (k *Keeper) learnStale(reply *turnpb.ExchangeReply) {
-	if len(reply.CopySet) == 0 {
+	if len(reply.Set) == 0 {
 		return
 	}
-	set, err := decodeVersioned(reply.CopySet)
+	set, err := decodeVersioned(reply.Set)
 	if err != nil {
 		k.log.Error("turnstore: copy set of a store not decoded", "error", err)
 		return
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -16,7 +16,7 @@
 // message is one operation's part for one member.
 type message struct {
 	id      uint64
-	version uint64
+	set     *copyset.Set
 	disk    string
 	records []*turnpb.Record
 	chain   string
@@ -36,6 +36,7 @@
 	conn      turnpb.TurnStoreClient
 	connected string
 	closeConn func()
+	told      uint64 // the copy set version that the member was told on this connection
 }
 
 func newSender(slot int, log *slog.Logger, connect func(string) (grpc.ClientConnInterface, func(), error), answers *ring.Ring[command]) *sender {
@@ -68,14 +69,18 @@
 // sameVersion returns how many messages at the front share a copy set version.
 func sameVersion(batch []message) int {
 	count := 1
-	for count < len(batch) && batch[count].version == batch[0].version && batch[count].disk == batch[0].disk {
+	for count < len(batch) && batch[count].set.Version == batch[0].set.Version && batch[count].disk == batch[0].disk {
 		count++
 	}
 	return count
 }
 
 func (s *sender) exchange(ctx context.Context, batch []message) error {
-	request := &turnpb.ExchangeRequest{CopySet: batch[0].version}
+	set := batch[0].set
+	request := &turnpb.ExchangeRequest{CopySet: set.Version}
+	if s.told != set.Version {
+		request.Set = encodeVersioned(*set)
+	}
 	for _, m := range batch {
 		request.Records = append(request.Records, m.records...)
 		if m.chain != "" {
@@ -83,6 +88,9 @@
 		}
 	}
 	reply, err := s.call(ctx, request)
+	if err == nil {
+		s.told = set.Version
+	}
 	s.note(err)
 	ledgers, chains := 0, 0
 	for _, m := range batch {
@@ -134,7 +142,7 @@
 	if s.closeConn != nil {
 		s.closeConn()
 	}
-	s.conn, s.closeConn, s.connected = nil, nil, ""
+	s.conn, s.closeConn, s.connected, s.told = nil, nil, "", 0
 }
 
 // note logs when the member is lost and regained.
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -50,7 +50,7 @@
 	// durable failed; nothing counts as stored until it is written.
 	unwritten [][]byte
 	maxBytes  int64
-	timer    duty.Timer
+	timer     duty.Timer
 
 	known atomic.Pointer[copyset.Set] // the newest copy set, from the follower
 	ready atomic.Bool                 // this disk counts for majorities
@@ -107,9 +107,30 @@
 
 // SetCopies tells the newest copy set.
 func (s *Server) SetCopies(set copyset.Set) {
-	s.known.Store(&set)
-	member, _ := set.Find(s.Disk())
-	s.ready.Store(member.Ready)
+	for {
+		known := s.known.Load()
+		if known != nil && known.Version >= set.Version {
+			return
+		}
+		if s.known.CompareAndSwap(known, &set) {
+			member, _ := set.Find(s.Disk())
+			s.ready.Store(member.Ready)
+			return
+		}
+	}
+}
+
+// hear takes the copy set that a message brought along.
+func (s *Server) hear(encoded []byte) {
+	if len(encoded) == 0 {
+		return
+	}
+	set, err := decodeVersioned(encoded)
+	if err != nil {
+		s.log.Error("turnstore: copy set of a message not decoded", "error", err)
+		return
+	}
+	s.SetCopies(set)
 }
 
 // Retired makes the store refuse everything, because its copies live
@@ -229,8 +250,9 @@
 }
 
 func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte) (*turnpb.ExchangeReply, [][]byte) {
+	s.hear(in.Set)
 	out := &turnpb.ExchangeReply{}
-	out.Status, out.CopySet, payloads = s.admit(in.CopySet, payloads)
+	out.Status, out.Set, payloads = s.admit(in.CopySet, payloads)
 	if out.Status != turnpb.Status_STATUS_OK {
 		return out, payloads
 	}
@@ -256,6 +278,7 @@
 }
 
 func (s *Server) pull(in *turnpb.PullRequest, payloads [][]byte) (*turnpb.PullReply, [][]byte) {
+	s.hear(in.Set)
 	out := &turnpb.PullReply{}
 	out.Status, _, payloads = s.admit(in.CopySet, payloads)
 	if out.Status == turnpb.Status_STATUS_OK && !s.ready.Load() {
