Take a front that reaches too few stores out of the directory; test the request path

Change: the keeper counts the members that its senders reach and asks lost ones again every 250 ms; a front that cannot serve marks its registration, is not ready, and closes the connections of clients that it refuses.

--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,126 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/fleet"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+func backend(id string) fleet.Backend {
+	return fleet.Backend{ID: id, Service: "s", Address: id, AvailabilityZone: "a", Slots: 4}
+}
+
+func filled(count int) *fleet.Fleet {
+	f := fleet.New("a")
+	for i := range count {
+		f.Put(backend(fmt.Sprintf("b%d", i)))
+	}
+	return f
+}
+
+var _ = Describe("Fleet", func() {
+	now := time.Unix(1_000_000, 0)
+	ask := fleet.Ask{Service: "s"}
+
+	It("gives nothing to a backend server that leaves", func() {
+		f := filled(1)
+		leaving := backend("b0")
+		leaving.Draining = true
+		f.Put(leaving)
+		_, _, ok := f.Choose(ask, now)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("drops an entry at once, but waits for its return when the platform's store was away", func() {
+		f := filled(2)
+		f.Remove("b0", now, false)
+		Expect(f.Total()).To(Equal(1))
+		f.Remove("b1", now, true)
+		Expect(f.Size("s")).To(Equal(1))
+		Expect(f.Expire(now.Add(time.Second))).To(BeEmpty())
+		f.Put(backend("b1"))
+		Expect(f.Expire(now.Add(time.Minute))).To(BeEmpty())
+		f.Remove("b1", now, true)
+		Expect(f.Expire(now.Add(2 * time.Second))).To(Equal([]string{"b1"}))
+	})
+
+	It("spreads calls over idle backend servers", func() {
+		f := filled(5)
+		for range 5 {
+			b, running, ok := f.Choose(ask, now)
+			Expect(ok).To(BeTrue())
+			Expect(running).To(BeZero())
+			f.Started(b.ID)
+		}
+	})
+
+	It("keeps a session together until that backend server is much busier", func() {
+		f := filled(8)
+		sticky := fleet.Ask{Service: "s", Affinity: "session-1"}
+		first, _, _ := f.Choose(sticky, now)
+		again, _, _ := f.Choose(sticky, now)
+		Expect(again.ID).To(Equal(first.ID))
+		for range 3 {
+			f.Started(first.ID)
+		}
+		other, _, _ := f.Choose(sticky, now)
+		Expect(other.ID).NotTo(Equal(first.ID))
+	})
+
+	It("avoids one that could not be reached or was full, while others are left", func() {
+		f := filled(2)
+		f.Started("b0")
+		f.Ended(fleet.Report{ID: "b0", Unreachable: true}, now)
+		for draw := range uint64(20) {
+			b, _, _ := f.Choose(fleet.Ask{Service: "s", Draw: draw << 58}, now)
+			Expect(b.ID).To(Equal("b1"))
+		}
+		only, _, ok := f.Choose(fleet.Ask{Service: "s", Exclude: []string{"b1"}}, now)
+		Expect(ok).To(BeTrue())
+		Expect(only.ID).To(Equal("b0"))
+	})
+
+	It("gives less to one that is slower than its peers, and tries it again later", func() {
+		f := filled(4)
+		for range 10 {
+			for i := range 4 {
+				first := 50 * time.Millisecond
+				if i == 0 {
+					first = 500 * time.Millisecond
+				}
+				id := fmt.Sprintf("b%d", i)
+				f.Started(id)
+				f.Ended(fleet.Report{ID: id, First: first, Typical: true}, now)
+			}
+		}
+		counts := map[string]int{}
+		for draw := range uint64(24) {
+			b, _, _ := f.Choose(fleet.Ask{Service: "s", Draw: draw * 0x9e3779b97f4a7c15}, now)
+			f.Started(b.ID)
+			counts[b.ID]++
+		}
+		Expect(counts["b0"]).To(BeNumerically("<", 4))
+		Expect(counts["b0"]).To(BeNumerically(">", 0))
+	})
+
+	It("forgets what it believed of one that started again under its id", func() {
+		f := filled(2)
+		f.Ended(fleet.Report{ID: "b0", Unreachable: true}, now)
+		f.Started("b1")
+		again := backend("b0")
+		again.Incarnation = 5
+		f.Put(again)
+		b, _, _ := f.Choose(ask, now)
+		Expect(b.ID).To(Equal("b0"))
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,12 +110,15 @@
 // their connections.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// Stopping reports whether Drain was called.
+func (g *Gateway) Stopping() bool { return g.draining.Load() }
+
 // Running is the number of requests that are being served.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
 // Ready reports whether clients should use this front.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.table.Load() != nil && g.scheduler.size.Load() > 0
+	return !g.draining.Load() && g.table.Load() != nil && g.scheduler.size.Load() > 0 && g.keeper.Serving()
 }
 
 // Addresses returns the fronts that a client should use, those in its
@@ -140,5 +143,8 @@
 		far = append(far, g.settings.Address)
 	}
 	all := append(near, far...)
+	if len(all) == 0 && !g.draining.Load() && g.table.Load() != nil {
+		all = []string{g.settings.Address} // calls that keep no turn are still served
+	}
 	return slices.Clip(all[:min(len(all), g.settings.MostAddresses)]), g.settings.AddressTTL
 }
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,447 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/call"
+	"dogwoodline.example/duty"
+	"dogwoodline.example/fleet"
+	"dogwoodline.example/gateway"
+	"dogwoodline.example/route"
+	"dogwoodline.example/turnstore"
+	"dogwoodline.example/turnstore/turnpb"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+// The test's own header names; the platform's are known to its adapter only.
+const (
+	idHeader     = "Test-Id"
+	leftHeader   = "Test-Left"
+	serverHeader = "Test-Server"
+	signature    = "Test-Signature"
+	refused      = "Test-Not-Run"
+	resumeHeader = "Test-After"
+)
+
+type codec struct{}
+
+func (codec) Encode(request *call.Request, backend string, left time.Duration, _ int, after string) http.Header {
+	header := request.Header.Clone()
+	header.Set(serverHeader, backend)
+	header.Set(leftHeader, strconv.FormatInt(left.Milliseconds(), 10))
+	if after != "" {
+		header.Set(resumeHeader, after)
+	}
+	return header
+}
+
+func (codec) Decode(reply *http.Response) call.Answer {
+	header := reply.Header.Clone()
+	header.Del("Content-Length")
+	return call.Answer{
+		Status: reply.StatusCode, Header: header, RequestID: reply.Header.Get(idHeader), Signed: reply.Header.Get(signature) != "",
+		NotRun: reply.Header.Get(refused) != "", Leaving: reply.Close,
+	}
+}
+
+func decode(r *http.Request, arrived time.Time) call.Request {
+	header := r.Header.Clone()
+	header.Del("Content-Length")
+	request := call.Request{
+		ID: header.Get(idHeader), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Arrived: arrived,
+		Program: header.Get("Test-Program"), PreviousTurn: header.Get("Test-Previous"), MaxOutput: 50,
+	}
+	request.TokenBudget, _ = strconv.Atoi(header.Get("Test-Budget"))
+	return request
+}
+
+// keeper answers as a test says.
+type keeper struct {
+	begin  turnstore.Result
+	commit chan turnstore.Result
+	sent   atomic.Int64
+}
+
+func (k *keeper) Serving() bool { return true }
+
+func (k *keeper) Do(ctx context.Context, op turnstore.Operation) turnstore.Result {
+	if len(op.Records) == 0 || op.Records[0].GetReservation() != nil {
+		return k.begin
+	}
+	select {
+	case result := <-k.commit:
+		return result
+	case <-ctx.Done():
+		return turnstore.Result{Verdict: turnstore.Uncertain}
+	}
+}
+
+func (k *keeper) Send(...*turnpb.Record) bool {
+	k.sent.Add(1)
+	return true
+}
+
+// site is a gateway before backend servers that behave as a test says.
+type site struct {
+	gateway *gateway.Gateway
+	keeper  *keeper
+	front   *httptest.Server
+	runs    atomic.Int64
+}
+
+func newSite(r route.Route, backends ...http.HandlerFunc) *site {
+	s := &site{keeper: &keeper{begin: turnstore.Result{Verdict: turnstore.Stored}, commit: make(chan turnstore.Result, 8)}}
+	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
+	s.gateway = gateway.New(group, slog.New(slog.DiscardHandler), metrics.NewSet(),
+		gateway.Settings{Address: "self", Zone: "a", Callers: 8, AddressTTL: time.Second, MostAddresses: 8}, decode, codec{}, s.keeper)
+	for i, handle := range backends {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(idHeader, r.Header.Get(idHeader))
+			w.Header().Set(signature, "s")
+			handle(w, r)
+		}))
+		DeferCleanup(server.Close)
+		backend := fleet.Backend{ID: fmt.Sprintf("b%d", i), Service: "svc", Address: server.Listener.Addr().String(), Slots: 4, AvailabilityZone: "a"}
+		Expect(s.gateway.Learn(context.Background(), gateway.FleetNews{Put: &backend})).To(Succeed())
+	}
+	r.Name, r.Host, r.Prefix = "r", "example", "/r/"
+	r.Shares = []route.Share{{Service: "svc", Weight: 1}}
+	if r.Timeout == 0 {
+		r.Timeout = 5 * time.Second
+	}
+	s.gateway.SetTable(route.NewTable(1, []route.Route{r}, []route.Service{{Name: "svc"}}, route.Limits{MaxBodyBytes: 1 << 20}))
+	s.front = httptest.NewServer(s.gateway)
+	DeferCleanup(func() {
+		s.front.CloseClientConnections()
+		s.front.Close()
+		group.Stop()
+	})
+	return s
+}
+
+func (s *site) ask(ctx context.Context, method, path, body string, header ...string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, s.front.URL+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "example"
+	request.Header.Set(idHeader, "req-1")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	return http.DefaultTransport.RoundTrip(request)
+}
+
+func (s *site) get(path string, header ...string) (int, string, http.Header) {
+	reply, err := s.ask(context.Background(), "POST", path, "input", header...)
+	Expect(err).NotTo(HaveOccurred())
+	defer reply.Body.Close()
+	body, _ := io.ReadAll(reply.Body)
+	return reply.StatusCode, string(body), reply.Header
+}
+
+func (s *site) ok(w http.ResponseWriter, _ *http.Request) {
+	s.runs.Add(1)
+	fmt.Fprint(w, "done")
+}
+
+// breakOff ends the connection after some bytes.
+func breakOff(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			io.WriteString(conn, text)
+			conn.Close()
+		}
+	}
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(refused, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func events(parts ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i, p := range parts {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, p)
+			w.(http.Flusher).Flush()
+		}
+	}
+}
+
+var _ = Describe("Gateway", func() {
+	It("refuses as not run while it knows no configuration, and says when to come back", func() {
+		s := newSite(route.Route{Kind: route.Safe})
+		empty := httptest.NewServer(gateway.New(duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet()),
+			slog.New(slog.DiscardHandler), metrics.NewSet(), gateway.Settings{Callers: 1}, decode, codec{}, s.keeper))
+		defer empty.Close()
+		reply, err := http.Get(empty.URL + "/r/x")
+		Expect(err).NotTo(HaveOccurred())
+		reply.Body.Close()
+		Expect(reply.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(reply.Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("answers 404 for a path without a route only", func() {
+		var s *site
+		s = newSite(route.Route{Kind: route.Unsafe}, func(w http.ResponseWriter, r *http.Request) { s.ok(w, r) })
+		status, _, _ := s.get("/other")
+		Expect(status).To(Equal(http.StatusNotFound))
+		status, body, header := s.get("/r/x")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("done"))
+		Expect(header.Get(signature)).To(Equal("s"))
+	})
+
+	It("does not go back to an older configuration", func() {
+		s := newSite(route.Route{Kind: route.Unsafe})
+		s.gateway.SetTable(route.NewTable(0, nil, nil, route.Limits{}))
+		status, _, _ := s.get("/r/x")
+		Expect(status).NotTo(Equal(http.StatusNotFound))
+	})
+
+	It("never repeats an unsafe call whose connection broke, and does not call it not run", func() {
+		var runs atomic.Int64
+		broken := func(w http.ResponseWriter, r *http.Request) { runs.Add(1); breakOff("")(w, r) }
+		s := newSite(route.Route{Kind: route.Unsafe}, broken, broken, broken)
+		status, _, _ := s.get("/r/x")
+		Expect(status).To(Equal(http.StatusBadGateway))
+		Expect(runs.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("gives a call that was refused as not run to another backend server", func() {
+		var s *site
+		s = newSite(route.Route{Kind: route.Unsafe}, refuse, refuse, func(w http.ResponseWriter, r *http.Request) { s.ok(w, r) })
+		for range 10 {
+			status, _, _ := s.get("/r/x")
+			Expect(status).To(Equal(http.StatusOK))
+		}
+		Expect(s.runs.Load()).To(BeEquivalentTo(10))
+	})
+
+	It("answers 503 with a time to come back when every backend server refuses", func() {
+		s := newSite(route.Route{Kind: route.Unsafe}, refuse, refuse)
+		status, _, header := s.get("/r/x")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("repeats a safe call on as many backend servers as the route allows", func() {
+		var runs atomic.Int64
+		broken := func(w http.ResponseWriter, r *http.Request) { runs.Add(1); breakOff("")(w, r) }
+		s := newSite(route.Route{Kind: route.Safe, MaxServers: 2}, broken, broken, broken, broken)
+		status, _, _ := s.get("/r/x")
+		Expect(status).To(Equal(http.StatusBadGateway))
+		Expect(runs.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("passes no success on that is cut, unsigned, or answers another request", func() {
+		for _, text := range []string{
+			"HTTP/1.1 200 OK\r\nTest-Id: req-1\r\nTest-Signature: s\r\nContent-Length: 9\r\n\r\ncut",
+			"HTTP/1.1 200 OK\r\nTest-Id: req-1\r\nContent-Length: 2\r\n\r\nok",
+			"HTTP/1.1 200 OK\r\nTest-Id: other\r\nTest-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+			"rubbish\r\n\r\n",
+		} {
+			s := newSite(route.Route{Kind: route.Unsafe}, breakOff(text))
+			status, _, _ := s.get("/r/x")
+			Expect(status).To(Equal(http.StatusBadGateway), text)
+		}
+	})
+
+	It("skips a late answer to another request that comes before the right one", func() {
+		s := newSite(route.Route{Kind: route.Unsafe}, breakOff("HTTP/1.1 200 OK\r\nTest-Id: other\r\nTest-Signature: s\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nTest-Id: req-1\r\nTest-Signature: s\r\nContent-Length: 2\r\n\r\nok"))
+		status, body, _ := s.get("/r/x")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("ok"))
+	})
+
+	It("answers at the route's time limit, without promising that the call has not run", func() {
+		s := newSite(route.Route{Kind: route.Unsafe, Timeout: 150 * time.Millisecond}, func(_ http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			select {
+			case <-r.Context().Done():
+			case <-time.After(3 * time.Second):
+			}
+		})
+		start := time.Now()
+		status, _, _ := s.get("/r/x")
+		Expect(status).To(Equal(http.StatusGatewayTimeout))
+		Expect(time.Since(start)).To(BeNumerically("<", 650*time.Millisecond))
+	})
+
+	It("tells the backend server within half a second that the client has left", func() {
+		left := make(chan struct{})
+		s := newSite(route.Route{Kind: route.Streaming}, func(_ http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body) // net/http notices a closed connection only then
+			<-r.Context().Done()
+			close(left)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			cancel()
+		}()
+		_, err := s.ask(ctx, "POST", "/r/x", "input")
+		Expect(errors.Is(err, context.Canceled)).To(BeTrue())
+		Eventually(left, "500ms").Should(BeClosed())
+	})
+
+	Describe("with turns", func() {
+		turns := route.Route{Kind: route.Streaming, RetainTurns: true}
+
+		It("lets the client see the end of an answer only after its turn is stored", func() {
+			s := newSite(turns, events("a", "b"))
+			reply, err := s.ask(context.Background(), "POST", "/r/x", "input")
+			Expect(err).NotTo(HaveOccurred())
+			defer reply.Body.Close()
+			ended := make(chan error, 1)
+			go func() {
+				_, err := io.ReadAll(reply.Body)
+				ended <- err
+			}()
+			Consistently(ended, "150ms").ShouldNot(Receive())
+			s.keeper.commit <- turnstore.Result{Verdict: turnstore.Stored}
+			Eventually(ended, "1s").Should(Receive(BeNil()))
+		})
+
+		It("breaks the answer off when its turn cannot be stored in time", func() {
+			r := turns
+			r.Timeout = 200 * time.Millisecond
+			s := newSite(r, events("a"))
+			reply, err := s.ask(context.Background(), "POST", "/r/x", "input")
+			Expect(err).NotTo(HaveOccurred())
+			defer reply.Body.Close()
+			_, err = io.ReadAll(reply.Body)
+			Expect(err).To(HaveOccurred())
+		})
+
+		It("puts the conversation before the new input", func() {
+			got := make(chan string, 1)
+			s := newSite(turns, func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				got <- string(body)
+				events("x")(w, r)
+			})
+			s.keeper.begin.Conversation = [][]byte{[]byte("one\n"), []byte("two\n")}
+			s.keeper.commit <- turnstore.Result{Verdict: turnstore.Stored}
+			status, body, _ := s.get("/r/x", "Test-Previous", "t2")
+			Expect(status).To(Equal(http.StatusOK), body)
+			Expect(got).To(Receive(Equal("one\ntwo\ninput")))
+		})
+
+		It("sends nothing to a backend server for a spent budget, a missing turn, or too few stores", func() {
+			var s *site
+			s = newSite(turns, func(w http.ResponseWriter, r *http.Request) { s.ok(w, r) })
+			for verdict, status := range map[turnstore.Verdict]int{
+				turnstore.Spent: http.StatusPaymentRequired, turnstore.Missing: http.StatusNotFound, turnstore.Uncertain: http.StatusServiceUnavailable,
+			} {
+				s.keeper.begin.Verdict = verdict
+				got, _, _ := s.get("/r/x", "Test-Previous", "t", "Test-Program", "p", "Test-Budget", "100")
+				Expect(got).To(Equal(status))
+			}
+			Expect(s.runs.Load()).To(BeZero())
+		})
+
+		It("settles the reservation of a turn that no backend server took", func() {
+			s := newSite(turns, refuse)
+			s.get("/r/x", "Test-Program", "p", "Test-Budget", "100")
+			Eventually(s.keeper.sent.Load).Should(BeEquivalentTo(1))
+		})
+	})
+
+	It("passes whole events only, and does not let a cut stream look complete", func() {
+		s := newSite(route.Route{Kind: route.Streaming}, breakOff("HTTP/1.1 200 OK\r\nTest-Id: req-1\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: a\n\ni\r\n"))
+		reply, err := s.ask(context.Background(), "POST", "/r/x", "input")
+		Expect(err).NotTo(HaveOccurred())
+		defer reply.Body.Close()
+		body, err := io.ReadAll(reply.Body)
+		Expect(err).To(HaveOccurred())
+		Expect(string(body)).To(Equal("id: 1\ndata: a\n\n"))
+	})
+
+	It("goes on with a resumable stream at another backend server, after the last whole event", func() {
+		var tries atomic.Int64
+		handle := func(w http.ResponseWriter, r *http.Request) {
+			if tries.Add(1) == 1 {
+				breakOff("HTTP/1.1 200 OK\r\nTest-Id: req-1\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n5\r\nid: 2\r\n")(w, r)
+				return
+			}
+			Expect(r.Header.Get(resumeHeader)).To(Equal("1"))
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, "id: 2\ndata: b\n\n")
+		}
+		s := newSite(route.Route{Kind: route.Streaming, Resumable: true, MaxServers: 2}, handle, handle)
+		status, body, _ := s.get("/r/x")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	})
+
+	It("does not reuse a connection on which bytes arrived that nobody asked for", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer listener.Close()
+		var accepted atomic.Int64
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				accepted.Add(1)
+				go func() {
+					reader := bufio.NewReader(conn)
+					for {
+						request, err := http.ReadRequest(reader)
+						if err != nil {
+							return
+						}
+						io.Copy(io.Discard, request.Body)
+						answer := "HTTP/1.1 200 OK\r\nTest-Id: " + request.Header.Get(idHeader) + "\r\nTest-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+						io.WriteString(conn, answer+answer)
+					}
+				}()
+			}
+		}()
+		s := newSite(route.Route{Kind: route.Unsafe})
+		backend := fleet.Backend{ID: "raw", Service: "svc", Address: listener.Addr().String(), Slots: 4}
+		Expect(s.gateway.Learn(context.Background(), gateway.FleetNews{Put: &backend})).To(Succeed())
+		for i := range 3 {
+			status, _, _ := s.get("/r/x", idHeader, fmt.Sprintf("req-%d", i))
+			Expect(status).To(Equal(http.StatusOK))
+		}
+		Expect(accepted.Load()).To(BeEquivalentTo(3))
+	})
+
+	It("sends clients to ready fronts, the near ones first, and not to itself once it stops", func() {
+		s := newSite(route.Route{Kind: route.Safe}, refuse)
+		s.gateway.SetFronts([]gateway.Front{{Address: "far", Zone: "b"}, {Address: "self", Zone: "a"}, {Address: "near", Zone: "c"}})
+		Eventually(s.gateway.Ready).Should(BeTrue())
+		addresses, ttl := s.gateway.Addresses("c")
+		Expect(addresses).To(Equal([]string{"near", "far", "self"}))
+		Expect(ttl).To(Equal(time.Second))
+		s.gateway.Drain()
+		addresses, _ = s.gateway.Addresses("c")
+		Expect(addresses).To(Equal([]string{"near", "far"}))
+	})
+})
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -274,6 +274,9 @@
 
 // refuse answers that the request has not run, and when to come back.
 func (e *exchange) refuse(reason string, after time.Duration) {
+	if !e.g.Ready() {
+		e.w.Header().Set("Connection", "close") // another front may serve the client
+	}
 	e.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	e.end(http.StatusServiceUnavailable, reason)
 }
--- a/membership/session.go
+++ b/membership/session.go
@@ -24,8 +24,8 @@
 // Command is a message to the Session: SetDraining or Leave.
 type Command interface{ command() }
 
-// SetDraining marks the member record as draining.
-type SetDraining struct{}
+// SetDraining marks the member record as draining, or with Off no longer so.
+type SetDraining struct{ Off bool }
 
 // Leave ends the lease and the duty.
 type Leave struct{}
@@ -110,15 +110,17 @@
 	timer := s.clock.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		drain := false
+		draining := s.member.Draining
 		for c, ok := s.commands.TryPop(); ok; c, ok = s.commands.TryPop() {
-			if _, leave := c.(Leave); leave {
+			switch command := c.(type) {
+			case Leave:
 				return true
+			case SetDraining:
+				draining = !command.Off
 			}
-			drain = true
 		}
-		if drain {
-			s.member.Draining, s.stale = true, true
+		if draining != s.member.Draining {
+			s.member.Draining, s.stale = draining, true
 			return false
 		}
 		select {
--- a/role/front.go
+++ b/role/front.go
@@ -58,11 +58,53 @@
 		return err
 	}
 	p.register()
+	p.group.Go("presence", func(ctx context.Context) error { return p.keepPresence(ctx, g) })
 	p.awaitStop()
 	p.drain(ctx, g)
 	return nil
 }
 
+const (
+	// presenceEvery is how often a front looks whether it can serve.
+	presenceEvery = 100 * time.Millisecond
+	// presenceCalm is how long a front must be able to serve before clients
+	// are sent to it again.
+	presenceCalm = 500 * time.Millisecond
+)
+
+// keepPresence is the duty that takes a front out of the directory while it
+// cannot serve, for example because it does not reach the turn stores.
+func (p *process) keepPresence(ctx context.Context, g *gateway.Gateway) error {
+	ticker := time.NewTicker(presenceEvery)
+	defer ticker.Stop()
+	listed := true
+	began := g.Ready() // a front that has never been ready keeps its record
+	var since time.Time
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		ready := g.Ready()
+		began = began || ready
+		switch {
+		case !ready && listed && began:
+			p.log.Warn("role: front cannot serve, leaving the directory")
+			p.tell(ctx, membership.SetDraining{})
+			listed = false
+		case !ready:
+			since = time.Time{}
+		case !listed && since.IsZero():
+			since = time.Now()
+		case !listed && time.Since(since) > presenceCalm && !g.Stopping():
+			p.log.Info("role: front can serve again")
+			p.tell(ctx, membership.SetDraining{Off: true})
+			listed = true
+		}
+	}
+}
+
 func frontsOf(members map[string]membership.Member) []gateway.Front {
 	var fronts []gateway.Front
 	for _, m := range members {
--- a/turnstore/keeper.go
+++ b/turnstore/keeper.go
@@ -24,6 +24,8 @@
 	// exchangeTimeout bounds one message. A disk that stalls answers later;
 	// its operations then count as unanswered.
 	exchangeTimeout = 700 * time.Millisecond
+	// probeEvery is how often a member that is lost is asked again.
+	probeEvery = 250 * time.Millisecond
 )
 
 // Keeper is a front's client of the turn stores. Its duty sends each operation
@@ -48,6 +50,8 @@
 	start  *start
 	answer *answer
 	copies *copyset.Set
+	// reached says that a sender has lost or regained its member.
+	reached bool
 }
 
 type start struct {
@@ -135,6 +139,8 @@
 			k.count(*c.answer)
 		case c.copies != nil:
 			k.adopt(*c.copies)
+		case c.reached:
+			k.judge()
 		}
 	}
 }
@@ -145,7 +151,6 @@
 		return
 	}
 	k.set, k.known = &set, true
-	k.serving.Store(set.Serves(k.tolerated))
 	for disk, slot := range k.slotOf {
 		if _, member := set.Find(disk); !member {
 			k.senders[slot].assign("")
@@ -164,10 +169,26 @@
 		}
 		k.senders[slot].assign(m.Address)
 	}
+	k.judge()
 	k.log.Info("turnstore: copy set adopted", "version", set.Version, "members", len(set.Members),
 		"majority", set.Majority(), "serves", set.Serves(k.tolerated))
 }
 
+// judge decides whether turns can be kept: a majority must be reached.
+func (k *Keeper) judge() {
+	reached := 0
+	for _, m := range k.set.Members {
+		if slot, ok := k.slotOf[m.Disk]; ok && m.Ready && !k.senders[slot].failing.Load() {
+			reached++
+		}
+	}
+	serving := k.known && k.set.Serves(k.tolerated) && reached >= k.set.Majority()
+	if k.serving.Swap(serving) != serving {
+		k.log.Info("turnstore: serving changed", "serving", serving, "reached", reached, "majority", k.set.Majority(),
+			"copy_set", k.set.Version)
+	}
+}
+
 func (k *Keeper) freeSlot() int {
 	used := map[int]bool{}
 	for _, slot := range k.slotOf {
@@ -182,7 +203,7 @@
 }
 
 func (k *Keeper) begin(s start) {
-	if !k.known || !k.set.Serves(k.tolerated) {
+	if !k.known || (s.op.reservation() != nil || s.op.Chain != "") && !k.serving.Load() {
 		s.reply <- Result{Verdict: Uncertain, CopySet: k.set.Version}
 		return
 	}
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -45,17 +46,25 @@
 	return s
 }
 
-func (s *sender) assign(address string) { s.address.Store(&address) }
+func (s *sender) assign(address string) {
+	if known := s.address.Swap(&address); known == nil || *known != address {
+		s.failing.Store(false)
+	}
+}
 
 func (s *sender) run(ctx context.Context) error {
 	defer s.disconnect()
+	probe := time.NewTicker(probeEvery)
+	defer probe.Stop()
 	var batch []message
 	for {
-		first, err := s.queue.Pop(ctx)
-		if err != nil {
-			return err
+		batch = s.queue.PopBatch(batch[:0], sendBatch)
+		if len(batch) == 0 {
+			if err := s.rest(ctx, probe.C); err != nil {
+				return err
+			}
+			continue
 		}
-		batch = s.queue.PopBatch(append(batch[:0], first), sendBatch-1)
 		for len(batch) > 0 {
 			count := sameVersion(batch)
 			if err := s.exchange(ctx, batch[:count]); err != nil {
@@ -66,6 +75,23 @@
 	}
 }
 
+// rest waits for messages. A member that is lost is asked again and again, so
+// that its return is noticed although nothing is sent to it.
+func (s *sender) rest(ctx context.Context, probe <-chan time.Time) error {
+	select {
+	case <-s.queue.Ready():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-probe:
+	}
+	if !s.failing.Load() || *s.address.Load() == "" {
+		return nil
+	}
+	_, err := s.call(ctx, &turnpb.ExchangeRequest{})
+	return s.note(ctx, err)
+}
+
 // sameVersion returns how many messages at the front share a copy set version.
 func sameVersion(batch []message) int {
 	count := 1
@@ -91,7 +117,9 @@
 	if err == nil {
 		s.told = set.Version
 	}
-	s.note(err)
+	if err := s.note(ctx, err); err != nil {
+		return err
+	}
 	ledgers, chains := 0, 0
 	for _, m := range batch {
 		a := &answer{id: m.id, slot: s.slot, disk: m.disk, err: err, reply: reply}
@@ -145,17 +173,18 @@
 	s.conn, s.closeConn, s.connected, s.told = nil, nil, "", 0
 }
 
-// note logs when the member is lost and regained.
-func (s *sender) note(err error) {
+// note logs when the member is lost and regained, and tells the keeper.
+func (s *sender) note(ctx context.Context, err error) error {
 	failing := err != nil
 	if s.failing.Swap(failing) == failing {
-		return
+		return nil
 	}
 	if failing {
 		s.log.Warn("turnstore: store lost", "address", *s.address.Load(), "error", err)
-		return
+	} else {
+		s.log.Info("turnstore: store regained", "address", *s.address.Load())
 	}
-	s.log.Info("turnstore: store regained", "address", *s.address.Load())
+	return s.answers.Push(ctx, command{reached: true})
 }
 
 // versioned carries a copy set with its version between processes.
