Prefer open connections to plain services; gather news of the platform's store

Ruled out: the same preference for model servers, where it would work against the memory of earlier turns.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -136,9 +136,9 @@
 	Affinity string
 	// Exclude names backend servers that this call must not go to again.
 	Exclude []string
-	// Batched says that the service works in batches of its slots, so that
-	// running calls slow each other.
-	Batched bool
+	// Connected reports whether an idle connection to an address is open; nil
+	// if that does not matter.
+	Connected func(address string) bool
 	// Draw is a random number that breaks ties.
 	Draw uint64
 }
@@ -171,6 +171,9 @@
 	// otherZoneCost is the part of the slots by which a backend server in
 	// another availability zone must be less busy.
 	otherZoneCost = 0.03
+	// connectCost is the part of the slots by which a backend server without an
+	// open connection must be less busy; opening one takes a slot for a moment.
+	connectCost = 0.06
 	// suspectCost and fullCost keep a backend server out of the choice while
 	// any other is left.
 	suspectCost = 100
@@ -190,6 +193,9 @@
 	if s.AvailabilityZone != f.zone {
 		cost += otherZoneCost
 	}
+	if ask.Connected != nil && !ask.Connected(s.Address) {
+		cost += connectCost
+	}
 	if now.Before(s.suspect) {
 		cost += suspectCost
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -77,6 +77,19 @@
 		Expect(other.ID).NotTo(Equal(first.ID))
 	})
 
+	It("prefers an open connection among equally busy backend servers, and no others", func() {
+		f := filled(5)
+		connected := fleet.Ask{Service: "s", Connected: func(address string) bool { return address == "b3" }}
+		for draw := range uint64(20) {
+			connected.Draw = draw << 58
+			b, _, _ := f.Choose(connected, now)
+			Expect(b.ID).To(Equal("b3"))
+		}
+		f.Started("b3")
+		b, _, _ := f.Choose(connected, now)
+		Expect(b.ID).NotTo(Equal("b3"))
+	})
+
 	It("avoids one that could not be reached or was full, while others are left", func() {
 		f := filled(2)
 		f.Started("b0")
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -11,6 +11,7 @@
 	"dogwoodline.example/duty"
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/ring"
+	"dogwoodline.example/upstream"
 )
 
 const (
@@ -65,12 +66,15 @@
 	fleet    *fleet.Fleet
 	random   *rand.Rand
 	drop     func(address string)
-	size     atomic.Int64
+	// connected reports whether an idle connection is open.
+	connected func(address string) bool
+	size      atomic.Int64
 }
 
-func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], drop func(string)) *Scheduler {
+func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool) *Scheduler {
 	s := &Scheduler{
-		log: log, items: ring.New[schedulerItem](schedulerSlots), attempts: attempts, fleet: fleet.New(zone), drop: drop,
+		log: log, items: ring.New[schedulerItem](schedulerSlots), attempts: attempts, fleet: fleet.New(zone),
+		drop: pool.Drop, connected: pool.HasIdle,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	group.Go("scheduler", s.run)
@@ -146,8 +150,9 @@
 	if affinity == "" {
 		affinity = j.request.Affinity
 	}
-	ask := fleet.Ask{
-		Service: j.service.Name, Exclude: j.exclude, Batched: j.service.Engine != nil, Draw: s.random.Uint64(),
+	ask := fleet.Ask{Service: j.service.Name, Exclude: j.exclude, Draw: s.random.Uint64()}
+	if j.service.Engine == nil { // a model server's memory counts for more than a connection
+		ask.Connected = s.connected
 	}
 	if j.route.Sticky {
 		ask.Affinity = affinity
--- a/membership/follow.go
+++ b/membership/follow.go
@@ -36,14 +36,23 @@
 // Follow lists and then watches a prefix of the store until ctx ends. After a
 // failure it lists again, so that no deletion is missed.
 func Follow(ctx context.Context, store kvstore.Store, clock clockwork.Clock, prefix string, f Follower) error {
-	return FollowEvery(ctx, store, clock, prefix, pollWait, f)
+	return FollowEvery(ctx, store, clock, prefix, Pace{Wait: pollWait}, f)
 }
 
-// FollowEvery is Follow with another longest wait of one watch call. A watch
-// that the store silently stopped serving is noticed after that time.
-func FollowEvery(ctx context.Context, store kvstore.Store, clock clockwork.Clock, prefix string, poll time.Duration, f Follower) error {
+// Pace says how often a store is watched.
+type Pace struct {
+	// Wait is the longest wait of one watch call.
+	Wait time.Duration
+	// Gather is a pause after news, in which further news gather, because each
+	// watch is a call.
+	Gather time.Duration
+}
+
+// FollowEvery is Follow at another pace. A watch that the store silently
+// stopped serving is noticed after the longest wait.
+func FollowEvery(ctx context.Context, store kvstore.Store, clock clockwork.Clock, prefix string, pace Pace, f Follower) error {
 	for ctx.Err() == nil {
-		err := followOnce(ctx, store, prefix, poll, f)
+		err := followOnce(ctx, store, clock, prefix, pace, f)
 		if ctx.Err() != nil {
 			break
 		}
@@ -57,19 +66,26 @@
 	return ctx.Err()
 }
 
-func followOnce(ctx context.Context, store kvstore.Store, prefix string, poll time.Duration, f Follower) error {
+func followOnce(ctx context.Context, store kvstore.Store, clock clockwork.Clock, prefix string, pace Pace, f Follower) error {
 	items, revision, err := store.List(ctx, prefix)
 	if err != nil {
 		return err
 	}
 	f.Listed(ctx, items, revision)
 	for {
-		events, next, err := watchOnce(ctx, store, prefix, revision, poll)
+		events, next, err := watchOnce(ctx, store, prefix, revision, pace.Wait)
 		if err != nil {
 			return err
 		}
 		revision = next
 		f.Changed(ctx, events, revision)
+		if len(events) > 0 && pace.Gather > 0 {
+			select {
+			case <-clock.After(pace.Gather):
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
 	}
 }
 
--- a/role/follow.go
+++ b/role/follow.go
@@ -24,6 +24,14 @@
 // news must be in force.
 const watchWait = 2 * time.Second
 
+// storeWatchWait is that of a store, which hears of a new copy set from fronts
+// and other stores too.
+const storeWatchWait = 6 * time.Second
+
+// gatherNews is how long further news are awaited; registrations change
+// several at a time, and two seconds are allowed for each.
+const gatherNews = 80 * time.Millisecond
+
 // topic is what a process wants to know of keys with one prefix.
 type topic struct {
 	prefix string
@@ -47,10 +55,11 @@
 
 // follow is a duty that follows everything in the platform's store with one
 // watch, because each waiting watch is a call.
-func (p *process) follow(topics []topic, onLost func(ctx context.Context)) {
+func (p *process) follow(topics []topic, wait time.Duration, onLost func(ctx context.Context)) {
 	f := &follower{log: p.log, topics: topics, onLost: onLost}
 	p.group.Go("follow", func(ctx context.Context) error {
-		return membership.FollowEvery(ctx, p.store, clockwork.NewRealClock(), "", watchWait, f)
+		return membership.FollowEvery(ctx, p.store, clockwork.NewRealClock(), "",
+			membership.Pace{Wait: wait, Gather: gatherNews}, f)
 	})
 }
 
--- a/role/front.go
+++ b/role/front.go
@@ -52,7 +52,7 @@
 		backendsTopic(g),
 		copiesTopic(p.log, func(ctx context.Context, set copyset.Set) { _ = keeper.SetCopies(ctx, set) }),
 		membersTopic(p.log, func(_ context.Context, members map[string]membership.Member) { g.SetFronts(frontsOf(members)) }),
-	}, nil)
+	}, watchWait, nil)
 	p.member.HTTP = p.host.FrontAddress
 	if err := p.listenFront(ctx, g); err != nil {
 		return err
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -156,6 +156,13 @@
 	}
 }
 
+// HasIdle reports whether a connection to the address is open and idle.
+func (p *Pool) HasIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address]) > 0
+}
+
 // Open returns the number of open connections and of those opened so far.
 func (p *Pool) Open() (open, dialled int) {
 	p.mu.Lock()
