--- a/cmd/dogwoodline/roles_test.go
+++ b/cmd/dogwoodline/roles_test.go
@@ -246,6 +246,8 @@
 	})
 
 	It("ran every request once", func() {
+		status, content, err := f.ask("front-2", "/u/x", "u1", "", "post")
+		Expect(fmt.Sprintf("%d %s %v", status, content, err)).To(Equal("200 done u1 <nil>"))
 		seen := map[string]int{}
 		for _, run := range f.backend.Runs() {
 			seen[run.RequestID]++
--- a/emulator/usersplatform/backend.go
+++ b/emulator/usersplatform/backend.go
@@ -60,12 +60,12 @@
 	b.mu.Unlock()
 	w.Header().Set("X-Response-Seal", "seal-"+id)
 	if r.Header.Get("X-Token-Count") == "" {
-		fmt.Fprint(w, "done ", id)
+		_, _ = fmt.Fprint(w, "done ", id) // the caller may be gone
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range b.Events {
-		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i+1, id, i+1)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i+1, id, i+1)
 		if flusher, ok := w.(http.Flusher); ok {
 			flusher.Flush()
 		}
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -128,7 +128,7 @@
 	events := newEventReader(exchange)
 	for {
 		event, err := events.next()
-		if err == io.EOF && events.rest() == 0 {
+		if errors.Is(err, io.EOF) && events.rest() == 0 {
 			finish(j, part{end: true})
 			return attemptEnd{verdict: call.Answered, done: true}
 		}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 
 	"github.com/zeebo/errs"
@@ -43,7 +44,7 @@
 		line, err := r.reader.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
 		r.pending = len(e.raw)
-		if err == bufio.ErrBufferFull && len(e.raw) < longestEvent {
+		if errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < longestEvent {
 			continue
 		}
 		if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,7 +142,7 @@
 	if !own && g.Ready() {
 		far = append(far, g.settings.Address)
 	}
-	all := append(near, far...)
+	all := slices.Concat(near, far)
 	if len(all) == 0 && !g.draining.Load() && g.table.Load() != nil {
 		all = []string{g.settings.Address} // calls that keep no turn are still served
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -140,8 +140,8 @@
 	return s
 }
 
-func (s *site) ask(ctx context.Context, method, path, body string, header ...string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, method, s.front.URL+path, strings.NewReader(body))
+func (s *site) ask(ctx context.Context, path string, header ...string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, "POST", s.front.URL+path, strings.NewReader("input"))
 	Expect(err).NotTo(HaveOccurred())
 	request.Host = "example"
 	request.Header.Set(idHeader, "req-1")
@@ -152,7 +152,7 @@
 }
 
 func (s *site) get(path string, header ...string) (int, string, http.Header) {
-	reply, err := s.ask(context.Background(), "POST", path, "input", header...)
+	reply, err := s.ask(context.Background(), path, header...)
 	Expect(err).NotTo(HaveOccurred())
 	defer reply.Body.Close()
 	body, _ := io.ReadAll(reply.Body)
@@ -302,7 +302,7 @@
 			time.Sleep(100 * time.Millisecond)
 			cancel()
 		}()
-		_, err := s.ask(ctx, "POST", "/r/x", "input")
+		_, err := s.ask(ctx, "/r/x")
 		Expect(errors.Is(err, context.Canceled)).To(BeTrue())
 		Eventually(left, "500ms").Should(BeClosed())
 	})
@@ -312,7 +312,7 @@
 
 		It("lets the client see the end of an answer only after its turn is stored", func() {
 			s := newSite(turns, events("a", "b"))
-			reply, err := s.ask(context.Background(), "POST", "/r/x", "input")
+			reply, err := s.ask(context.Background(), "/r/x")
 			Expect(err).NotTo(HaveOccurred())
 			defer reply.Body.Close()
 			ended := make(chan error, 1)
@@ -329,7 +329,7 @@
 			r := turns
 			r.Timeout = 200 * time.Millisecond
 			s := newSite(r, events("a"))
-			reply, err := s.ask(context.Background(), "POST", "/r/x", "input")
+			reply, err := s.ask(context.Background(), "/r/x")
 			Expect(err).NotTo(HaveOccurred())
 			defer reply.Body.Close()
 			_, err = io.ReadAll(reply.Body)
@@ -372,7 +372,7 @@
 
 	It("passes whole events only, and does not let a cut stream look complete", func() {
 		s := newSite(route.Route{Kind: route.Streaming}, breakOff("HTTP/1.1 200 OK\r\nTest-Id: req-1\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: a\n\ni\r\n"))
-		reply, err := s.ask(context.Background(), "POST", "/r/x", "input")
+		reply, err := s.ask(context.Background(), "/r/x")
 		Expect(err).NotTo(HaveOccurred())
 		defer reply.Body.Close()
 		body, err := io.ReadAll(reply.Body)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -47,9 +47,7 @@
 	events      int
 	resumeAfter string
 	headSent    bool
-	offered     time.Time
 	lastReason  string
-	notBefore   time.Time
 }
 
 // refusable reports whether the call has certainly not run.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -201,8 +201,8 @@
 	j.exclude = append(j.exclude, end.backend.ID)
 	s.log.Info("gateway: attempt failed", "request", j.request.ID, "backend", end.backend.ID, "verdict", end.verdict.String(),
 		"reason", end.reason, "events", j.events, "took_ms", now.Sub(end.started).Milliseconds())
-	switch {
-	case end.verdict == call.NotRun:
+	switch end.verdict {
+	case call.NotRun:
 		j.release()
 		if j.tries < mostTries {
 			s.offer(j, now)
--- a/role/role.go
+++ b/role/role.go
@@ -37,10 +37,10 @@
 var Error = errs.Class("role")
 
 const (
-	// MetricsPort and MetricsPath are where each role serves its metrics, as
+	// metricsPort and metricsPath are where each role serves its metrics, as
 	// the deploy file says.
-	MetricsPort = 9464
-	MetricsPath = "/metrics"
+	metricsPort = 9464
+	metricsPath = "/metrics"
 	// memoryLimitShare is the part of the process's memory at which the
 	// collector works harder; the rest is for stacks and unread bytes.
 	memoryLimitShare = 0.7
@@ -147,11 +147,11 @@
 
 func (p *process) serveMetrics() {
 	router := chi.NewRouter()
-	router.Get(MetricsPath, func(w http.ResponseWriter, _ *http.Request) {
+	router.Get(metricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		p.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	address := net.JoinHostPort(p.host.IP, strconv.Itoa(MetricsPort))
+	address := net.JoinHostPort(p.host.IP, strconv.Itoa(metricsPort))
 	if err := p.listen(context.Background(), address, router); err != nil {
 		p.log.Error("role: metrics are not served", "address", address, "error", err)
 	}
@@ -190,5 +190,5 @@
 	if err != nil {
 		return nil, nil, Error.Wrap(err)
 	}
-	return conn, func() { conn.Close() }, nil
+	return conn, func() { _ = conn.Close() }, nil // fails only if it is closed already
 }
--- a/turnlog/log.go
+++ b/turnlog/log.go
@@ -142,11 +142,12 @@
 		return Error.Wrap(err)
 	}
 	if err := errors.Join(file.Sync(), l.syncFolder()); err != nil {
-		file.Close()
-		return Error.Wrap(err)
+		return Error.Wrap(errors.Join(err, file.Close()))
 	}
 	if l.file != nil {
-		l.file.Close()
+		if err := l.file.Close(); err != nil {
+			return Error.Wrap(err)
+		}
 	}
 	l.file, l.number, l.written, l.damaged = file, number, 0, false
 	l.segments = append(l.segments, number)
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -53,7 +54,7 @@
 	return c
 }
 
-func (c *cluster) start(host, folder string) *testStore {
+func (c *cluster) start(host, folder string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
@@ -70,7 +71,6 @@
 	c.tell(host)
 	Eventually(func() bool { m, _ := c.set().Find(server.Disk()); return m.Ready }, "5s", "10ms").Should(BeTrue())
 	DeferCleanup(func() { c.stop(s); served.Wait() })
-	return s
 }
 
 func (c *cluster) stop(s *testStore) {
@@ -91,7 +91,7 @@
 
 func (c *cluster) set() copyset.Set {
 	item, err := c.kv.Get(context.Background(), copyset.Key)
-	if err == kvstore.ErrNotFound {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return copyset.Set{}
 	}
 	Expect(err).NotTo(HaveOccurred())
@@ -129,21 +129,21 @@
 	It("hold the budget over fronts", func() {
 		c := newCluster("a", "b", "c", "d")
 		one, two := c.keeper(), c.keeper()
-		Expect(do(one, Operation{Records: []*turnpb.Record{reserve("p", "x", 60)}, Budget: 100}).Verdict).To(Equal(Stored))
-		Expect(do(two, Operation{Records: []*turnpb.Record{reserve("p", "y", 60)}, Budget: 100}).Verdict).To(Equal(Spent))
-		Expect(do(two, Operation{Records: []*turnpb.Record{settle("p", "y", 0), settle("p", "x", 30)}}).Verdict).To(Equal(Stored))
-		Expect(do(one, Operation{Records: []*turnpb.Record{reserve("p", "z", 60)}, Budget: 100}).Verdict).To(Equal(Stored))
+		Expect(do(one, Operation{Records: []*turnpb.Record{reserve("x", 60)}, Budget: 100}).Verdict).To(Equal(Stored))
+		Expect(do(two, Operation{Records: []*turnpb.Record{reserve("y", 60)}, Budget: 100}).Verdict).To(Equal(Spent))
+		Expect(do(two, Operation{Records: []*turnpb.Record{settle("y", 0), settle("x", 30)}}).Verdict).To(Equal(Stored))
+		Expect(do(one, Operation{Records: []*turnpb.Record{reserve("z", 60)}, Budget: 100}).Verdict).To(Equal(Stored))
 	})
 
 	It("answer from the others, and remember, when one was killed and another came back empty", func() {
 		c := newCluster("a", "b", "c", "d")
-		Expect(do(c.keeper(), Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour), settle("p", "x", 70)}}).Verdict).To(Equal(Stored))
+		Expect(do(c.keeper(), Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour), settle("x", 70)}}).Verdict).To(Equal(Stored))
 		c.stop(c.stores["a"])
 		c.start("a", GinkgoT().TempDir())
 		c.stop(c.stores["b"])
 		k := c.keeper()
 		Expect(do(k, Operation{Chain: "t1"}).Verdict).To(Equal(Stored))
-		Expect(do(k, Operation{Records: []*turnpb.Record{reserve("p", "y", 60)}, Budget: 100}).Verdict).To(Equal(Spent))
+		Expect(do(k, Operation{Records: []*turnpb.Record{reserve("y", 60)}, Budget: 100}).Verdict).To(Equal(Spent))
 	})
 
 	It("remember after all were stopped", func() {
--- a/turnstore/keeper.go
+++ b/turnstore/keeper.go
@@ -61,12 +61,11 @@
 
 type pending struct {
 	start
-	tally  *tally
-	left   int
-	wide   bool // all members were asked for the chain
-	asked  map[int]bool
-	answer Result
-	done   bool
+	tally *tally
+	left  int
+	wide  bool // all members were asked for the chain
+	asked map[int]bool
+	done  bool
 }
 
 // answer is one member's part of a message, for one operation.
@@ -268,7 +267,7 @@
 	case a.reply != nil && a.reply.Status == turnpb.Status_STATUS_STALE:
 		k.learnStale(a.reply)
 	case a.ok && found && member.Ready:
-		p.tally.ok(a.reply, a.ledger, a.chain)
+		p.tally.ok(a.ledger, a.chain)
 	}
 	k.decide(a.id, p)
 }
--- a/turnstore/state_test.go
+++ b/turnstore/state_test.go
@@ -9,15 +9,15 @@
 	"dogwoodline.example/turnstore/turnpb"
 )
 
-func reserve(program, attempt string, tokens int64) *turnpb.Record {
+func reserve(attempt string, tokens int64) *turnpb.Record {
 	return &turnpb.Record{Kind: &turnpb.Record_Reservation{Reservation: &turnpb.Reservation{
-		Program: program, Attempt: attempt, Tokens: tokens, ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli(),
+		Program: "p", Attempt: attempt, Tokens: tokens, ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli(),
 	}}}
 }
 
-func settle(program, attempt string, tokens int64) *turnpb.Record {
+func settle(attempt string, tokens int64) *turnpb.Record {
 	return &turnpb.Record{Kind: &turnpb.Record_Settlement{Settlement: &turnpb.Settlement{
-		Program: program, Attempt: attempt, Tokens: tokens, ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli(),
+		Program: "p", Attempt: attempt, Tokens: tokens, ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli(),
 	}}}
 }
 
@@ -30,8 +30,8 @@
 var _ = Describe("State", func() {
 	It("does not let a reservation that arrives late undo its settlement", func() {
 		s := newState()
-		s.apply(settle("p", "a", 7), 1)
-		s.apply(reserve("p", "a", 100), 1)
+		s.apply(settle("a", 7), 1)
+		s.apply(reserve("a", 100), 1)
 		Expect(s.ledger("p").Entries).To(HaveLen(1))
 		Expect(s.ledger("p").Entries[0].Tokens).To(BeEquivalentTo(7))
 	})
@@ -56,7 +56,7 @@
 		s := newState()
 		s.apply(ended("old", "", "x", time.Second), 1)
 		s.apply(ended("new", "", "y", time.Hour), 1)
-		s.apply(reserve("p", "a", 5), 1)
+		s.apply(reserve("a", 5), 1)
 		s.expire(time.Now().Add(10 * time.Second))
 		records, _, done := s.page(0, 1<<20)
 		Expect(done).To(BeTrue())
--- a/turnstore/tally.go
+++ b/turnstore/tally.go
@@ -60,15 +60,12 @@
 
 // tally counts the answers to one operation. It is pure.
 type tally struct {
-	op       Operation
-	set      copyset.Set
-	answered int
-	synced   int
-	asked    int // members that were asked for the chain
-	readers  int // of those, how many answered
-	entries  map[string]*turnpb.LedgerEntry
-	links    map[string]*turnpb.Turn
-	stale    *copyset.Set
+	op      Operation
+	set     copyset.Set
+	synced  int
+	readers int // members that answered the question for the chain
+	entries map[string]*turnpb.LedgerEntry
+	links   map[string]*turnpb.Turn
 }
 
 func newTally(op Operation, set copyset.Set) *tally {
@@ -76,7 +73,7 @@
 }
 
 // ok counts the answer of a ready member.
-func (t *tally) ok(reply *turnpb.ExchangeReply, ledger *turnpb.Ledger, chain *turnpb.Chain) {
+func (t *tally) ok(ledger *turnpb.Ledger, chain *turnpb.Chain) {
 	t.synced++
 	if ledger != nil {
 		for _, e := range ledger.Entries {
--- a/turnstore/tally_test.go
+++ b/turnstore/tally_test.go
@@ -25,57 +25,57 @@
 var _ = Describe("Tally", func() {
 	set := readySet("a", "b", "c", "d")
 	reservation := func(budget int64) Operation {
-		return Operation{Records: []*turnpb.Record{reserve("p", "mine", 40)}, Budget: budget}
+		return Operation{Records: []*turnpb.Record{reserve("mine", 40)}, Budget: budget}
 	}
 
 	It("is not content with fewer than a majority", func() {
 		t := newTally(reservation(1000), set)
-		t.ok(nil, bookOf(entryOf("mine", 40, false)), nil)
-		t.ok(nil, bookOf(entryOf("mine", 40, false)), nil)
+		t.ok(bookOf(entryOf("mine", 40, false)), nil)
+		t.ok(bookOf(entryOf("mine", 40, false)), nil)
 		Expect(t.result(1).Verdict).To(Equal(Undecided))
 		Expect(t.result(0).Verdict).To(Equal(Uncertain))
 	})
 
 	It("sees a reservation that only one store of the majority knows, so that two fronts cannot both spend the rest", func() {
 		t := newTally(reservation(100), set)
-		t.ok(nil, bookOf(entryOf("mine", 40, false)), nil)
-		t.ok(nil, bookOf(entryOf("mine", 40, false)), nil)
-		t.ok(nil, bookOf(entryOf("mine", 40, false), entryOf("other", 70, false)), nil)
+		t.ok(bookOf(entryOf("mine", 40, false)), nil)
+		t.ok(bookOf(entryOf("mine", 40, false)), nil)
+		t.ok(bookOf(entryOf("mine", 40, false), entryOf("other", 70, false)), nil)
 		Expect(t.result(1).Verdict).To(Equal(Spent))
 	})
 
 	It("counts what was handed out in place of what was reserved, whichever store knows", func() {
 		t := newTally(reservation(100), set)
-		t.ok(nil, bookOf(entryOf("other", 70, false)), nil)
-		t.ok(nil, bookOf(entryOf("other", 10, true)), nil)
-		t.ok(nil, bookOf(entryOf("other", 70, false)), nil)
+		t.ok(bookOf(entryOf("other", 70, false)), nil)
+		t.ok(bookOf(entryOf("other", 10, true)), nil)
+		t.ok(bookOf(entryOf("other", 70, false)), nil)
 		Expect(t.result(1).Verdict).To(Equal(Stored))
 	})
 
 	It("says that a turn is missing only if every majority is represented", func() {
 		t := newTally(Operation{Chain: "x"}, set)
-		t.ok(nil, nil, &turnpb.Chain{Id: "x"})
-		t.ok(nil, nil, nil)
-		t.ok(nil, nil, nil)
+		t.ok(nil, &turnpb.Chain{Id: "x"})
+		t.ok(nil, nil)
+		t.ok(nil, nil)
 		Expect(t.result(1).Verdict).To(Equal(Undecided))
 		Expect(t.result(0).Verdict).To(Equal(Uncertain))
-		t.ok(nil, nil, &turnpb.Chain{Id: "x"})
+		t.ok(nil, &turnpb.Chain{Id: "x"})
 		Expect(t.result(0).Verdict).To(Equal(Missing))
 	})
 
 	It("never says that a turn is missing when one store has it but not its predecessors", func() {
 		t := newTally(Operation{Chain: "x"}, set)
 		for range 4 {
-			t.ok(nil, nil, &turnpb.Chain{Id: "x", Turns: []*turnpb.Turn{{Id: "x", Previous: "w"}}})
+			t.ok(nil, &turnpb.Chain{Id: "x", Turns: []*turnpb.Turn{{Id: "x", Previous: "w"}}})
 		}
 		Expect(t.result(0).Verdict).To(Equal(Uncertain))
 	})
 
 	It("puts a conversation together from stores that have different parts", func() {
 		t := newTally(Operation{Chain: "x"}, set)
-		t.ok(nil, nil, &turnpb.Chain{Id: "x", Turns: []*turnpb.Turn{{Id: "x", Previous: "w", Content: []byte("2")}}})
-		t.ok(nil, nil, &turnpb.Chain{Id: "x", Turns: []*turnpb.Turn{{Id: "w", Content: []byte("1")}}})
-		t.ok(nil, nil, nil)
+		t.ok(nil, &turnpb.Chain{Id: "x", Turns: []*turnpb.Turn{{Id: "x", Previous: "w", Content: []byte("2")}}})
+		t.ok(nil, &turnpb.Chain{Id: "x", Turns: []*turnpb.Turn{{Id: "w", Content: []byte("1")}}})
+		t.ok(nil, nil)
 		result := t.result(0)
 		Expect(result.Verdict).To(Equal(Stored))
 		Expect(result.Conversation).To(Equal([][]byte{[]byte("1"), []byte("2")}))
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -136,7 +136,7 @@
 }
 
 func (p *Pool) discard(c *conn) {
-	c.Conn.Close()
+	_ = c.Close() // what was sent is judged by the answer, not by this
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open[c.address]--
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -126,7 +126,7 @@
 		return nil, call.NotRun, context.Canceled
 	}
 	// Closing is the only way to tell a backend server that nobody waits.
-	unhook := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	unhook := context.AfterFunc(ctx, func() { _ = c.Close() })
 	p.write(c, message)
 	exchange, err := p.readAnswer(c, request)
 	if err != nil {
@@ -152,7 +152,7 @@
 // backend server may answer before it has read everything.
 func (p *Pool) write(c *conn, message []byte) {
 	send := func() {
-		_, err := c.Conn.Write(message)
+		_, err := c.Write(message)
 		c.written <- err
 	}
 	if len(message) <= smallMessage {
