Count a store that answers twice once

Cause: when the first store did not give a conversation, the others were asked in a second message, and their answers to both counted towards the majority of the reservation.

Change: answers are counted by disk, and only where the message carried the records.

--- a/turnstore/keeper.go
+++ b/turnstore/keeper.go
@@ -74,6 +74,7 @@
 	slot   int
 	disk   string
 	ok     bool
+	stored bool // the message carried the operation's records
 	reply  *turnpb.ExchangeReply
 	ledger *turnpb.Ledger
 	chain  *turnpb.Chain
@@ -267,7 +268,7 @@
 	case a.reply != nil && a.reply.Status == turnpb.Status_STATUS_STALE:
 		k.learnStale(a.reply)
 	case a.ok && found && member.Ready:
-		p.tally.ok(a.ledger, a.chain)
+		p.tally.ok(a.disk, a.stored, a.ledger, a.chain)
 	}
 	k.decide(a.id, p)
 }
@@ -302,7 +303,7 @@
 	}
 	if p.left == 0 {
 		if !p.done {
-			p.reply <- Result{Verdict: Uncertain, Synced: p.tally.synced, CopySet: p.tally.set.Version}
+			p.reply <- Result{Verdict: Uncertain, Synced: len(p.tally.synced), CopySet: p.tally.set.Version}
 		}
 		delete(k.pending, id)
 	}
@@ -314,5 +315,5 @@
 	if _, whole := p.tally.conversation(); whole {
 		return false
 	}
-	return p.tally.synced >= p.tally.set.Majority() || p.tally.readers > 0
+	return len(p.tally.synced) >= p.tally.set.Majority() || len(p.tally.readers) > 0
 }
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -122,7 +122,7 @@
 	}
 	ledgers, chains := 0, 0
 	for _, m := range batch {
-		a := &answer{id: m.id, slot: s.slot, disk: m.disk, err: err, reply: reply}
+		a := &answer{id: m.id, slot: s.slot, disk: m.disk, err: err, reply: reply, stored: len(m.records) > 0}
 		a.ok = err == nil && reply.Status == turnpb.Status_STATUS_OK
 		if a.ok {
 			for _, record := range m.records {
--- a/turnstore/tally.go
+++ b/turnstore/tally.go
@@ -60,21 +60,27 @@
 
 // tally counts the answers to one operation. It is pure.
 type tally struct {
-	op      Operation
-	set     copyset.Set
-	synced  int
-	readers int // members that answered the question for the chain
+	op  Operation
+	set copyset.Set
+	// synced and readers are the disks that have stored the records and that
+	// have answered the question for the chain. A member that is asked twice
+	// counts once.
+	synced  map[string]bool
+	readers map[string]bool
 	entries map[string]*turnpb.LedgerEntry
 	links   map[string]*turnpb.Turn
 }
 
 func newTally(op Operation, set copyset.Set) *tally {
-	return &tally{op: op, set: set, entries: map[string]*turnpb.LedgerEntry{}, links: map[string]*turnpb.Turn{}}
+	return &tally{op: op, set: set, synced: map[string]bool{}, readers: map[string]bool{}, entries: map[string]*turnpb.LedgerEntry{}, links: map[string]*turnpb.Turn{}}
 }
 
-// ok counts the answer of a ready member.
-func (t *tally) ok(ledger *turnpb.Ledger, chain *turnpb.Chain) {
-	t.synced++
+// ok counts the answer of a ready member. Stored says that the records were
+// in the message that it answers.
+func (t *tally) ok(disk string, stored bool, ledger *turnpb.Ledger, chain *turnpb.Chain) {
+	if stored || len(t.op.Records) == 0 {
+		t.synced[disk] = true
+	}
 	if ledger != nil {
 		for _, e := range ledger.Entries {
 			known := t.entries[e.Attempt]
@@ -84,7 +90,7 @@
 		}
 	}
 	if chain != nil {
-		t.readers++
+		t.readers[disk] = true
 		for _, turn := range chain.Turns {
 			t.links[turn.Id] = turn
 		}
@@ -125,10 +131,10 @@
 
 // result decides. Left is the number of members whose answer may still come.
 func (t *tally) result(left int) Result {
-	out := Result{Synced: t.synced, CopySet: t.set.Version}
+	out := Result{Synced: len(t.synced), CopySet: t.set.Version}
 	need := t.set.Majority()
-	if t.synced < need {
-		if t.synced+left < need {
+	if len(t.synced) < need {
+		if len(t.synced)+left < need {
 			out.Verdict = Uncertain
 		}
 		return out
@@ -148,7 +154,7 @@
 	switch {
 	case whole:
 		out.Verdict, out.Conversation = Stored, contents
-	case t.readers >= t.set.Witnesses() && t.links[t.op.Chain] == nil:
+	case len(t.readers) >= t.set.Witnesses() && t.links[t.op.Chain] == nil:
 		out.Verdict = Missing
 	case left == 0:
 		out.Verdict = Uncertain
