--- a/cmd/dogwoodline/roles_test.go
+++ b/cmd/dogwoodline/roles_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -55,14 +53,7 @@
 		store.Close()
 	})
 	f.address = store.Listener.Addr().String()
-	ctx := context.Background()
-	Expect(f.platform.Put(ctx, "servers/i-1", map[string]any{
-		"Service": "llm", "Address": backend.Listener.Addr().String(), "Zone": "a", "Slots": 8, "State": "ready",
-	})).To(Succeed())
-	Expect(f.platform.Put(ctx, "op/config", json.RawMessage(`{"Version":3,"Routes":[
-		{"Name":"turns","Host":"site.example","PathPrefix":"/t/","Kind":"streaming","TimeoutMs":5000,"Service":"llm","Attempts":1,"Retain":true,"RetentionS":60},
-		{"Name":"tool","Host":"site.example","PathPrefix":"/u/","Kind":"unsafe","TimeoutMs":5000,"Service":"llm"}],
-		"Services":[{"Name":"llm","MaxConns":50,"Engine":{"Slots":8,"TokensPerEvent":5}}],"Limits":{"MaxBodyBytes":100000}}`))).To(Succeed())
+	Expect(f.platform.Configure(context.Background(), f.backend, backend.Listener.Addr().String())).To(Succeed())
 	for i, name := range []string{"store-1", "store-2", "store-3", "store-4"} {
 		f.start(name, "store", fmt.Sprintf("127.0.3.%d", i+1), GinkgoT().TempDir())
 	}
@@ -88,20 +79,11 @@
 func (f *fleetTest) start(name, role, ip, folder string) {
 	h := &hostTest{name: name, role: role, ip: ip, folder: folder}
 	f.hosts[name] = h
-	port := freePort(ip)
-	listen, data := "[Listen]\n", ""
-	if role == "front" {
-		listen += fmt.Sprintf("Front = %q\nReady = %q\nDirectory = %q\n", ip+":8149", ip+":8141", ip+":8143")
-	} else {
-		data = fmt.Sprintf("DataDir = %q\n", folder)
-	}
 	settings := filepath.Join(GinkgoT().TempDir(), "node.toml")
-	content := fmt.Sprintf("NodeName = %q\nIp = %q\nZone = %q\nPortRange = [%d,%d]\n%s%s[Limits]\nMemoryMb = 200\nMaxFds = 4100\n"+
-		"[FaultTolerance]\nMachines = 1\n[Bounds]\nDrainMs = 2000\nGraceS = 8\nttl_max_s = 5\n[Platform]\nAddress = %q\n"+
-		"WritesPerS = 400\nReadsPerS = 2000\nTtlMinMs = 1000\n", name, ip, "zone-"+name, port, port, data, listen, f.address)
-	Expect(os.WriteFile(settings, []byte(content), 0o644)).To(Succeed())
+	host := usersplatform.Host{Name: name, IP: ip, PeerPort: freePort(ip), DataDir: folder, Store: f.address}
+	Expect(os.WriteFile(settings, []byte(host.Settings()), 0o644)).To(Succeed())
 	h.process = exec.Command(f.binary, role)
-	h.process.Env = append(os.Environ(), "DOGWOODLINE_BOOT="+settings)
+	h.process.Env = append(os.Environ(), usersplatform.SettingsVariable+"="+settings)
 	logs, err := os.Create(filepath.Join(GinkgoT().TempDir(), name+".log"))
 	Expect(err).NotTo(HaveOccurred())
 	h.logs = logs
@@ -127,39 +109,18 @@
 }
 
 func (f *fleetTest) ready(name string) {
-	Eventually(func() int {
-		reply, err := http.Get("http://" + f.hosts[name].ip + ":8141/ready")
-		if err != nil {
-			return 0
-		}
-		reply.Body.Close()
-		return reply.StatusCode
-	}, "15s", "50ms").Should(Equal(http.StatusOK), "%s is ready", name)
+	Eventually(func() bool { return usersplatform.Ready(f.hosts[name].ip) }, "15s", "50ms").Should(BeTrue(), "%s is ready", name)
 }
 
-// ask sends a turn to a front and returns the status and whether the answer
-// was whole.
-func (f *fleetTest) ask(front, path, id, previous, body string, header ...string) (int, string, error) {
-	request, err := http.NewRequest("POST", "http://"+f.hosts[front].ip+":8149"+path, strings.NewReader(body))
-	Expect(err).NotTo(HaveOccurred())
-	request.Host = "site.example"
-	request.Header.Set("X-Request-Id", id)
-	if strings.HasPrefix(path, "/t/") {
-		request.Header.Set("X-Token-Count", "10,15")
-	}
-	if previous != "" {
-		request.Header.Set("X-Previous-Turn", previous)
+// ask sends a request to a front and returns the status, the answer, and why
+// it is not whole.
+func (f *fleetTest) ask(front string, request usersplatform.Request) (int, string, error) {
+	path := "/calls/x"
+	if request.Turn {
+		path = "/turns/x"
 	}
-	for i := 0; i+1 < len(header); i += 2 {
-		request.Header.Set(header[i], header[i+1])
-	}
-	reply, err := http.DefaultTransport.RoundTrip(request)
-	if err != nil {
-		return 0, "", err
-	}
-	defer reply.Body.Close()
-	content, err := io.ReadAll(reply.Body)
-	return reply.StatusCode, string(content), err
+	address := fmt.Sprintf("%s:%d", f.hosts[front].ip, usersplatform.FrontPort)
+	return usersplatform.Send(context.Background(), address, usersplatform.SiteHost, path, request)
 }
 
 func (f *fleetTest) lastBody() string {
@@ -170,10 +131,11 @@
 var _ = Describe("Roles on the users' platform", Ordered, func() {
 	var f *fleetTest
 	// turn is served in the end, as clients try again after a refusal.
-	turn := func(front, id, previous, body string, header ...string) {
+	turn := func(front string, request usersplatform.Request) {
 		GinkgoHelper()
+		request.Turn = true
 		Eventually(func() string {
-			status, content, err := f.ask(front, "/t/x", id, previous, body, header...)
+			status, content, err := f.ask(front, request)
 			return fmt.Sprintf("%d %v %d", status, err, strings.Count(content, "data:"))
 		}, "12s", "100ms").Should(Equal("200 <nil> 3"))
 	}
@@ -181,18 +143,20 @@
 	BeforeAll(func() { f = startFleet() })
 
 	It("continue a conversation at another front", func() {
-		turn("front-1", "t1", "", "one")
-		turn("front-2", "t2", "t1", "two")
+		turn("front-1", usersplatform.Request{ID: "t1", Previous: "", Body: "one"})
+		turn("front-2", usersplatform.Request{ID: "t2", Previous: "t1", Body: "two"})
 		Expect(f.lastBody()).To(Equal("onet1-1\nt1-2\nt1-3\ntwo"))
-		status, _, _ := f.ask("front-2", "/t/x", "t9", "never", "x")
+		status, _, _ := f.ask("front-2", usersplatform.Request{ID: "t9", Turn: true, Previous: "never", Body: "x"})
 		Expect(status).To(Equal(http.StatusNotFound))
 	})
 
 	It("hold a program's budget over fronts and over a restart of all stores", func() {
-		program := []string{"X-Program-Id", "p", "X-Token-Budget", "30"}
-		turn("front-1", "b1", "", "one", program...)
-		turn("front-2", "b2", "", "two", program...)
-		status, _, _ := f.ask("front-1", "/t/x", "b3", "", "three", program...)
+		ofProgram := func(id string) usersplatform.Request {
+			return usersplatform.Request{ID: id, Turn: true, Body: id, Program: "p", Budget: 30}
+		}
+		turn("front-1", ofProgram("b1"))
+		turn("front-2", ofProgram("b2"))
+		status, _, _ := f.ask("front-1", ofProgram("b3"))
 		Expect(status).To(Equal(http.StatusPaymentRequired))
 		for _, name := range []string{"store-1", "store-2", "store-3", "store-4"} {
 			f.signal(name, syscall.SIGKILL)
@@ -201,10 +165,10 @@
 			f.restart(name)
 		}
 		Eventually(func() int {
-			status, _, _ := f.ask("front-2", "/t/x", "b4", "", "four", program...)
+			status, _, _ := f.ask("front-2", ofProgram("b4"))
 			return status
 		}, "12s", "200ms").Should(Equal(http.StatusPaymentRequired))
-		turn("front-1", "t3", "t2", "three")
+		turn("front-1", usersplatform.Request{ID: "t3", Previous: "t2", Body: "three"})
 		Expect(f.lastBody()).To(HaveSuffix("t2-3\nthree"))
 	})
 
@@ -217,7 +181,7 @@
 			return string(item.Value)
 		}, "12s", "100ms").ShouldNot(ContainSubstring(`"ready":false`))
 		f.signal("store-2", syscall.SIGKILL)
-		turn("front-2", "t4", "t3", "four")
+		turn("front-2", usersplatform.Request{ID: "t4", Previous: "t3", Body: "four"})
 		Expect(f.lastBody()).To(HaveSuffix("t3-3\nfour"))
 		f.restart("store-2")
 	})
@@ -227,26 +191,19 @@
 		before := len(f.backend.Runs())
 		result := make(chan string, 1)
 		go func() {
-			status, content, err := f.ask("front-1", "/t/x", "d1", "", "one")
+			status, content, err := f.ask("front-1", usersplatform.Request{ID: "d1", Turn: true, Body: "one"})
 			result <- fmt.Sprintf("%d %v %d", status, err, strings.Count(content, "data:"))
 		}()
 		Eventually(func() int { return len(f.backend.Runs()) }, "5s", "10ms").Should(BeNumerically(">", before))
 		f.signal("front-1", syscall.SIGTERM)
-		Eventually(func() string {
-			reply, err := http.Get("http://127.0.4.2:8143/resolve?Zone=a")
-			if err != nil {
-				return err.Error()
-			}
-			defer reply.Body.Close()
-			content, _ := io.ReadAll(reply.Body)
-			return string(content)
-		}, "3s", "50ms").ShouldNot(ContainSubstring("127.0.4.1"))
+		Eventually(func() ([]string, error) { return usersplatform.Resolve("127.0.4.2") }, "3s", "50ms").
+			ShouldNot(ContainElement(HavePrefix("127.0.4.1:")))
 		Eventually(result, "5s").Should(Receive(Equal("200 <nil> 3")))
 		Eventually(func() error { return f.hosts["front-1"].process.Wait() }, "9s").Should(Succeed())
 	})
 
 	It("ran every request once", func() {
-		status, content, err := f.ask("front-2", "/u/x", "u1", "", "post")
+		status, content, err := f.ask("front-2", usersplatform.Request{ID: "u1", Body: "post"})
 		Expect(fmt.Sprintf("%d %s %v", status, content, err)).To(Equal("200 done u1 <nil>"))
 		seen := map[string]int{}
 		for _, run := range f.backend.Runs() {
