--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -168,6 +168,29 @@
 		}, "2s", "20ms").Should(Equal(Stored))
 	})
 
+	// On scale-2 of ortak-fiyat two fronts that were cut from the stores went on
+	// taking turns and refusing them.
+	It("are missed by a front that reaches too few, which notices their return without being asked", func() {
+		c := newCluster("a", "b", "c", "d")
+		k := c.keeper()
+		folders := map[string]string{}
+		for _, host := range []string{"a", "b"} {
+			folders[host] = c.stores[host].folder
+			c.stop(c.stores[host])
+		}
+		do(k, Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour)}})
+		Eventually(k.Serving, "3s", "10ms").Should(BeFalse())
+		start := time.Now()
+		Expect(do(k, Operation{Records: []*turnpb.Record{reserve("x", 1)}, Budget: 10}).Verdict).To(Equal(Uncertain))
+		Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond), "it refuses at once")
+		for _, host := range []string{"a", "b"} {
+			c.start(host, folders[host])
+		}
+		set := c.set()
+		Expect(k.SetCopies(context.Background(), set)).To(Succeed())
+		Eventually(k.Serving, "3s", "10ms").Should(BeTrue())
+	})
+
 	It("hand over everything before a disk is taken away", func() {
 		c := newCluster("a", "b", "c", "d")
 		Expect(do(c.keeper(), Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour)}}).Verdict).To(Equal(Stored))
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,185 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/call"
+	"dogwoodline.example/duty"
+	"dogwoodline.example/upstream"
+)
+
+func TestUpstream(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "upstream")
+}
+
+type decoder struct{ keep time.Duration }
+
+func (d decoder) Decode(reply *http.Response) call.Answer {
+	return call.Answer{
+		Status: reply.StatusCode, RequestID: reply.Header.Get("Id"), NotRun: reply.Header.Get("Not-Run") != "",
+		Leaving: reply.Close, KeepIdle: d.keep,
+	}
+}
+
+// backend serves each connection with handle and counts connections.
+func backend(handle func(conn net.Conn, reader *bufio.Reader)) (address string, accepted *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	accepted = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go func() {
+				defer conn.Close()
+				handle(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String(), accepted
+}
+
+// echo answers every request of a connection.
+func echo(conn net.Conn, reader *bufio.Reader) {
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", request.Header.Get("Id"))
+	}
+}
+
+func newPool(d decoder) *upstream.Pool {
+	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
+	DeferCleanup(group.Stop)
+	return upstream.NewPool(group, d)
+}
+
+func yes() bool { return true }
+
+func ask(p *upstream.Pool, address, id, body string) (string, call.Verdict, error) {
+	request := upstream.Request{ID: id, Address: address, Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body)}
+	exchange, verdict, err := p.Do(context.Background(), request, yes)
+	if err != nil {
+		return "", verdict, err
+	}
+	defer exchange.Close()
+	content, err := io.ReadAll(exchange)
+	return string(content), verdict, err
+}
+
+var _ = Describe("Pool", func() {
+	It("keeps a connection for the next request", func() {
+		address, accepted := backend(echo)
+		p := newPool(decoder{})
+		for i := range 5 {
+			body, verdict, err := ask(p, address, fmt.Sprint(i), "in")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(verdict).To(Equal(call.Answered))
+			Expect(body).To(Equal("ok"))
+		}
+		Expect(accepted.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("does not reuse a connection that the backend server is about to close", func() {
+		address, accepted := backend(echo)
+		p := newPool(decoder{keep: 700 * time.Millisecond}) // no more than the margin
+		for i := range 3 {
+			_, _, err := ask(p, address, fmt.Sprint(i), "in")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(accepted.Load()).To(BeEquivalentTo(3))
+	})
+
+	It("does not send on an idle connection that was closed, so that the request stays provably not run", func() {
+		address, accepted := backend(func(conn net.Conn, reader *bufio.Reader) {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, request.Body)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", request.Header.Get("Id"))
+		})
+		p := newPool(decoder{})
+		for i := range 4 {
+			_, _, err := ask(p, address, fmt.Sprint(i), "in")
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(20 * time.Millisecond)
+		}
+		Expect(accepted.Load()).To(BeEquivalentTo(4))
+	})
+
+	It("proves that a request was not run when no connection could be opened", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		listener.Close()
+		_, verdict, err := ask(newPool(decoder{}), address, "a", "in")
+		Expect(verdict).To(Equal(call.NotRun))
+		Expect(err).To(MatchError(upstream.ErrNotConnected))
+	})
+
+	It("proves nothing when the connection ends after the request was sent", func() {
+		address, _ := backend(func(_ net.Conn, reader *bufio.Reader) { http.ReadRequest(reader) })
+		_, verdict, err := ask(newPool(decoder{}), address, "a", "in")
+		Expect(verdict).To(Equal(call.Unknown))
+		Expect(err).To(MatchError(upstream.ErrBroken))
+	})
+
+	It("reads an answer that comes before a long body is sent, and lets no other bytes follow on that connection", func() {
+		address, accepted := backend(func(conn net.Conn, reader *bufio.Reader) {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 413 Too Large\r\nId: %s\r\nContent-Length: 2\r\n\r\nno", request.Header.Get("Id"))
+			time.Sleep(100 * time.Millisecond)
+			rest, _ := io.ReadAll(io.LimitReader(request.Body, 1<<30))
+			Expect(strings.Trim(string(rest), "b")).To(BeEmpty())
+		})
+		p := newPool(decoder{})
+		for i := range 2 {
+			body, _, err := ask(p, address, fmt.Sprint(i), strings.Repeat("b", 8<<20))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal("no"))
+		}
+		Expect(accepted.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("sends nothing when its caller no longer wants it", func() {
+		var got atomic.Int64
+		address, _ := backend(func(conn net.Conn, reader *bufio.Reader) {
+			if _, err := http.ReadRequest(reader); err == nil {
+				got.Add(1)
+			}
+		})
+		request := upstream.Request{ID: "a", Address: address, Method: "POST", Target: "/x", Host: "h", Header: http.Header{}}
+		_, verdict, err := newPool(decoder{}).Do(context.Background(), request, func() bool { return false })
+		Expect(err).To(HaveOccurred())
+		Expect(verdict).To(Equal(call.NotRun))
+		Consistently(got.Load, "100ms").Should(BeZero())
+	})
+})
