--- a/role/role.go
+++ b/role/role.go
@@ -45,8 +45,8 @@
 	// collector works harder; the rest is for stacks and unread bytes.
 	memoryLimitShare = 0.7
 	// leaseTTL is the lease of a process's registration. A lost process
-	// leaves the directory after that time.
-	leaseTTL = 3 * time.Second
+	// leaves the directory after that time; a renewal costs a tenth of a read.
+	leaseTTL = 2 * time.Second
 	// mostMessage bounds a message between processes: a conversation of the
 	// longest turns, or a page of records.
 	mostMessage = 64 << 20
--- a/turnstore/join.go
+++ b/turnstore/join.go
@@ -24,7 +24,7 @@
 	// more losses.
 	pullAllWait = 700 * time.Millisecond
 	// absentAfter is how long a member must be missing from the registered
-	// processes before it is dropped. A lease lapses after 3 s, and a store
+	// processes before it is dropped. A lease lapses after 2 s, and a store
 	// that lost power is mostly back within that time.
 	absentAfter = 2500 * time.Millisecond
 	// newsSlots is the number of news that may wait for the duty.
