Resume a stream elsewhere when its backend server is gone

Cause: with Attempts 1 a broken stream was never resumed, although servers that ended or were cut off do not count.

Change: after a broken resumable stream the caller tries to connect; if nobody answers, the server does not count against the limit. Both cases are tested.

Ruled out: waiting for the registration to lapse (three heartbeats are longer than the client waits for the next event).

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -71,15 +71,25 @@
 	if err != nil {
 		end := attemptEnd{verdict: verdict, reason: err.Error(), done: j.ctx.Err() != nil}
 		end.report.Unreachable = errors.Is(err, upstream.ErrNotConnected)
+		c.probe(&end, a)
 		return end
 	}
 	defer exchange.Close()
 	end := c.receive(j, exchange)
+	c.probe(&end, a)
 	end.report.First = time.Since(sent)
 	end.report.Typical = j.route.Kind != route.Unsafe
 	return end
 }
 
+// probe finds out whether the backend server of a broken stream is still
+// there, if that decides whether the stream may go on elsewhere.
+func (c *caller) probe(end *attemptEnd, a attempt) {
+	if end.verdict == call.Unknown && !end.done && a.job.route.Resumable {
+		end.lost = !c.pool.Reachable(a.job.ctx, a.backend.Address)
+	}
+}
+
 // receive judges the head of an answer and passes the answer on.
 func (c *caller) receive(j *job, exchange *upstream.Exchange) attemptEnd {
 	answer := exchange.Answer
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -108,6 +108,8 @@
 	keeper  *keeper
 	front   *httptest.Server
 	runs    atomic.Int64
+
+	addresses []string // of the backend servers
 }
 
 func newSite(r route.Route, backends ...http.HandlerFunc) *site {
@@ -122,6 +124,7 @@
 			handle(w, r)
 		}))
 		DeferCleanup(server.Close)
+		s.addresses = append(s.addresses, server.Listener.Addr().String())
 		backend := fleet.Backend{ID: fmt.Sprintf("b%d", i), Service: "svc", Address: server.Listener.Addr().String(), Slots: 4, AvailabilityZone: "a"}
 		Expect(s.gateway.Learn(context.Background(), gateway.FleetNews{Put: &backend})).To(Succeed())
 	}
@@ -397,6 +400,49 @@
 		Expect(body).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
 	})
 
+	DescribeTable("a resumable stream that one backend server only may run", func(staysUp bool, whole bool, resumed int) {
+		const begun = "HTTP/1.1 200 OK\r\nTest-Id: req-1\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n"
+		var second atomic.Int64
+		s := newSite(route.Route{Kind: route.Streaming, Resumable: true, MaxServers: 1}, func(w http.ResponseWriter, _ *http.Request) {
+			second.Add(1)
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, "id: 2\ndata: b\n\n")
+		})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = listener.Close() })
+		go func() { // answers one request in part
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, request.Body)
+			if !staysUp {
+				listener.Close()
+			}
+			io.WriteString(conn, begun)
+			conn.Close()
+		}()
+		near := fleet.Backend{ID: "near", Service: "svc", Address: listener.Addr().String(), Slots: 4, AvailabilityZone: "a"}
+		far := fleet.Backend{ID: "b0", Service: "svc", Address: s.addresses[0], Slots: 4, AvailabilityZone: "far"}
+		Expect(s.gateway.Learn(context.Background(), gateway.FleetNews{Put: &near})).To(Succeed())
+		Expect(s.gateway.Learn(context.Background(), gateway.FleetNews{Put: &far})).To(Succeed())
+		reply, err := s.ask(context.Background(), "/r/x")
+		Expect(err).NotTo(HaveOccurred())
+		defer reply.Body.Close()
+		body, err := io.ReadAll(reply.Body)
+		Expect(err == nil).To(Equal(whole))
+		Expect(string(body)).To(HavePrefix("id: 1\ndata: a\n\n"))
+		Expect(second.Load()).To(BeEquivalentTo(resumed))
+	},
+		Entry("goes on elsewhere when that one is gone", false, true, 1),
+		Entry("is not sent elsewhere while that one is there", true, false, 0),
+	)
+
 	It("does not reuse a connection on which bytes arrived that nobody asked for", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -44,6 +44,7 @@
 	exclude     []string
 	tries       int
 	ran         int // backend servers that may have run it
+	lost        int // of those, the ones that ended or were cut off
 	events      int
 	resumeAfter string
 	headSent    bool
@@ -82,7 +83,7 @@
 // mayRunAgain reports whether the call may go to another backend server after
 // it may have run.
 func (j *job) mayRunAgain() bool {
-	if j.ran >= j.maxServers() {
+	if j.ran-j.lost >= j.maxServers() || j.tries >= mostTries {
 		return false
 	}
 	return j.route.MayRepeat() && !j.headSent || j.route.Resumable
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -49,6 +49,9 @@
 	reason  string
 	// done says that the client has its answer, or nobody waits.
 	done bool
+	// lost says that the backend server ended or was cut off; it does not
+	// count against the number of servers that may run the call.
+	lost bool
 }
 
 type schedulerItem struct {
@@ -200,7 +203,7 @@
 	j.lastReason = end.reason
 	j.exclude = append(j.exclude, end.backend.ID)
 	s.log.Info("gateway: attempt failed", "request", j.request.ID, "backend", end.backend.ID, "verdict", end.verdict.String(),
-		"reason", end.reason, "events", j.events, "took_ms", now.Sub(end.started).Milliseconds())
+		"reason", end.reason, "server_lost", end.lost, "events", j.events, "took_ms", now.Sub(end.started).Milliseconds())
 	switch end.verdict {
 	case call.NotRun:
 		j.release()
@@ -210,6 +213,9 @@
 		}
 	default:
 		j.ran++
+		if end.lost {
+			j.lost++
+		}
 		if j.mayRunAgain() {
 			s.offer(j, now)
 			return
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -101,14 +101,19 @@
 		}
 		p.discard(c)
 	}
+	return p.connect(ctx, address)
+}
+
+// connect opens a connection and counts it.
+func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
 	c, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.open[address]++
 	p.dialled++
-	p.mu.Unlock()
 	return c, nil
 }
 
@@ -156,6 +161,16 @@
 	}
 }
 
+// Reachable opens a connection to see whether anybody listens there.
+func (p *Pool) Reachable(ctx context.Context, address string) bool {
+	c, err := p.connect(ctx, address)
+	if err != nil {
+		return false
+	}
+	p.put(c)
+	return true
+}
+
 // HasIdle reports whether a connection to the address is open and idle.
 func (p *Pool) HasIdle(address string) bool {
 	p.mu.Lock()
