--- a/call/call.go
+++ b/call/call.go
@@ -7,12 +7,6 @@
 	"time"
 )
 
-// Part is a shared part of a prompt.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Request is one attempt of a client.
 type Request struct {
 	// ID is unique for each attempt.
@@ -32,14 +26,11 @@
 
 	Program string
 	Session string
-	// FinishIn is the time in which the whole program should end; 0 if unknown.
-	FinishIn time.Duration
 	// TokenBudget bounds the tokens that all turns of the program generate;
 	// 0 if the request has none.
 	TokenBudget int
 	// MaxOutput is the most tokens that this turn generates.
-	MaxOutput    int
-	PromptTokens int
+	MaxOutput int
 	// PreviousTurn is the id of the turn that this one continues.
 	PreviousTurn string
 	// ResumeAfter is the id of the last event that the client has; empty for
@@ -47,8 +38,6 @@
 	ResumeAfter string
 	// Affinity names the object that the request concerns.
 	Affinity string
-	// Prefix lists the parts of the prompt in order.
-	Prefix []Part
 }
 
 // Verdict says what an answer, or the lack of one, proves about a request.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,8 +27,6 @@
 	Slots            int
 	// Draining backend servers get nothing new.
 	Draining bool
-	// ColdFor is how much longer it is slow after its start.
-	ColdFor time.Duration
 	// Incarnation is the Unix millisecond of its start; 0 if unknown.
 	Incarnation int64
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -28,9 +28,6 @@
 var (
 	// ErrNotConnected reports that no connection could be opened.
 	ErrNotConnected = Error.New("no connection")
-	// ErrTooManyConns reports that the backend server has no connection left
-	// for this front.
-	ErrTooManyConns = Error.New("connection limit reached")
 	// ErrBroken reports that the connection ended, or that bytes arrived that
 	// are no answer.
 	ErrBroken = Error.New("answer broken off or not readable")
