End a store at once when it is stopped; run the roles by scripts/local.sh

Cause: the duty that accepts metrics connections ends only when its server is closed, and only the front's drain closed servers.

Change: the servers are closed before the duties are waited for. The test failed first (4 s without an end) and passes now.

Ruled out: the registration's lease (its calls are bounded by 2 s) and the message server (stopped after 1 s).

--- a/cmd/dogwoodline/emulate.go
+++ b/cmd/dogwoodline/emulate.go
@@ -22,6 +22,8 @@
 	Platform emulatePlatform `cmd:"" help:"Run the stand-in for the platform store, the host list and the weight store."`
 	Engine   emulateEngine   `cmd:"" help:"Run the stand-in for a model engine."`
 	Service  emulateService  `cmd:"" help:"Run the stand-in for a tool service."`
+
+	UsersPlatform emulateUsersPlatform `cmd:"" help:"Run the stand-in for the users' platform and a backend server, for the front and store commands."`
 }
 
 type emulatePlatform struct {
--- a/cmd/dogwoodline/roles_test.go
+++ b/cmd/dogwoodline/roles_test.go
@@ -202,6 +202,16 @@
 		Eventually(func() error { return f.hosts["front-1"].process.Wait() }, "9s").Should(Succeed())
 	})
 
+	// The stores' metrics server was never closed, so a planned stop waited for
+	// the platform to kill the process.
+	It("end a store at once when it is stopped", func() {
+		f.signal("store-3", syscall.SIGTERM)
+		ended := make(chan error, 1)
+		go func() { ended <- f.hosts["store-3"].process.Wait() }()
+		Eventually(ended, "4s").Should(Receive(BeNil()))
+		turn("front-2", usersplatform.Request{ID: "t5", Previous: "t4", Body: "five"})
+	})
+
 	It("ran every request once", func() {
 		status, content, err := f.ask("front-2", usersplatform.Request{ID: "u1", Body: "post"})
 		Expect(fmt.Sprintf("%d %s %v", status, content, err)).To(Equal("200 done u1 <nil>"))
--- a/role/front.go
+++ b/role/front.go
@@ -89,7 +89,7 @@
 		ready := g.Ready()
 		began = began || ready
 		switch {
-		case !ready && listed && began:
+		case !ready && listed && began && !g.Stopping():
 			p.log.Warn("role: front cannot serve, leaving the directory")
 			p.tell(ctx, membership.SetDraining{})
 			listed = false
--- a/role/role.go
+++ b/role/role.go
@@ -95,8 +95,13 @@
 		"first_start", host.FirstStart, "platform_store", host.StoreAddress, "tolerated_losses", host.LostHosts)
 	p.serveMetrics()
 	err = serve(ctx, p)
-	p.log.Info("role: stopped", "error", err)
+	for _, server := range p.servers { // their duties end only when they are closed
+		if closeErr := server.Close(); closeErr != nil {
+			p.log.Warn("role: listener not closed", "error", closeErr)
+		}
+	}
 	p.group.Stop()
+	p.log.Info("role: stopped", "error", err)
 	time.Sleep(logFlush)
 	logs.Stop()
 	return err
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -2,10 +2,13 @@
 # Runs an example deployment on loopback as separate processes: the platform
 # stand-in, four engines, a service and three nodes.
 #
-#   scripts/local.sh start [satamavirta|ortaktirnak]
+#   scripts/local.sh start [satamavirta|ortaktirnak|users-platform]
 #   scripts/local.sh status
 #   scripts/local.sh stop
 #
+# users-platform starts the roles on a stand-in of the users' platform instead:
+# four stores and two fronts.
+#
 # The ids of the processes and their start times are kept in run/, so that
 # stop ends exactly these processes, also when an id was given to another
 # process since.
@@ -70,7 +73,7 @@
 stop() {
   # Nodes first: they hand over their programs while the platform still runs.
   # shellcheck disable=SC2046
-  end "$node_stop_s" $(names 'node-*')
+  end "$node_stop_s" $(names 'node-*') $(names 'front-*')
   # shellcheck disable=SC2046
   end "$stand_in_stop_s" $(names '*')
 }
@@ -98,6 +101,31 @@
   echo "ready; use: export DOGWOODLINE_NODES=$DOGWOODLINE_NODES DOGWOODLINE_OPERATOR_KEY=$DOGWOODLINE_OPERATOR_KEY"
 }
 
+# Starts the roles on the stand-in of the users' platform.
+start_roles() {
+  local host
+  mkdir -p run bin
+  [ -z "$(names '*')" ] || { echo "already started, see scripts/local.sh status" >&2; exit 1; }
+  go build -o bin/dogwoodline ./cmd/dogwoodline
+  trap 'stop' ERR
+  launch users-platform emulate users-platform --hosts run/hosts
+  for _ in $(seq 100); do
+    [ ! -e run/hosts/front-2.toml ] || break
+    sleep 0.1
+  done
+  for host in store-1 store-2 store-3 store-4 front-1 front-2; do
+    DOGWOODLINE_BOOT=run/hosts/$host.toml launch "$host" "${host%-*}"
+  done
+  for _ in $(seq 100); do
+    if curl -fs http://127.0.4.1:8141/ready && curl -fs http://127.0.4.2:8141/ready; then break; fi
+    sleep 0.1
+  done
+  trap - ERR
+  echo "ready; try a turn and one that continues it at the other front:"
+  echo "  curl -N http://127.0.4.1:8149/turns/x -H 'Host: site.example' -H 'X-Request-Id: t1' -H 'X-Token-Count: 10,25' -d one"
+  echo "  curl -N http://127.0.4.2:8149/turns/x -H 'Host: site.example' -H 'X-Request-Id: t2' -H 'X-Token-Count: 10,25' -H 'X-Previous-Turn: t1' -d two"
+}
+
 # Writes the resources once a node answers.
 apply() {
   local code
@@ -120,11 +148,11 @@
 }
 
 case ${1:-} in
-start) start "${2:-satamavirta}" ;;
+start) if [ "${2:-}" = users-platform ]; then start_roles; else start "${2:-satamavirta}"; fi ;;
 stop) stop ;;
 status) status ;;
 *)
-  sed -n '2,12s/^# \{0,1\}//p' "$0"
+  sed -n '2,15s/^# \{0,1\}//p' "$0"
   exit 2
   ;;
 esac
