Place turns by their conversation; keep idle connections as long as the server does

A sub-agent was placed by its own session, although its prompt begins with that of its parent; a turn's place depended on the session only. Idle connections were dropped after 4 s, while backend servers keep them for 10 s.

Ruled out: dials to plain services as the main part (123 of 393; the rest go to model servers).

Change: the prompt's parts are decoded; the conversation's part decides the preferred backend server. An idle connection is kept for the time stated less the margin. A plain service without an open connection costs as much as just under one running call. News gather for 400 ms, since each watch is a call.

--- a/call/call.go
+++ b/call/call.go
@@ -38,6 +38,34 @@
 	ResumeAfter string
 	// Affinity names the object that the request concerns.
 	Affinity string
+	// Prompt lists the parts of a model call's prompt in order. Calls share
+	// parts; the last one belongs to the request or its session.
+	Prompt []PromptPart
+}
+
+// PromptPart is a piece of a prompt that a model server may keep in memory.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// sharedParts is the number of parts at the front of a prompt that many
+// programs have in common.
+const sharedParts = 1
+
+// Locality names what makes a backend server faster for this request, because
+// it has handled it before: the conversation that the prompt belongs to (a
+// sub-agent's prompt begins with that of its parent), else the session, else
+// the object. It is empty if nothing does.
+func (r *Request) Locality() string {
+	switch {
+	case len(r.Prompt) > sharedParts:
+		return r.Prompt[sharedParts].ID
+	case r.Session != "":
+		return r.Session
+	default:
+		return r.Affinity
+	}
 }
 
 // Verdict says what an answer, or the lack of one, proves about a request.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -171,7 +171,7 @@
 	otherZoneCost = 0.03
 	// connectCost is the part of the slots by which a backend server without an
 	// open connection must be less busy; opening one takes a slot for a moment.
-	connectCost = 0.06
+	connectCost = 0.15
 	// suspectCost and fullCost keep a backend server out of the choice while
 	// any other is left.
 	suspectCost = 100
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -149,16 +149,12 @@
 	if j.ctx.Err() != nil {
 		return // the handler has answered already
 	}
-	affinity := j.request.Session
-	if affinity == "" {
-		affinity = j.request.Affinity
-	}
 	ask := fleet.Ask{Service: j.service.Name, Exclude: j.exclude, Draw: s.random.Uint64()}
 	if j.service.Engine == nil { // a model server's memory counts for more than a connection
 		ask.Connected = s.connected
 	}
 	if j.route.Sticky {
-		ask.Affinity = affinity
+		ask.Affinity = j.request.Locality()
 	}
 	backend, running, ok := s.fleet.Choose(ask, now)
 	if !ok {
--- a/role/follow.go
+++ b/role/follow.go
@@ -30,7 +30,7 @@
 
 // gatherNews is how long further news are awaited; registrations change
 // several at a time, and two seconds are allowed for each.
-const gatherNews = 200 * time.Millisecond
+const gatherNews = 400 * time.Millisecond
 
 // topic is what a process wants to know of keys with one prefix.
 type topic struct {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -125,6 +125,7 @@
 		return nil
 	}
 	last := list[len(list)-1]
+	last.idle = time.Since(last.since)
 	p.idle[address] = list[:len(list)-1]
 	return last
 }
@@ -134,7 +135,8 @@
 	if keep <= 0 {
 		keep = idleUnknown
 	}
-	c.expires = time.Now().Add(keep)
+	c.since = time.Now()
+	c.expires = c.since.Add(keep)
 	p.mu.Lock()
 	p.idle[c.address] = append(p.idle[c.address], c)
 	p.mu.Unlock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -72,9 +72,11 @@
 	net.Conn
 	reader  *bufio.Reader
 	address string
+	since   time.Time // when it became idle
 	expires time.Time
 	keep    time.Duration
-	written chan error // the outcome of the write in progress, one slot
+	idle    time.Duration // how long it was idle before the exchange
+	written chan error    // the outcome of the write in progress, one slot
 	framed  bool
 }
 
@@ -131,6 +133,8 @@
 		p.discard(c)
 		if ctx.Err() != nil {
 			err = ctx.Err()
+		} else if c.idle > 0 {
+			err = Error.New("%v, on a connection that was idle for %s", err, c.idle.Round(time.Millisecond))
 		}
 		return nil, call.Unknown, err
 	}
@@ -173,10 +177,7 @@
 		answer := p.decoder.Decode(reply)
 		if answer.RequestID == request.ID || (answer.RequestID == "" && answer.NotRun) {
 			c.framed = reply.ContentLength >= 0 || len(reply.TransferEncoding) > 0
-			c.keep = idleUnknown
-			if answer.KeepIdle > 0 {
-				c.keep = min(c.keep, answer.KeepIdle-idleMargin)
-			}
+			c.keep = keepFor(answer.KeepIdle)
 			return &Exchange{Answer: answer, Body: reply.Body, Length: reply.ContentLength, pool: p, conn: c}, nil
 		}
 		if reply.Close || (reply.ContentLength < 0 && len(reply.TransferEncoding) == 0) {
@@ -189,6 +190,15 @@
 	return nil, errors.Join(ErrBroken, Error.New("answers to other requests"))
 }
 
+// keepFor is how long a connection is kept for a backend server that keeps an
+// idle one for the given time; 0 if it did not say.
+func keepFor(stated time.Duration) time.Duration {
+	if stated <= 0 {
+		return idleUnknown
+	}
+	return stated - idleMargin
+}
+
 // Read reads the body.
 func (e *Exchange) Read(into []byte) (int, error) {
 	count, err := e.Body.Read(into)
