Send clients to the large fronts; keep a conversation at one backend server

Change: a conversation has one home and one second choice, the same on all fronts, and leaves home only when its slots are taken. The directory lists the large fronts where hosts differ much, as far as they suffice for the slots. Short records go to a majority and a spare store, to the others after 40 ms. Fronts tell each other their running calls with the messages to the stores. Fronts gather news for 1 s, and stop serving accordingly later.

Ruled out: listing fewer fronts where all are alike (each kill would hit more).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -126,6 +126,15 @@
 // Total returns the number of backend servers.
 func (f *Fleet) Total() int { return len(f.byID) }
 
+// Slots returns the number of calls that all backend servers can run at once.
+func (f *Fleet) Slots() int {
+	sum := 0
+	for _, s := range f.byID {
+		sum += s.Slots
+	}
+	return sum
+}
+
 // Ask is what a choice depends on.
 type Ask struct {
 	Service string
@@ -146,11 +155,19 @@
 func (f *Fleet) Choose(ask Ask, now time.Time) (Backend, int, bool) {
 	var best *state
 	var bestCost float64
+	home, second := f.homes(ask)
 	for _, s := range f.byService[ask.Service] {
 		if excluded(ask.Exclude, s.ID) {
 			continue
 		}
 		cost := f.cost(s, ask, now)
+		switch {
+		case home == nil || s == home:
+		case s == second:
+			cost += awayCost / 2
+		default:
+			cost += awayCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -162,10 +179,11 @@
 }
 
 const (
-	// affinityGain is the part of a backend server's slots that may be busier
-	// on the preferred backend server than elsewhere. A turn's shared prompt
-	// and history take about as long to read as one or two running calls add.
-	affinityGain = 0.2
+	// awayCost is the part of its slots by which the backend server that has
+	// handled the same object before must be busier than others until a call
+	// goes elsewhere. Reading a prompt of some thousand tokens again takes as
+	// long as a whole turn, and a batch that is full slows a turn by a quarter.
+	awayCost = 0.8
 	// otherZoneCost is the part of the slots by which a backend server in
 	// another availability zone must be less busy.
 	otherZoneCost = 0.03
@@ -200,21 +218,26 @@
 	if now.Before(s.fullUntil) {
 		cost += fullCost
 	}
-	if ask.Affinity != "" {
-		cost += affinityGain * (1 - rank(ask.Affinity, s.ID))
-	}
 	return cost + tieSpread*float64(xxhash.Sum64String(s.ID)^ask.Draw)/(1<<64)
 }
 
-// rank draws a number between 0 and 1 for a pair, the same on all fronts, so
-// that calls of a session meet at the backend server with the highest rank.
-func rank(affinity, id string) float64 {
-	hash := xxhash.Sum64String(affinity + "\x00" + id)
-	draw := float64(hash>>11) / (1 << 53)
-	// The power keeps the gain close to one backend server.
-	draw *= draw
-	draw *= draw
-	return draw * draw
+// homes returns the two backend servers that calls for the same object meet
+// at, from whichever front they come: the one that has handled it, and where
+// the calls go that are too many for it. They are nil without an object.
+func (f *Fleet) homes(ask Ask) (first, second *state) {
+	if ask.Affinity == "" {
+		return nil, nil
+	}
+	var best, next uint64
+	for _, s := range f.byService[ask.Service] {
+		switch rank := xxhash.Sum64String(ask.Affinity + "\x00" + s.ID); {
+		case first == nil || rank > best:
+			first, second, best, next = s, first, rank, best
+		case second == nil || rank > next:
+			second, next = s, rank
+		}
+	}
+	return first, second
 }
 
 func excluded(list []string, id string) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,12 +21,6 @@
 	"dogwoodline.example/upstream"
 )
 
-// Front is a front that clients may connect to.
-type Front struct {
-	Address string
-	Zone    string
-}
-
 // Settings of a gateway.
 type Settings struct {
 	// Address is where this front takes requests.
@@ -63,7 +56,7 @@
 	g.fronts.Store(&[]Front{})
 	g.pool = upstream.NewPool(group, codec)
 	attempts := ring.New[attempt](settings.Callers)
-	g.scheduler = newScheduler(group, log, settings.Zone, attempts, g.pool)
+	g.scheduler = newScheduler(group, log, settings.Zone, attempts, g.pool, keeper)
 	for range settings.Callers {
 		c := &caller{attempts: attempts, ends: g.scheduler.items, pool: g.pool, codec: codec}
 		group.Go("caller", c.run)
@@ -80,6 +73,9 @@
 	return g.scheduler.Learn(ctx, news)
 }
 
+// LearnPeers tells which calls run for other fronts, by backend server.
+func (g *Gateway) LearnPeers(running map[string]int) { g.scheduler.LearnPeers(running) }
+
 // SetTable brings a configuration into force. Older ones are ignored, so that
 // nothing goes back while the process runs.
 func (g *Gateway) SetTable(table *route.Table) {
@@ -120,31 +116,3 @@
 func (g *Gateway) Ready() bool {
 	return !g.draining.Load() && g.table.Load() != nil && g.scheduler.size.Load() > 0 && g.keeper.Serving()
 }
-
-// Addresses returns the fronts that a client should use, those in its
-// availability zone first, and for how long.
-func (g *Gateway) Addresses(zone string) ([]string, time.Duration) {
-	var near, far []string
-	own := false
-	for _, f := range *g.fronts.Load() {
-		if f.Address == g.settings.Address {
-			own = true
-			if !g.Ready() {
-				continue
-			}
-		}
-		if f.Zone == zone {
-			near = append(near, f.Address)
-		} else {
-			far = append(far, f.Address)
-		}
-	}
-	if !own && g.Ready() {
-		far = append(far, g.settings.Address)
-	}
-	all := slices.Concat(near, far)
-	if len(all) == 0 && !g.draining.Load() && g.table.Load() != nil {
-		all = []string{g.settings.Address} // calls that keep no turn are still served
-	}
-	return slices.Clip(all[:min(len(all), g.settings.MostAddresses)]), g.settings.AddressTTL
-}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -33,6 +33,9 @@
 	// StoreWasAway says that the platform's store has just returned, so that
 	// live backend servers may be missing for a moment.
 	StoreWasAway bool
+	// Peers replaces what is known of the calls that run for other fronts, by
+	// backend server.
+	Peers map[string]int
 }
 
 type attempt struct {
@@ -72,12 +75,15 @@
 	// connected reports whether an idle connection is open.
 	connected func(address string) bool
 	size      atomic.Int64
+	slotSum   atomic.Int64
+	keeper    Keeper
+	changed   bool // calls began or ended since the keeper was told
 }
 
-func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool) *Scheduler {
+func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool, keeper Keeper) *Scheduler {
 	s := &Scheduler{
 		log: log, items: ring.New[schedulerItem](schedulerSlots), attempts: attempts, fleet: fleet.New(zone),
-		drop: pool.Drop, connected: pool.HasIdle,
+		drop: pool.Drop, connected: pool.HasIdle, keeper: keeper,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	group.Go("scheduler", s.run)
@@ -86,6 +92,12 @@
 	return s
 }
 
+// LearnPeers tells which calls run for other fronts, by backend server. When
+// the duty is busy, the next report replaces this one.
+func (s *Scheduler) LearnPeers(running map[string]int) {
+	_ = s.items.TryPush(schedulerItem{news: &FleetNews{Peers: running}}) // a report that is left out is followed by another
+}
+
 // Learn tells the scheduler about backend servers.
 func (s *Scheduler) Learn(ctx context.Context, news FleetNews) error {
 	return s.items.Push(ctx, schedulerItem{news: &news})
@@ -98,13 +110,17 @@
 		for item, ok := s.items.TryPop(); ok; item, ok = s.items.TryPop() {
 			s.handle(item, time.Now())
 		}
+		if s.changed {
+			s.changed = false
+			s.keeper.SetLoads(s.fleet.Running())
+		}
 		select {
 		case <-s.items.Ready():
 		case now := <-ticker.C:
 			for _, id := range s.fleet.Expire(now) {
 				s.log.Info("gateway: backend server did not return", "backend", id)
 			}
-			s.size.Store(int64(s.fleet.Total()))
+			s.measure()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -119,10 +135,19 @@
 		s.ended(*item.end, now)
 	case item.news != nil:
 		s.learn(*item.news, now)
-		s.size.Store(int64(s.fleet.Total()))
+		s.measure()
 	}
 }
 
+// measure tells other goroutines the size of the fleet.
+func (s *Scheduler) measure() {
+	s.size.Store(int64(s.fleet.Total()))
+	s.slotSum.Store(int64(s.fleet.Slots()))
+}
+
+// slots is the number of calls that the backend servers can run at once.
+func (s *Scheduler) slots() int { return int(s.slotSum.Load()) }
+
 func (s *Scheduler) learn(news FleetNews, now time.Time) {
 	switch {
 	case news.Put != nil:
@@ -139,6 +164,8 @@
 				s.drop(b.Address)
 			}
 		}
+	case news.Peers != nil:
+		s.fleet.SetPeers(news.Peers)
 	case news.Present != nil:
 		s.fleet.Keep(news.Present, now, news.StoreWasAway)
 	}
@@ -166,6 +193,7 @@
 		return
 	}
 	s.fleet.Started(backend.ID)
+	s.changed = true
 	j.tries++
 	s.log.Info("gateway: call offered", "request", j.request.ID, "route", j.route.Name, "backend", backend.ID,
 		"running", running, "slots", backend.Slots, "try", j.tries, "waited_ms", now.Sub(j.request.Arrived).Milliseconds(),
@@ -192,6 +220,7 @@
 // ended counts the end of an attempt and decides what follows.
 func (s *Scheduler) ended(end attemptEnd, now time.Time) {
 	s.fleet.Ended(end.report, now)
+	s.changed = true
 	j := end.job
 	if end.done {
 		return
--- a/membership/member.go
+++ b/membership/member.go
@@ -45,6 +45,8 @@
 	Draining    bool   `json:"draining,omitempty"`
 	// Disk names the disk of a turn store; empty for other processes.
 	Disk string `json:"disk,omitempty"`
+	// Cores is the part of a core that a front may use; 0 if unknown.
+	Cores float64 `json:"cores,omitempty"`
 	// Version is the store revision of the record.
 	Version kvstore.Version `json:"-"`
 }
--- a/role/follow.go
+++ b/role/follow.go
@@ -28,9 +28,15 @@
 // and other stores too.
 const storeWatchWait = 6 * time.Second
 
-// gatherNews is how long further news are awaited; registrations change
-// several at a time, and two seconds are allowed for each.
-const gatherNews = 400 * time.Millisecond
+const (
+	// frontGather is how long a front lets further news gather after some came,
+	// because each watch is a call and there are many fronts. It is half of the
+	// shortest time within which a front must act on news (2 s).
+	frontGather = time.Second
+	// storeGather is that of a store, which joins the copy set in turn with the
+	// others.
+	storeGather = 200 * time.Millisecond
+)
 
 // topic is what a process wants to know of keys with one prefix.
 type topic struct {
@@ -55,11 +61,10 @@
 
 // follow is a duty that follows everything in the platform's store with one
 // watch, because each waiting watch is a call.
-func (p *process) follow(topics []topic, wait time.Duration, onLost func(ctx context.Context)) {
+func (p *process) follow(topics []topic, pace membership.Pace, onLost func(ctx context.Context)) {
 	f := &follower{log: p.log, topics: topics, onLost: onLost}
 	p.group.Go("follow", func(ctx context.Context) error {
-		return membership.FollowEvery(ctx, p.store, clockwork.NewRealClock(), "",
-			membership.Pace{Wait: wait, Gather: gatherNews}, f)
+		return membership.FollowEvery(ctx, p.store, clockwork.NewRealClock(), "", pace, f)
 	})
 }
 
--- a/role/front.go
+++ b/role/front.go
@@ -23,9 +23,10 @@
 	// addressTTL is how long clients may keep the list of fronts: short, so
 	// that a lost front is left soon.
 	addressTTL = time.Second
-	// shortestDrain is how long a stopping front goes on, so that clients
-	// have asked for addresses again (some keep them three times as long).
-	shortestDrain = 3*addressTTL + 300*time.Millisecond
+	// shortestDrain is how long a stopping front goes on: until all fronts know
+	// and clients have asked for addresses again (some keep them three times as
+	// long).
+	shortestDrain = frontGather + 3*addressTTL + 300*time.Millisecond
 	// drainReserve is kept of the time before the platform kills the process.
 	drainReserve = 700 * time.Millisecond
 	// drainPoll is how often a stopping front looks whether it is done.
@@ -41,6 +42,7 @@
 		Address: p.host.FrontAddress, Zone: p.host.AvailabilityZone, Callers: callerCount,
 		AddressTTL: min(addressTTL, p.host.LongestAddressTTL), MostAddresses: platform.MostAddresses,
 	}, platform.DecodeRequest, platform.Codec{}, keeper)
+	keeper.ExchangeLoads(p.host.Name, g.LearnPeers)
 	p.follow([]topic{
 		configTopic(p.log, func(value []byte) error {
 			table, err := platform.DecodeConfig(value)
@@ -52,8 +54,8 @@
 		backendsTopic(g),
 		copiesTopic(p.log, func(ctx context.Context, set copyset.Set) { _ = keeper.SetCopies(ctx, set) }),
 		membersTopic(p.log, func(_ context.Context, members map[string]membership.Member) { g.SetFronts(frontsOf(members)) }),
-	}, watchWait, nil)
-	p.member.HTTP = p.host.FrontAddress
+	}, membership.Pace{Wait: watchWait, Gather: frontGather}, nil)
+	p.member.HTTP, p.member.Cores = p.host.FrontAddress, p.host.Cores
 	if err := p.listenFront(ctx, g); err != nil {
 		return err
 	}
@@ -109,7 +111,7 @@
 	var fronts []gateway.Front
 	for _, m := range members {
 		if m.HTTP != "" && !m.Draining {
-			fronts = append(fronts, gateway.Front{Address: m.HTTP, Zone: m.Zone})
+			fronts = append(fronts, gateway.Front{Address: m.HTTP, Zone: m.Zone, Cores: m.Cores})
 		}
 	}
 	return fronts
--- a/role/store.go
+++ b/role/store.go
@@ -52,7 +52,7 @@
 			news(ctx, turnstore.News{Copies: &copyset.Set{}})
 		}
 	}
-	p.follow([]topic{copies, presentTopic(p, news), retireTopic(p, news)}, storeWatchWait, func(ctx context.Context) {
+	p.follow([]topic{copies, presentTopic(p, news), retireTopic(p, news)}, membership.Pace{Wait: storeWatchWait, Gather: storeGather}, func(ctx context.Context) {
 		news(ctx, turnstore.News{StoreLost: true})
 	})
 	p.member.GRPC, p.member.Disk = address, server.Disk()
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -194,6 +194,36 @@
 		}, "3s", "10ms").Should(BeTrue())
 	})
 
+	// Guards against fronts that choose backend servers by their own calls only.
+	It("tell each front how many calls the others run at each backend server", func() {
+		c := newCluster("a", "b", "c")
+		one, two := c.keeper(), c.keeper()
+		heard := make(chan map[string]int, 64)
+		one.ExchangeLoads("one", func(map[string]int) {})
+		two.ExchangeLoads("two", func(running map[string]int) { heard <- running })
+		one.SetLoads(map[string]int{"b1": 3, "b2": 1})
+		two.SetLoads(map[string]int{"b1": 7})
+		Eventually(func() map[string]int {
+			do(one, Operation{Records: []*turnpb.Record{reserve("x", 1)}, Budget: 10})
+			do(two, Operation{Records: []*turnpb.Record{reserve("y", 1)}, Budget: 10})
+			return <-heard
+		}, "2s", "30ms").Should(Equal(map[string]int{"b1": 3, "b2": 1}))
+	})
+
+	// Guards against operations that wait for members that never answer while
+	// others, which were left out at first, would.
+	It("are all asked when those that an operation was sent to do not suffice", func() {
+		c := newCluster("a", "b", "c", "d", "e", "f", "g")
+		k := c.keeper()
+		for _, host := range []string{"b", "c", "d"} {
+			c.stop(c.stores[host])
+		}
+		for i := range 5 {
+			op := Operation{Records: []*turnpb.Record{reserve(fmt.Sprintf("x%d", i), 1)}, Budget: 100}
+			Expect(do(k, op).Verdict).To(Equal(Stored))
+		}
+	})
+
 	It("hand over everything before a disk is taken away", func() {
 		c := newCluster("a", "b", "c", "d")
 		Expect(do(c.keeper(), Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour)}}).Verdict).To(Equal(Stored))
--- a/turnstore/keeper.go
+++ b/turnstore/keeper.go
@@ -37,6 +37,8 @@
 	commands  *ring.Ring[command]
 	senders   [memberSlots]*sender
 	serving   atomic.Bool
+	exchange  atomic.Pointer[loadExchange]
+	loads     atomic.Pointer[[]*turnpb.Load]
 
 	// The fields below belong to the duty.
 	set     *copyset.Set // replaced as a whole, as senders share it
@@ -44,6 +46,9 @@
 	slotOf  map[string]int // disk to sender
 	pending map[uint64]*pending
 	nextID  uint64
+	late    []lateOperation // oldest first
+	alarm   *time.Timer     // rings when the oldest is due
+	askedAt time.Time       // when the other fronts' calls were last asked for
 }
 
 type command struct {
@@ -63,7 +68,8 @@
 	start
 	tally *tally
 	left  int
-	wide  bool // all members were asked for the chain
+	rest  []copyset.Member // not asked yet
+	wide  bool             // all members were asked for the chain
 	asked map[int]bool
 	done  bool
 }
@@ -87,9 +93,11 @@
 	k := &Keeper{
 		log: log, zone: zone, tolerated: tolerated, commands: ring.New[command](4 * operationSlots),
 		set: &copyset.Set{}, slotOf: map[string]int{}, pending: map[uint64]*pending{},
+		alarm: time.NewTimer(time.Hour),
 	}
+	k.alarm.Stop()
 	for i := range k.senders {
-		k.senders[i] = newSender(i, log, connect, k.commands)
+		k.senders[i] = newSender(i, log, connect, k)
 		group.Go("turn-sender", k.senders[i].run)
 	}
 	group.Go("turn-keeper", k.run)
@@ -127,24 +135,34 @@
 }
 
 func (k *Keeper) run(ctx context.Context) error {
+	defer k.alarm.Stop()
 	for {
-		c, err := k.commands.Pop(ctx)
-		if err != nil {
-			return err
+		for c, ok := k.commands.TryPop(); ok; c, ok = k.commands.TryPop() {
+			k.handle(c)
 		}
-		switch {
-		case c.start != nil:
-			k.begin(*c.start)
-		case c.answer != nil:
-			k.count(*c.answer)
-		case c.copies != nil:
-			k.adopt(*c.copies)
-		case c.reached:
-			k.judge()
+		select {
+		case <-k.commands.Ready():
+		case now := <-k.alarm.C:
+			k.askRest(now)
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
 }
 
+func (k *Keeper) handle(c command) {
+	switch {
+	case c.start != nil:
+		k.begin(*c.start)
+	case c.answer != nil:
+		k.count(*c.answer)
+	case c.copies != nil:
+		k.adopt(*c.copies)
+	case c.reached:
+		k.judge()
+	}
+}
+
 // adopt takes a newer copy set and gives each member a sender.
 func (k *Keeper) adopt(set copyset.Set) {
 	if k.known && set.Version <= k.set.Version {
@@ -210,23 +228,30 @@
 	k.nextID++
 	p := &pending{start: s, tally: newTally(s.op, *k.set), asked: map[int]bool{}}
 	k.pending[k.nextID] = p
-	reader := k.reader(s.op.Chain)
-	for _, m := range k.set.Members {
-		chain := ""
-		if m.Disk == reader {
-			chain = s.op.Chain
+	near := k.near()
+	now := time.Now()
+	ask := now.Sub(k.askedAt) >= askLoadsEvery
+	if ask {
+		k.askedAt = now
+	}
+	first, rest := k.audience(s.op, near)
+	for _, m := range first {
+		part := message{records: s.op.Records}
+		if m.Disk == near {
+			part.chain, part.wantLoads = s.op.Chain, ask
 		}
-		k.send(k.nextID, p, m, s.op.Records, chain)
+		k.send(k.nextID, p, m, part)
 	}
+	p.rest = rest
 	k.decide(k.nextID, p)
+	if len(p.rest) > 0 {
+		k.remind(k.nextID, now)
+	}
 }
 
-// reader returns the disk that is asked for a conversation first: one in this
-// availability zone, because its answer is long.
-func (k *Keeper) reader(chain string) string {
-	if chain == "" {
-		return ""
-	}
+// near returns the disk that is asked for what makes an answer long: one in
+// this availability zone.
+func (k *Keeper) near() string {
 	first := ""
 	for _, m := range k.set.Members {
 		if !m.Ready || k.senders[k.slotOf[m.Disk]].failing.Load() {
@@ -242,16 +267,16 @@
 	return first
 }
 
-func (k *Keeper) send(id uint64, p *pending, m copyset.Member, records []*turnpb.Record, chain string) {
+func (k *Keeper) send(id uint64, p *pending, m copyset.Member, part message) {
 	slot, ok := k.slotOf[m.Disk]
 	if !ok {
 		return
 	}
-	message := message{id: id, set: k.set, disk: m.Disk, records: records, chain: chain}
-	if k.senders[slot].queue.TryPush(message) != nil {
+	part.id, part.set, part.disk = id, k.set, m.Disk
+	if k.senders[slot].queue.TryPush(part) != nil {
 		return // this member does not keep up; the others decide
 	}
-	if chain != "" {
+	if part.chain != "" {
 		p.asked[slot] = true
 	}
 	p.left++
@@ -287,15 +312,18 @@
 }
 
 func (k *Keeper) decide(id uint64, p *pending) {
-	result := p.tally.result(p.left)
+	result := p.tally.result(p.left + len(p.rest))
+	if result.Verdict == Undecided && p.left == 0 {
+		k.widen(id, p)
+	}
 	if !p.done && result.Verdict != Stored && p.op.Chain != "" && !p.wide && k.wantsMore(p) {
 		p.wide = true
 		for _, m := range p.tally.set.Members {
 			if slot, ok := k.slotOf[m.Disk]; ok && m.Ready && !p.asked[slot] {
-				k.send(id, p, m, nil, p.op.Chain)
+				k.send(id, p, m, message{chain: p.op.Chain})
 			}
 		}
-		result = p.tally.result(p.left)
+		result = p.tally.result(p.left + len(p.rest))
 	}
 	if !p.done && result.Verdict != Undecided {
 		p.done = true
