Test the list of fronts and the home of a conversation

The second choice costs nearly as much as any other: at half of it, a conversation left its home while most slots were free (found by the new spec).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -164,7 +164,7 @@
 		switch {
 		case home == nil || s == home:
 		case s == second:
-			cost += awayCost / 2
+			cost += secondCost
 		default:
 			cost += awayCost
 		}
@@ -183,7 +183,10 @@
 	// handled the same object before must be busier than others until a call
 	// goes elsewhere. Reading a prompt of some thousand tokens again takes as
 	// long as a whole turn, and a batch that is full slows a turn by a quarter.
-	awayCost = 0.8
+	awayCost = 0.7
+	// secondCost is that of the second choice, where calls of the same object
+	// meet when their first choice is busy.
+	secondCost = 0.6
 	// otherZoneCost is the part of the slots by which a backend server in
 	// another availability zone must be less busy.
 	otherZoneCost = 0.03
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -77,6 +77,32 @@
 		Expect(other.ID).NotTo(Equal(first.ID))
 	})
 
+	// On ortak-fiyat-grown, with 60 model servers, a conversation moved for half a
+	// running call and its prompt was read again.
+	It("keeps a conversation at one backend server of many, from each front, until it is much busier", func() {
+		near, far := filled(60), fleet.New("b")
+		for i := range 60 {
+			far.Put(backend(fmt.Sprintf("b%d", i)))
+		}
+		for n := range 20 {
+			ask := fleet.Ask{Service: "s", Affinity: fmt.Sprintf("talk-%d", n)}
+			home, _, _ := near.Choose(ask, now)
+			same, _, _ := far.Choose(ask, now)
+			Expect(same.ID).To(Equal(home.ID))
+			near.SetPeers(map[string]int{home.ID: 2})
+			again, _, _ := near.Choose(ask, now)
+			Expect(again.ID).To(Equal(home.ID))
+			near.SetPeers(map[string]int{home.ID: 4})
+			far.SetPeers(map[string]int{home.ID: 4})
+			second, _, _ := near.Choose(ask, now)
+			Expect(second.ID).NotTo(Equal(home.ID))
+			same, _, _ = far.Choose(ask, now)
+			Expect(same.ID).To(Equal(second.ID), "the second choice is the same on all fronts too")
+			near.SetPeers(nil)
+			far.SetPeers(nil)
+		}
+	})
+
 	It("prefers an open connection among equally busy backend servers, and no others", func() {
 		f := filled(5)
 		connected := fleet.Ask{Service: "s", Connected: func(address string) bool { return address == "b3" }}
--- /dev/null
+++ b/gateway/directory_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("The list of fronts", func() {
+	fronts := func(large, small int) []Front {
+		var all []Front
+		for i := range small {
+			all = append(all, Front{Address: fmt.Sprintf("small-%02d", i), Cores: 0.2})
+		}
+		for i := range large {
+			all = append(all, Front{Address: fmt.Sprintf("large-%02d", i), Cores: 0.8})
+		}
+		return all
+	}
+	count := func(all []Front, slots int) (large, small int) {
+		for _, f := range listed(all, slots) {
+			if f.Cores > 0.5 {
+				large++
+			} else {
+				small++
+			}
+		}
+		return large, small
+	}
+
+	// On ortak-fiyat-grown 58 fronts opened 18,764 connections and each saw a
+	// sixtieth of the calls.
+	It("has the large hosts where they suffice", func() {
+		large, small := count(fronts(10, 48), 1400)
+		Expect([]int{large, small}).To(Equal([]int{10, 0}))
+	})
+
+	It("has all where hosts are alike", func() {
+		_, small := count(fronts(0, 7), 100)
+		Expect(small).To(Equal(7))
+	})
+
+	// Guards against large hosts that carry what only all together can, and
+	// against a list so short that the loss of one host takes much with it.
+	It("has small hosts too where the large ones are too few or too weak", func() {
+		large, small := count(fronts(3, 48), 100)
+		Expect([]int{large, small}).To(Equal([]int{3, 3}))
+		large, small = count(fronts(10, 48), 4000)
+		Expect(large).To(Equal(10))
+		Expect(small).To(BeNumerically(">=", 35))
+	})
+})
