--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,7 +34,6 @@
 type state struct {
 	Backend
 	running   int
-	peers     int // running for other fronts
 	suspect   time.Time
 	fullUntil time.Time
 	latency   latency
@@ -175,7 +174,7 @@
 	if best == nil {
 		return Backend{}, 0, false
 	}
-	return best.Backend, best.running + best.peers, true
+	return best.Backend, best.running, true
 }
 
 const (
@@ -204,7 +203,7 @@
 // cost estimates the expected delay at a backend server in units of the time
 // that a full batch takes.
 func (f *Fleet) cost(s *state, ask Ask, now time.Time) float64 {
-	load := float64(s.running+s.peers) / float64(s.Slots)
+	load := float64(s.running) / float64(s.Slots)
 	cost := load * s.latency.factor(now)
 	if load >= 1 {
 		cost += load // beyond its slots a call waits
@@ -297,24 +296,6 @@
 	}
 }
 
-// SetPeers replaces the numbers of calls that run for other fronts.
-func (f *Fleet) SetPeers(running map[string]int) {
-	for id, s := range f.byID {
-		s.peers = running[id]
-	}
-}
-
-// Running returns the calls of this front by backend server.
-func (f *Fleet) Running() map[string]int {
-	running := map[string]int{}
-	for id, s := range f.byID {
-		if s.running > 0 {
-			running[id] = s.running
-		}
-	}
-	return running
-}
-
 // Get returns a registration.
 func (f *Fleet) Get(id string) (Backend, bool) {
 	s := f.byID[id]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,7 +56,7 @@
 	g.fronts.Store(&[]Front{})
 	g.pool = upstream.NewPool(group, codec)
 	attempts := ring.New[attempt](settings.Callers)
-	g.scheduler = newScheduler(group, log, settings.Zone, attempts, g.pool, keeper)
+	g.scheduler = newScheduler(group, log, settings.Zone, attempts, g.pool)
 	for range settings.Callers {
 		c := &caller{attempts: attempts, ends: g.scheduler.items, pool: g.pool, codec: codec}
 		group.Go("caller", c.run)
@@ -73,9 +73,6 @@
 	return g.scheduler.Learn(ctx, news)
 }
 
-// LearnPeers tells which calls run for other fronts, by backend server.
-func (g *Gateway) LearnPeers(running map[string]int) { g.scheduler.LearnPeers(running) }
-
 // SetTable brings a configuration into force. Older ones are ignored, so that
 // nothing goes back while the process runs.
 func (g *Gateway) SetTable(table *route.Table) {
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -33,9 +33,6 @@
 	// StoreWasAway says that the platform's store has just returned, so that
 	// live backend servers may be missing for a moment.
 	StoreWasAway bool
-	// Peers replaces what is known of the calls that run for other fronts, by
-	// backend server.
-	Peers map[string]int
 }
 
 type attempt struct {
@@ -76,14 +73,12 @@
 	connected func(address string) bool
 	size      atomic.Int64
 	slotSum   atomic.Int64
-	keeper    Keeper
-	changed   bool // calls began or ended since the keeper was told
 }
 
-func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool, keeper Keeper) *Scheduler {
+func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool) *Scheduler {
 	s := &Scheduler{
 		log: log, items: ring.New[schedulerItem](schedulerSlots), attempts: attempts, fleet: fleet.New(zone),
-		drop: pool.Drop, connected: pool.HasIdle, keeper: keeper,
+		drop: pool.Drop, connected: pool.HasIdle,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	group.Go("scheduler", s.run)
@@ -92,12 +87,6 @@
 	return s
 }
 
-// LearnPeers tells which calls run for other fronts, by backend server. When
-// the duty is busy, the next report replaces this one.
-func (s *Scheduler) LearnPeers(running map[string]int) {
-	_ = s.items.TryPush(schedulerItem{news: &FleetNews{Peers: running}}) // a report that is left out is followed by another
-}
-
 // Learn tells the scheduler about backend servers.
 func (s *Scheduler) Learn(ctx context.Context, news FleetNews) error {
 	return s.items.Push(ctx, schedulerItem{news: &news})
@@ -110,10 +99,6 @@
 		for item, ok := s.items.TryPop(); ok; item, ok = s.items.TryPop() {
 			s.handle(item, time.Now())
 		}
-		if s.changed {
-			s.changed = false
-			s.keeper.SetLoads(s.fleet.Running())
-		}
 		select {
 		case <-s.items.Ready():
 		case now := <-ticker.C:
@@ -164,8 +149,6 @@
 				s.drop(b.Address)
 			}
 		}
-	case news.Peers != nil:
-		s.fleet.SetPeers(news.Peers)
 	case news.Present != nil:
 		s.fleet.Keep(news.Present, now, news.StoreWasAway)
 	}
@@ -193,7 +176,6 @@
 		return
 	}
 	s.fleet.Started(backend.ID)
-	s.changed = true
 	j.tries++
 	s.log.Info("gateway: call offered", "request", j.request.ID, "route", j.route.Name, "backend", backend.ID,
 		"running", running, "slots", backend.Slots, "try", j.tries, "waited_ms", now.Sub(j.request.Arrived).Milliseconds(),
@@ -220,7 +202,6 @@
 // ended counts the end of an attempt and decides what follows.
 func (s *Scheduler) ended(end attemptEnd, now time.Time) {
 	s.fleet.Ended(end.report, now)
-	s.changed = true
 	j := end.job
 	if end.done {
 		return
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -30,8 +30,6 @@
 
 // Keeper stores turns and budgets.
 type Keeper interface {
-	// SetLoads tells other fronts which calls run for this one.
-	SetLoads(running map[string]int)
 	Serving() bool
 	Do(ctx context.Context, op turnstore.Operation) turnstore.Result
 	Send(records ...*turnpb.Record) bool
--- a/role/front.go
+++ b/role/front.go
@@ -42,7 +42,6 @@
 		Address: p.host.FrontAddress, Zone: p.host.AvailabilityZone, Callers: callerCount,
 		AddressTTL: min(addressTTL, p.host.LongestAddressTTL), MostAddresses: platform.MostAddresses,
 	}, platform.DecodeRequest, platform.Codec{}, keeper)
-	keeper.ExchangeLoads(p.host.Name, g.LearnPeers)
 	p.follow([]topic{
 		configTopic(p.log, func(value []byte) error {
 			table, err := platform.DecodeConfig(value)
--- a/turnstore/keeper.go
+++ b/turnstore/keeper.go
@@ -37,8 +37,6 @@
 	commands  *ring.Ring[command]
 	senders   [memberSlots]*sender
 	serving   atomic.Bool
-	exchange  atomic.Pointer[loadExchange]
-	loads     atomic.Pointer[[]*turnpb.Load]
 
 	// The fields below belong to the duty.
 	set     *copyset.Set // replaced as a whole, as senders share it
@@ -48,7 +46,6 @@
 	nextID  uint64
 	late    []lateOperation // oldest first
 	alarm   *time.Timer     // rings when the oldest is due
-	askedAt time.Time       // when the other fronts' calls were last asked for
 }
 
 type command struct {
@@ -97,7 +94,7 @@
 	}
 	k.alarm.Stop()
 	for i := range k.senders {
-		k.senders[i] = newSender(i, log, connect, k)
+		k.senders[i] = newSender(i, log, connect, k.commands)
 		group.Go("turn-sender", k.senders[i].run)
 	}
 	group.Go("turn-keeper", k.run)
@@ -230,15 +227,11 @@
 	k.pending[k.nextID] = p
 	near := k.near()
 	now := time.Now()
-	ask := now.Sub(k.askedAt) >= askLoadsEvery
-	if ask {
-		k.askedAt = now
-	}
 	first, rest := k.audience(s.op, near)
 	for _, m := range first {
 		part := message{records: s.op.Records}
 		if m.Disk == near {
-			part.chain, part.wantLoads = s.op.Chain, ask
+			part.chain = s.op.Chain
 		}
 		k.send(k.nextID, p, m, part)
 	}
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -21,8 +21,6 @@
 	disk    string
 	records []*turnpb.Record
 	chain   string
-	// wantLoads asks for the calls of the other fronts.
-	wantLoads bool
 }
 
 // sender is the duty that talks to one member.
@@ -31,7 +29,7 @@
 	log     *slog.Logger
 	connect func(address string) (grpc.ClientConnInterface, func(), error)
 	queue   *ring.Ring[message]
-	keeper  *Keeper // whose ring takes the answers
+	answers *ring.Ring[command]
 	address atomic.Pointer[string]
 	failing atomic.Bool
 
@@ -42,8 +40,8 @@
 	told      uint64 // the copy set version that the member was told on this connection
 }
 
-func newSender(slot int, log *slog.Logger, connect func(string) (grpc.ClientConnInterface, func(), error), keeper *Keeper) *sender {
-	s := &sender{slot: slot, log: log, connect: connect, queue: ring.New[message](operationSlots), keeper: keeper}
+func newSender(slot int, log *slog.Logger, connect func(string) (grpc.ClientConnInterface, func(), error), answers *ring.Ring[command]) *sender {
+	s := &sender{slot: slot, log: log, connect: connect, queue: ring.New[message](operationSlots), answers: answers}
 	s.assign("")
 	return s
 }
@@ -109,21 +107,15 @@
 	if s.told != set.Version {
 		request.Set = encodeVersioned(*set)
 	}
-	wantLoads := false
 	for _, m := range batch {
 		request.Records = append(request.Records, m.records...)
 		if m.chain != "" {
 			request.Chains = append(request.Chains, m.chain)
 		}
-		wantLoads = wantLoads || m.wantLoads
 	}
-	s.keeper.addLoads(request, wantLoads)
 	reply, err := s.call(ctx, request)
 	if err == nil {
 		s.told = set.Version
-		if request.WantLoads {
-			s.keeper.hearLoads(reply)
-		}
 	}
 	if err := s.note(ctx, err); err != nil {
 		return err
@@ -144,7 +136,7 @@
 				chains++
 			}
 		}
-		if err := s.keeper.commands.Push(ctx, command{answer: a}); err != nil {
+		if err := s.answers.Push(ctx, command{answer: a}); err != nil {
 			return err
 		}
 	}
@@ -192,7 +184,7 @@
 	} else {
 		s.log.Info("turnstore: store regained", "address", *s.address.Load())
 	}
-	return s.keeper.commands.Push(ctx, command{reached: true})
+	return s.answers.Push(ctx, command{reached: true})
 }
 
 // versioned carries a copy set with its version between processes.
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -49,7 +49,6 @@
 	// unwritten is in the state, but the write that should have made it
 	// durable failed; nothing counts as stored until it is written.
 	unwritten [][]byte
-	board     *loadBoard
 	maxBytes  int64
 	timer     duty.Timer
 
@@ -76,7 +75,7 @@
 // NewServer opens the log in a folder and starts the writer duty.
 func NewServer(group *duty.Group, log *slog.Logger, folder string, memoryBytes int64) (*Server, error) {
 	s := &Server{
-		log: log, requests: ring.New[request](requestSlots), state: newState(), board: newLoadBoard(),
+		log: log, requests: ring.New[request](requestSlots), state: newState(),
 		maxBytes: int64(memoryShare * float64(memoryBytes)), timer: group.Timer("store-writer"),
 	}
 	replayed := 0
@@ -253,10 +252,6 @@
 func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte) (*turnpb.ExchangeReply, [][]byte) {
 	s.hear(in.Set)
 	out := &turnpb.ExchangeReply{}
-	s.board.report(in.Front, in.Loads, time.Now())
-	if in.WantLoads {
-		out.Loads = s.board.others(in.Front)
-	}
 	out.Status, out.Set, payloads = s.admit(in.CopySet, payloads)
 	if out.Status != turnpb.Status_STATUS_OK {
 		return out, payloads
