Let full model servers finish programs before others begin; gather news by the bounds

Change: a program whose budget is untouched begins only while the running calls leave room (slots, or memory where that is less); else it is refused with a time to come back, less urgent routes first. Turns under way get the higher rank. Fronts gather news for half of the time within which they must act.

Also: all messages of an operation carry one version of the copy set. The new spec fails on the code before.

--- a/call/call.go
+++ b/call/call.go
@@ -53,6 +53,16 @@
 // programs have in common.
 const sharedParts = 1
 
+// OwnTokens is the memory that the call takes beside what it shares with many
+// others: its prompt without the shared part, and its output.
+func (r *Request) OwnTokens() int {
+	tokens := r.MaxOutput
+	for _, part := range r.Prompt[min(sharedParts, len(r.Prompt)):] {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // Locality names what makes a backend server faster for this request, because
 // it has handled it before: the conversation that the prompt belongs to (a
 // sub-agent's prompt begins with that of its parent), else the session, else
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -125,6 +125,21 @@
 // Total returns the number of backend servers.
 func (f *Fleet) Total() int { return len(f.byID) }
 
+// Use returns the calls that run at a service's backend servers and the number
+// that they have room for: their slots, or what fits into memory if that is
+// fewer (0 if that is unknown).
+func (f *Fleet) Use(service string, perServer float64) (running int, room float64) {
+	for _, s := range f.byService[service] {
+		running += s.running
+		if perServer > 0 {
+			room += min(float64(s.Slots), perServer)
+		} else {
+			room += float64(s.Slots)
+		}
+	}
+	return running, room
+}
+
 // Slots returns the number of calls that all backend servers can run at once.
 func (f *Fleet) Slots() int {
 	sum := 0
--- /dev/null
+++ b/gateway/admission_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/fleet"
+	"dogwoodline.example/route"
+)
+
+var _ = Describe("The admission of programs", func() {
+	service := route.Service{Name: "llm", Engine: &route.Engine{Slots: 8, MemoryTokens: 80_000}}
+	now := time.Unix(1_000_000, 0)
+	filled := func(running int) *fleet.Fleet {
+		f := fleet.New("a")
+		for i := range 4 {
+			f.Put(fleet.Backend{ID: fmt.Sprintf("b%d", i), Service: "llm", Slots: 8})
+		}
+		for range running {
+			b, _, _ := f.Choose(fleet.Ask{Service: "llm"}, now)
+			f.Started(b.ID)
+		}
+		return f
+	}
+
+	It("sees the calls of all fronts by its own share", func() {
+		a := admission{sizes: map[string]float64{}}
+		Expect(a.pressure(filled(8), service, 1)).To(BeNumerically("~", 0.25, 0.001))
+		Expect(a.pressure(filled(8), service, 4)).To(BeNumerically("~", 1, 0.001))
+		Expect(a.pressure(fleet.New("a"), service, 4)).To(BeZero())
+	})
+
+	// Guards against model servers whose slots are free and whose memory is not:
+	// running calls then drive each other out and are read in again.
+	It("counts what fits into memory where that is less than the slots", func() {
+		a := admission{sizes: map[string]float64{}}
+		a.learn("llm", 20_000)
+		Expect(a.pressure(filled(8), service, 1)).To(BeNumerically("~", 0.5, 0.001))
+		for range 200 {
+			a.learn("llm", 5_000)
+		}
+		Expect(a.pressure(filled(8), service, 1)).To(BeNumerically("~", 0.25, 0.01))
+	})
+
+	It("holds back the less urgent first", func() {
+		Expect(admits(0.99, 5)).To(BeTrue())
+		Expect(admits(1.15, 0)).To(BeTrue())
+		Expect(admits(1.15, 1)).To(BeFalse())
+		Expect(admits(1.25, 0)).To(BeFalse())
+	})
+})
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -60,7 +60,10 @@
 	}
 	rank := -1
 	if j.service.Engine != nil {
-		rank = j.route.Priority
+		rank = 2 * j.route.Priority // programs under way go before those that begin
+		if j.fresh {
+			rank++
+		}
 	}
 	request := upstream.Request{
 		ID: j.request.ID, Address: a.backend.Address, Method: j.request.Method, Target: j.request.Target,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,7 +97,10 @@
 }
 
 // SetFronts replaces the list of fronts that clients may use.
-func (g *Gateway) SetFronts(fronts []Front) { g.fronts.Store(&fronts) }
+func (g *Gateway) SetFronts(fronts []Front) {
+	g.fronts.Store(&fronts)
+	g.scheduler.fronts.Store(int64(len(listed(fronts, g.scheduler.slots()))))
+}
 
 // Drain begins a planned stop: the front is no longer ready, and answers end
 // their connections.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -38,6 +38,7 @@
 	service route.Service
 	table   *route.Table
 	turn    *turnRecord
+	fresh   bool // the request begins a program
 	began   bool // the head of the answer is written
 }
 
@@ -118,7 +119,7 @@
 	}
 	deadline, _ := ctx.Deadline()
 	j := &job{
-		ctx: ctx, request: &e.request, route: e.route, service: service, body: body, deadline: deadline,
+		ctx: ctx, request: &e.request, route: e.route, service: service, body: body, deadline: deadline, fresh: e.fresh,
 		parts: ring.New[part](partSlots), resumeAfter: e.request.ResumeAfter,
 	}
 	if err := e.g.scheduler.items.TryPush(schedulerItem{job: j}); err != nil {
@@ -144,6 +145,7 @@
 		"previous", e.request.PreviousTurn, "budget", e.request.TokenBudget, "spent", result.Spent, "reserved", result.Reserved,
 		"most", e.request.MaxOutput, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation),
 		"took_ms", time.Since(start).Milliseconds())
+	e.fresh = e.turn.limited && result.Spent == 0 && result.Reserved == 0
 	switch result.Verdict {
 	case turnstore.Stored:
 	case turnstore.Spent:
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -37,6 +37,7 @@
 	service  route.Service
 	body     []byte
 	deadline time.Time
+	fresh    bool // it begins a program
 	parts    *ring.Ring[part]
 	phase    atomic.Int32
 
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
@@ -20,6 +21,9 @@
 	// retryAfterFull is when a client should come back after all backend
 	// servers refused its call. A slot frees every few tens of ms.
 	retryAfterFull = 100 * time.Millisecond
+	// retryAfterCrowded is when a client should come back with a program that
+	// may not begin yet: about as long as two turns take.
+	retryAfterCrowded = 500 * time.Millisecond
 	// expireEvery is how often entries past their return window are removed.
 	expireEvery = 250 * time.Millisecond
 )
@@ -73,12 +77,14 @@
 	connected func(address string) bool
 	size      atomic.Int64
 	slotSum   atomic.Int64
+	fronts    atomic.Int64 // that clients are sent to
+	admission admission
 }
 
 func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool) *Scheduler {
 	s := &Scheduler{
 		log: log, items: ring.New[schedulerItem](schedulerSlots), attempts: attempts, fleet: fleet.New(zone),
-		drop: pool.Drop, connected: pool.HasIdle,
+		admission: admission{sizes: map[string]float64{}}, drop: pool.Drop, connected: pool.HasIdle,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	group.Go("scheduler", s.run)
@@ -159,6 +165,14 @@
 	if j.ctx.Err() != nil {
 		return // the handler has answered already
 	}
+	if j.service.Engine != nil && j.tries == 0 {
+		s.admission.learn(j.service.Name, j.request.OwnTokens())
+		pressure := s.admission.pressure(s.fleet, j.service, int(s.fronts.Load()))
+		if j.fresh && !admits(pressure, j.route.Priority) {
+			s.refuse(j, fmt.Sprintf("model servers are full (%.2f), programs under way go first", pressure), retryAfterCrowded, now)
+			return
+		}
+	}
 	ask := fleet.Ask{Service: j.service.Name, Exclude: j.exclude, Draw: s.random.Uint64()}
 	if j.service.Engine == nil { // a model server's memory counts for more than a connection
 		ask.Connected = s.connected
@@ -168,11 +182,11 @@
 	}
 	backend, running, ok := s.fleet.Choose(ask, now)
 	if !ok {
-		s.refuse(j, "no backend server is left for this call", now)
+		s.refuse(j, "no backend server is left for this call", retryAfterFull, now)
 		return
 	}
 	if err := s.attempts.TryPush(attempt{job: j, backend: backend, started: now}); err != nil {
-		s.refuse(j, "all callers are busy", now)
+		s.refuse(j, "all callers are busy", retryAfterFull, now)
 		return
 	}
 	s.fleet.Started(backend.ID)
@@ -183,11 +197,11 @@
 }
 
 // refuse ends a job for which no backend server is left.
-func (s *Scheduler) refuse(j *job, reason string, now time.Time) {
+func (s *Scheduler) refuse(j *job, reason string, after time.Duration, now time.Time) {
 	if j.lastReason != "" {
 		reason += ": " + j.lastReason
 	}
-	f := &failure{notRun: j.ran == 0 && !j.headSent && j.refusable(), reason: reason, retryAfter: retryAfterFull}
+	f := &failure{notRun: j.ran == 0 && !j.headSent && j.refusable(), reason: reason, retryAfter: after}
 	s.log.Warn("gateway: call not answered", "request", j.request.ID, "route", j.route.Name, "tries", j.tries, "ran", j.ran,
 		"not_run", f.notRun, "reason", reason, "age_ms", now.Sub(j.request.Arrived).Milliseconds())
 	finish(j, part{failure: f})
@@ -227,5 +241,5 @@
 			return
 		}
 	}
-	s.refuse(j, "gave up", now)
+	s.refuse(j, "gave up", retryAfterFull, now)
 }
--- a/role/follow.go
+++ b/role/follow.go
@@ -29,15 +29,22 @@
 const storeWatchWait = 6 * time.Second
 
 const (
-	// frontGather is how long a front lets further news gather after some came,
-	// because each watch is a call and there are many fronts. It is half of the
-	// shortest time within which a front must act on news (2 s).
-	frontGather = time.Second
+	// mostGather and leastGather bound how long a front lets further news gather
+	// after some came. The first is that of a deployment that does not say
+	// within what time news must be in force.
+	mostGather  = 2 * time.Second
+	leastGather = 200 * time.Millisecond
 	// storeGather is that of a store, which joins the copy set in turn with the
 	// others.
 	storeGather = 200 * time.Millisecond
 )
 
+// frontGather is how long a front lets news gather, because each watch is a
+// call and there are many fronts: half of the time within which it must act.
+func frontGather(host platform.Host) time.Duration {
+	return min(mostGather, max(leastGather, host.NewsWithin/2))
+}
+
 // topic is what a process wants to know of keys with one prefix.
 type topic struct {
 	prefix string
--- a/role/front.go
+++ b/role/front.go
@@ -23,10 +23,8 @@
 	// addressTTL is how long clients may keep the list of fronts: short, so
 	// that a lost front is left soon.
 	addressTTL = time.Second
-	// shortestDrain is how long a stopping front goes on: until all fronts know
-	// and clients have asked for addresses again (some keep them three times as
-	// long).
-	shortestDrain = frontGather + 3*addressTTL + 300*time.Millisecond
+	// drainMargin is the way of the last news and addresses.
+	drainMargin = 300 * time.Millisecond
 	// drainReserve is kept of the time before the platform kills the process.
 	drainReserve = 700 * time.Millisecond
 	// drainPoll is how often a stopping front looks whether it is done.
@@ -53,7 +51,7 @@
 		backendsTopic(g),
 		copiesTopic(p.log, func(ctx context.Context, set copyset.Set) { _ = keeper.SetCopies(ctx, set) }),
 		membersTopic(p.log, func(_ context.Context, members map[string]membership.Member) { g.SetFronts(frontsOf(members)) }),
-	}, membership.Pace{Wait: watchWait, Gather: frontGather}, nil)
+	}, membership.Pace{Wait: watchWait, Gather: frontGather(p.host)}, nil)
 	p.member.HTTP, p.member.Cores = p.host.FrontAddress, p.host.Cores
 	if err := p.listenFront(ctx, g); err != nil {
 		return err
@@ -175,8 +173,11 @@
 	begun := time.Now()
 	g.Drain()
 	p.tell(ctx, membership.SetDraining{})
+	// All fronts must know, and clients must have asked for addresses again;
+	// some keep them three times as long.
+	shortest := frontGather(p.host) + 3*addressTTL + drainMargin
 	longest := p.host.StopWindow - drainReserve
-	for time.Since(begun) < longest && (time.Since(begun) < shortestDrain || g.Running() > 0) {
+	for time.Since(begun) < longest && (time.Since(begun) < shortest || g.Running() > 0) {
 		time.Sleep(drainPoll)
 	}
 	p.log.Info("role: drained", "took_ms", time.Since(begun).Milliseconds(), "running", g.Running())
--- a/turnstore/audience_test.go
+++ b/turnstore/audience_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -64,4 +65,26 @@
 			Expect(rest).To(ContainElement(k.set.Members[0]))
 		}
 	})
+
+	// Guards against a majority that is put together from two versions of the
+	// copy set: a store that joined in between may have pulled from neither part,
+	// and a budget could be spent twice.
+	It("gets one version of the copy set, also when the others are asked later", func() {
+		k := keeperOf(9)
+		k.pending, k.known, k.alarm = map[uint64]*pending{}, true, time.NewTimer(time.Hour)
+		k.serving.Store(true)
+		k.begin(start{op: budget("p"), reply: make(chan Result, 1)})
+		newer := *k.set
+		newer.Version = 2
+		k.set = &newer
+		k.askRest(time.Now().Add(time.Second))
+		asked := 0
+		for i := range 9 {
+			for m, ok := k.senders[i].queue.TryPop(); ok; m, ok = k.senders[i].queue.TryPop() {
+				asked++
+				Expect(m.set.Version).To(Equal(uint64(1)))
+			}
+		}
+		Expect(asked).To(Equal(9))
+	})
 })
--- a/turnstore/keeper.go
+++ b/turnstore/keeper.go
@@ -64,6 +64,10 @@
 type pending struct {
 	start
 	tally *tally
+	// set is the version that all messages of the operation carry. Acceptances
+	// of two versions must not add up to a majority, since a store that joins
+	// in between may have pulled from neither.
+	set   *copyset.Set
 	left  int
 	rest  []copyset.Member // not asked yet
 	wide  bool             // all members were asked for the chain
@@ -223,7 +227,7 @@
 		return
 	}
 	k.nextID++
-	p := &pending{start: s, tally: newTally(s.op, *k.set), asked: map[int]bool{}}
+	p := &pending{start: s, tally: newTally(s.op, *k.set), set: k.set, asked: map[int]bool{}}
 	k.pending[k.nextID] = p
 	near := k.near()
 	now := time.Now()
@@ -265,7 +269,7 @@
 	if !ok {
 		return
 	}
-	part.id, part.set, part.disk = id, k.set, m.Disk
+	part.id, part.set, part.disk = id, p.set, m.Disk
 	if k.senders[slot].queue.TryPush(part) != nil {
 		return // this member does not keep up; the others decide
 	}
