--- a/cmd/dogwoodline/main.go
+++ b/cmd/dogwoodline/main.go
@@ -33,6 +33,7 @@
 	Emulate     emulateCommand     `cmd:"" help:"Run a stand-in for an outside system."`
 	Demo        demoCommand        `cmd:"" help:"Run a small deployment in one process and one program on it."`
 	Load        loadCommand        `cmd:"" help:"Load a deployment and check what it answers."`
+	Soak        soakCommand        `cmd:"" help:"Run fronts and stores as processes under random faults and check the promises."`
 	Apply       applyCommand       `cmd:"" help:"Write the resources in a TOML file."`
 	Get         getCommand         `cmd:"" help:"Show resources. Example: dogwoodline get backend engine-1"`
 	Watch       watchCommand       `cmd:"" help:"Show changes of resources as they happen. Example: dogwoodline watch pool"`
--- /dev/null
+++ b/cmd/dogwoodline/rolesoak.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"dogwoodline.example/settings"
+	"dogwoodline.example/soak/roles"
+)
+
+// soakCommand runs fronts and stores under random faults, one seed after the
+// other.
+type soakCommand struct {
+	Seeds    int           `default:"1" help:"Number of seeds."`
+	From     uint64        `default:"0" help:"First seed; 0 takes one from the time of day."`
+	Duration time.Duration `default:"10s" help:"How long faults are injected for each seed."`
+	Fronts   int           `default:"2" help:"Front processes, 1 to 200."`
+	Stores   int           `default:"4" help:"Store processes, 3 to 64."`
+	Programs int           `default:"6" help:"Programs side by side."`
+	Net      int           `default:"64" help:"Second number of the loopback addresses, 1 to 250. Runs side by side need different ones."`
+	Binary   string        `help:"Binary of the processes. This one when missing."`
+}
+
+// Run reports violations as a failure.
+func (s soakCommand) Run(c *console) error {
+	if s.Fronts < 1 || s.Fronts > 200 || s.Stores < 3 || s.Stores > 64 || s.Net < 1 || s.Net > 250 || s.Seeds < 1 || s.Programs < 1 {
+		return errs.Combine(errUsage, errs.New("a number is out of its range, see --help"))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	binary := s.Binary
+	if binary == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		binary = own
+	}
+	if s.From == 0 {
+		s.From = uint64(time.Now().UnixMilli())
+	}
+	violations := 0
+	for i := range s.Seeds {
+		result, err := roles.Run(ctx, roles.Config{
+			Binary: binary, Fronts: s.Fronts, Stores: s.Stores, Programs: s.Programs, Duration: s.Duration,
+			Seed: s.From + uint64(i), Net: s.Net, Log: newLog(c.errOut, settings.Default().Log),
+		})
+		if err != nil {
+			return err
+		}
+		if err := result.Write(c.out); err != nil {
+			return err
+		}
+		violations += len(result.Violations)
+	}
+	if violations > 0 {
+		c.warn(fmt.Sprintf("dogwoodline: %d violations", violations))
+		return errReported
+	}
+	return nil
+}
