Leave a much slower home, also when few calls run there

Cause: a front counts its own calls only, and slowness weighed those; at a few calls a home that had become four times slower kept all its conversations.

Change: each multiple of the typical time to the first byte beyond 1.5 costs half of the slots.

The new spec fails on the code before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -201,6 +201,12 @@
 	// secondCost is that of the second choice, where calls of the same object
 	// meet when their first choice is busy.
 	secondCost = 0.6
+	// slowCost is what each multiple of the typical time to the first byte costs
+	// beyond slowTolerated, also without any call there: a turn at a server that
+	// is three times as slow takes longer than reading its prompt elsewhere.
+	// Below that, what a call has to read differs by as much.
+	slowCost      = 0.5
+	slowTolerated = 1.5
 	// otherZoneCost is the part of the slots by which a backend server in
 	// another availability zone must be less busy.
 	otherZoneCost = 0.03
@@ -219,7 +225,8 @@
 // that a full batch takes.
 func (f *Fleet) cost(s *state, ask Ask, now time.Time) float64 {
 	load := float64(s.running) / float64(s.Slots)
-	cost := load * s.latency.factor(now)
+	slowness := s.latency.factor(now)
+	cost := load*slowness + slowCost*max(0, slowness-slowTolerated)
 	if load >= 1 {
 		cost += load // beyond its slots a call waits
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -159,6 +159,37 @@
 		Expect(counts["b0"]).To(BeNumerically(">", 0))
 	})
 
+	// Guards against conversations that stay at a backend server which has become
+	// several times slower, because this front runs few calls there.
+	It("sends a conversation elsewhere while its home is much slower than its peers", func() {
+		f := filled(6)
+		sticky := fleet.Ask{Service: "s", Affinity: "talk"}
+		home, _, _ := f.Choose(sticky, now)
+		report := func(first time.Duration) {
+			for i := range 6 {
+				id := fmt.Sprintf("b%d", i)
+				took := 50 * time.Millisecond
+				if id == home.ID {
+					took = first
+				}
+				f.Ended(fleet.Report{ID: id, First: took, Typical: true}, now)
+			}
+		}
+		report(50 * time.Millisecond)
+		for range 12 {
+			report(70 * time.Millisecond) // some prompts are longer than others
+		}
+		same, _, _ := f.Choose(sticky, now)
+		Expect(same.ID).To(Equal(home.ID))
+		for range 12 {
+			report(200 * time.Millisecond)
+		}
+		other, _, _ := f.Choose(sticky, now)
+		Expect(other.ID).NotTo(Equal(home.ID))
+		back, _, _ := f.Choose(sticky, now.Add(20*time.Second))
+		Expect(back.ID).To(Equal(home.ID))
+	})
+
 	It("forgets what it believed of one that started again under its id", func() {
 		f := filled(2)
 		f.Ended(fleet.Report{ID: "b0", Unreachable: true}, now)
