Simplify the list of addresses; correct a comment

The rule for a front that is not in the list is covered by the one for an empty list: a ready front knows the configuration and is not stopping. Behaviour is the same.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -50,24 +50,17 @@
 // availability zone first, and for how long.
 func (g *Gateway) Addresses(zone string) ([]string, time.Duration) {
 	var near, far []string
-	own := false
 	for _, f := range listed(*g.fronts.Load(), g.scheduler.slots()) {
-		if f.Address == g.settings.Address {
-			own = true
-			if !g.Ready() {
-				continue
-			}
-		}
-		if f.Zone == zone {
+		switch {
+		case f.Address == g.settings.Address && !g.Ready():
+		case f.Zone == zone:
 			near = append(near, f.Address)
-		} else {
+		default:
 			far = append(far, f.Address)
 		}
 	}
 	all := slices.Concat(near, far)
-	switch {
-	case len(all) > 0:
-	case !own && g.Ready(), !g.draining.Load() && g.table.Load() != nil:
+	if len(all) == 0 && !g.draining.Load() && g.table.Load() != nil {
 		all = []string{g.settings.Address} // calls that keep no turn are still served
 	}
 	return slices.Clip(all[:min(len(all), g.settings.MostAddresses)]), g.settings.AddressTTL
--- a/role/follow.go
+++ b/role/follow.go
@@ -30,8 +30,8 @@
 
 const (
 	// mostGather and leastGather bound how long a front lets further news gather
-	// after some came. The first is that of a deployment that does not say
-	// within what time news must be in force.
+	// after some came; registrations change several at a time. The second is
+	// that of a deployment that does not say within what time it must act.
 	mostGather  = 2 * time.Second
 	leastGather = 200 * time.Millisecond
 	// storeGather is that of a store, which joins the copy set in turn with the
