--- a/soak/roles/deployment.go
+++ b/soak/roles/deployment.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -96,6 +97,9 @@
 	return d, d.awaitService(ctx, startTimeout)
 }
 
+// hosts returns the fronts and the stores.
+func (d *deployment) hosts() []*host { return slices.Concat(d.fronts, d.stores) }
+
 func (d *deployment) newDisk() string {
 	d.disks++
 	return filepath.Join(d.folder, fmt.Sprintf("disk-%d", d.disks))
@@ -113,7 +117,7 @@
 func (d *deployment) awaitService(ctx context.Context, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	for _, h := range append(append([]*host{}, d.fronts...), d.stores...) {
+	for _, h := range d.hosts() {
 		select {
 		case <-h.exited:
 			if !h.ending {
@@ -145,7 +149,7 @@
 
 // end stops every process that the deployment started.
 func (d *deployment) end() {
-	for _, h := range append(append([]*host{}, d.fronts...), d.stores...) {
+	for _, h := range d.hosts() {
 		h.signal(syscall.SIGKILL)
 		<-h.exited
 		h.platform.Close()
--- a/soak/roles/faults.go
+++ b/soak/roles/faults.go
@@ -160,7 +160,7 @@
 	}},
 	{name: "platform lost", start: func(d *disturber) (func() error, string) {
 		var ways []*relay.Relay
-		for _, h := range append(append([]*host{}, d.deployment.fronts...), d.deployment.stores...) {
+		for _, h := range d.deployment.hosts() {
 			ways = append(ways, h.platform)
 		}
 		return setAll(d.someMode(), ways...), "by all"
@@ -186,7 +186,7 @@
 		}, h.settings.Name
 	}},
 	{name: "all killed", store: true, start: func(d *disturber) (func() error, string) {
-		all := append(append([]*host{}, d.deployment.fronts...), d.deployment.stores...)
+		all := d.deployment.hosts()
 		for _, h := range all {
 			h.signal(syscall.SIGKILL)
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -134,7 +135,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		} else if c.idle > 0 {
-			err = Error.New("%v, on a connection that was idle for %s", err, c.idle.Round(time.Millisecond))
+			err = fmt.Errorf("%w, on a connection that was idle for %s", err, c.idle.Round(time.Millisecond))
 		}
 		return nil, call.Unknown, err
 	}
