Hold a call that ends backend servers; let settled stores gather news

A request that ends each backend server that runs it came again at any front and was sent on each time; no front knew what the others had seen.

Ruled out: crash counts in the platform's store (a call and a wake-up of every watch for each crash); counts in each front alone (58 fronts see three crashes each).

Change: after a connection that broke while a call ran, the caller duty tries to connect; if nobody listens, the crash counts for the call's identity (method, target, program, session, body). Fronts tell the stores, which pass crashes on in their answers, in memory only. After the third crash the call is refused as not run. Stores let news gather for 1.5 s while the copy set is at rest, for 0.2 s while it changes.

Specs fail without the mechanism.

--- a/call/call.go
+++ b/call/call.go
@@ -4,7 +4,10 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Request is one attempt of a client.
@@ -78,6 +81,21 @@
 	}
 }
 
+// Identity names the call whatever attempt it is: attempts of one client have
+// the same method, target, program and body. It is empty for a call that cannot
+// be told from others.
+func (r *Request) Identity() string {
+	if r.Program == "" && len(r.Body) == 0 {
+		return ""
+	}
+	digest := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, r.Target, r.Program, r.Session} {
+		_, _ = digest.WriteString(part + "\x00") // a digest in memory takes everything
+	}
+	_, _ = digest.Write(r.Body)
+	return strconv.FormatUint(digest.Sum64(), 16)
+}
+
 // Verdict says what an answer, or the lack of one, proves about a request.
 type Verdict int
 
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -48,6 +48,12 @@
 		if err := c.ends.Push(ctx, schedulerItem{end: &end}); err != nil {
 			return err
 		}
+		if !end.broken || !end.lost && c.pool.Reachable(ctx, a.backend.Address) {
+			continue
+		}
+		if err := c.ends.Push(ctx, schedulerItem{crashed: a.job}); err != nil {
+			return err
+		}
 	}
 }
 
@@ -73,6 +79,7 @@
 	exchange, verdict, err := c.pool.Do(j.ctx, request, j.claim)
 	if err != nil {
 		end := attemptEnd{verdict: verdict, reason: err.Error(), done: j.ctx.Err() != nil}
+		end.broken = verdict == call.Unknown && !end.done
 		end.report.Unreachable = errors.Is(err, upstream.ErrNotConnected)
 		c.probe(&end, a)
 		return end
@@ -126,7 +133,7 @@
 func (c *caller) whole(j *job, exchange *upstream.Exchange) attemptEnd {
 	body, err := io.ReadAll(io.LimitReader(exchange, mostBody+1))
 	if err != nil || len(body) > mostBody {
-		return attemptEnd{verdict: call.Unknown, reason: "answer broken off", done: j.ctx.Err() != nil}
+		return attemptEnd{verdict: call.Unknown, reason: "answer broken off", done: j.ctx.Err() != nil, broken: j.ctx.Err() == nil}
 	}
 	answer := exchange.Answer
 	if j.headSent { // a resumed stream was answered by something else
@@ -146,7 +153,7 @@
 			return attemptEnd{verdict: call.Answered, done: true}
 		}
 		if err != nil {
-			return attemptEnd{verdict: call.Unknown, reason: "stream broken off", done: j.ctx.Err() != nil}
+			return attemptEnd{verdict: call.Unknown, reason: "stream broken off", done: j.ctx.Err() != nil, broken: j.ctx.Err() == nil}
 		}
 		if !j.headSent {
 			answer := exchange.Answer
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,7 +56,7 @@
 	g.fronts.Store(&[]Front{})
 	g.pool = upstream.NewPool(group, codec)
 	attempts := ring.New[attempt](settings.Callers)
-	g.scheduler = newScheduler(group, log, settings.Zone, attempts, g.pool)
+	g.scheduler = newScheduler(group, log, settings.Zone, attempts, g.pool, keeper)
 	for range settings.Callers {
 		c := &caller{attempts: attempts, ends: g.scheduler.items, pool: g.pool, codec: codec}
 		group.Go("caller", c.run)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"dogwoodline.example/duty"
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/gateway"
+	"dogwoodline.example/ring"
 	"dogwoodline.example/route"
 	"dogwoodline.example/turnstore"
 	"dogwoodline.example/turnstore/turnpb"
@@ -81,6 +82,8 @@
 	begin  turnstore.Result
 	commit chan turnstore.Result
 	sent   atomic.Int64
+
+	crashes *ring.Ring[turnstore.Crash]
 }
 
 func (k *keeper) Serving() bool { return true }
@@ -97,6 +100,10 @@
 	}
 }
 
+func (k *keeper) Report(crash turnstore.Crash) bool { return k.crashes.TryPush(crash) == nil }
+
+func (k *keeper) Crashes() *ring.Ring[turnstore.Crash] { return k.crashes }
+
 func (k *keeper) Send(...*turnpb.Record) bool {
 	k.sent.Add(1)
 	return true
@@ -113,7 +120,8 @@
 }
 
 func newSite(r route.Route, backends ...http.HandlerFunc) *site {
-	s := &site{keeper: &keeper{begin: turnstore.Result{Verdict: turnstore.Stored}, commit: make(chan turnstore.Result, 8)}}
+	s := &site{keeper: &keeper{begin: turnstore.Result{Verdict: turnstore.Stored}, commit: make(chan turnstore.Result, 8),
+		crashes: ring.New[turnstore.Crash](8)}}
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
 	s.gateway = gateway.New(group, slog.New(slog.DiscardHandler), metrics.NewSet(),
 		gateway.Settings{Address: "self", Zone: "a", Callers: 8, AddressTTL: time.Second, MostAddresses: 8}, decode, codec{}, s.keeper)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -50,6 +50,7 @@
 	resumeAfter string
 	headSent    bool
 	lastReason  string
+	crashes     int // backend servers that ended while they ran it
 }
 
 // refusable reports whether the call has certainly not run.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -12,6 +12,7 @@
 	"dogwoodline.example/duty"
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/ring"
+	"dogwoodline.example/turnstore"
 	"dogwoodline.example/upstream"
 )
 
@@ -56,12 +57,17 @@
 	// lost says that the backend server ended or was cut off; it does not
 	// count against the number of servers that may run the call.
 	lost bool
+	// broken says that the connection ended while the call ran; its backend
+	// server may be gone.
+	broken bool
 }
 
 type schedulerItem struct {
 	job  *job
 	end  *attemptEnd
 	news *FleetNews
+	// crashed is a job whose backend server ended while it ran.
+	crashed *job
 }
 
 // Scheduler is the duty that decides which backend server gets which call. It
@@ -79,12 +85,16 @@
 	slotSum   atomic.Int64
 	fronts    atomic.Int64 // that clients are sent to
 	admission admission
+	suspects  suspects
+	crashes   *ring.Ring[turnstore.Crash] // that other fronts have seen
+	report    func(turnstore.Crash) bool
 }
 
-func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool) *Scheduler {
+func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool, keeper Keeper) *Scheduler {
 	s := &Scheduler{
 		log: log, items: ring.New[schedulerItem](schedulerSlots), attempts: attempts, fleet: fleet.New(zone),
 		admission: admission{sizes: map[string]float64{}}, drop: pool.Drop, connected: pool.HasIdle,
+		suspects: suspects{}, crashes: keeper.Crashes(), report: keeper.Report,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	group.Go("scheduler", s.run)
@@ -105,12 +115,15 @@
 		for item, ok := s.items.TryPop(); ok; item, ok = s.items.TryPop() {
 			s.handle(item, time.Now())
 		}
+		s.learnCrashes(time.Now())
 		select {
 		case <-s.items.Ready():
+		case <-s.crashes.Ready():
 		case now := <-ticker.C:
 			for _, id := range s.fleet.Expire(now) {
 				s.log.Info("gateway: backend server did not return", "backend", id)
 			}
+			s.suspects.expire(now)
 			s.measure()
 		case <-ctx.Done():
 			return ctx.Err()
@@ -124,6 +137,8 @@
 		s.offer(item.job, now)
 	case item.end != nil:
 		s.ended(*item.end, now)
+	case item.crashed != nil:
+		s.crashed(item.crashed, now)
 	case item.news != nil:
 		s.learn(*item.news, now)
 		s.measure()
@@ -165,6 +180,10 @@
 	if j.ctx.Err() != nil {
 		return // the handler has answered already
 	}
+	if crashes := s.suspects.crashesOf(j.request, now); crashes >= mostServersLost {
+		s.refuse(j, fmt.Sprintf("this call has ended %d backend servers", crashes), retryAfterCrashes, now)
+		return
+	}
 	if j.service.Engine != nil && j.tries == 0 {
 		s.admission.learn(j.service.Name, j.request.OwnTokens())
 		pressure := s.admission.pressure(s.fleet, j.service, int(s.fronts.Load()))
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodline.example/call"
+	"dogwoodline.example/ring"
 	"dogwoodline.example/route"
 	"dogwoodline.example/turnstore"
 	"dogwoodline.example/turnstore/turnpb"
@@ -33,6 +34,10 @@
 	Serving() bool
 	Do(ctx context.Context, op turnstore.Operation) turnstore.Result
 	Send(records ...*turnpb.Record) bool
+	// Report tells other fronts of a crash.
+	Report(crash turnstore.Crash) bool
+	// Crashes is the ring of crashes that fronts have reported.
+	Crashes() *ring.Ring[turnstore.Crash]
 }
 
 // turnRecord is what one turn must have recorded.
--- a/membership/follow.go
+++ b/membership/follow.go
@@ -43,9 +43,9 @@
 type Pace struct {
 	// Wait is the longest wait of one watch call.
 	Wait time.Duration
-	// Gather is a pause after news, in which further news gather, because each
-	// watch is a call.
-	Gather time.Duration
+	// Gather returns the pause after news in which further news gather, because
+	// each watch is a call. It is asked after each news; nil means no pause.
+	Gather func() time.Duration
 }
 
 // FollowEvery is Follow at another pace. A watch that the store silently
@@ -79,9 +79,9 @@
 		}
 		revision = next
 		f.Changed(ctx, events, revision)
-		if len(events) > 0 && pace.Gather > 0 {
+		if len(events) > 0 && pace.Gather != nil {
 			select {
-			case <-clock.After(pace.Gather):
+			case <-clock.After(pace.Gather()):
 			case <-ctx.Done():
 				return ctx.Err()
 			}
--- a/membership/follow_test.go
+++ b/membership/follow_test.go
@@ -97,7 +97,7 @@
 
 	It("lets further news gather before it watches again, since each watch is a call", func(ctx SpecContext) {
 		store := &deafStore{Store: memstore.New(clockwork.NewRealClock())}
-		l := start(ctx, store, membership.Pace{Wait: time.Minute, Gather: 150 * time.Millisecond})
+		l := start(ctx, store, membership.Pace{Wait: time.Minute, Gather: func() time.Duration { return 150 * time.Millisecond }})
 		before := len(store.started())
 		for _, key := range []string{"a", "b", "c", "d"} {
 			_, err := store.Put(ctx, key, []byte("x"), kvstore.Absent, 0)
--- a/role/follow.go
+++ b/role/follow.go
@@ -34,9 +34,11 @@
 	// that of a deployment that does not say within what time it must act.
 	mostGather  = 2 * time.Second
 	leastGather = 200 * time.Millisecond
-	// storeGather is that of a store, which joins the copy set in turn with the
-	// others.
-	storeGather = 200 * time.Millisecond
+	// joinGather is that of a store while the copy set changes, since stores
+	// join it in turn; restGather is that of a store while it does not. A store
+	// acts on nothing then but an order to retire, which leaves it seconds.
+	joinGather = 200 * time.Millisecond
+	restGather = 1500 * time.Millisecond
 )
 
 // frontGather is how long a front lets news gather, because each watch is a
@@ -45,6 +47,14 @@
 	return min(mostGather, max(leastGather, host.NewsWithin/2))
 }
 
+// storeGather is how long a store lets news gather.
+func storeGather(settled bool) time.Duration {
+	if settled {
+		return restGather
+	}
+	return joinGather
+}
+
 // topic is what a process wants to know of keys with one prefix.
 type topic struct {
 	prefix string
--- a/role/follow_test.go
+++ b/role/follow_test.go
@@ -90,6 +90,12 @@
 		Expect(adopted).To(Equal([]uint64{4}))
 	})
 
+	// On the grown deployments a store watched the platform's store five times a
+	// second, which was more than all fronts together.
+	It("lets a store that has nothing to do gather news, and hurries it while the copy set changes", func() {
+		Expect(storeGather(true)).To(BeNumerically(">=", 5*storeGather(false)))
+	})
+
 	It("lists only fronts that are not leaving", func() {
 		fronts := frontsOf(map[string]membership.Member{
 			"a": {ID: "a", HTTP: "1:1", Zone: "z"}, "b": {ID: "b", HTTP: "2:2", Draining: true}, "c": {ID: "c", GRPC: "3:3", Disk: "d"},
--- a/role/front.go
+++ b/role/front.go
@@ -51,7 +51,7 @@
 		backendsTopic(g),
 		copiesTopic(p.log, func(ctx context.Context, set copyset.Set) { _ = keeper.SetCopies(ctx, set) }),
 		membersTopic(p.log, func(_ context.Context, members map[string]membership.Member) { g.SetFronts(frontsOf(members)) }),
-	}, membership.Pace{Wait: watchWait, Gather: frontGather(p.host)}, nil)
+	}, membership.Pace{Wait: watchWait, Gather: func() time.Duration { return frontGather(p.host) }}, nil)
 	p.member.HTTP, p.member.Cores = p.host.FrontAddress, p.host.Cores
 	if err := p.listenFront(ctx, g); err != nil {
 		return err
--- a/role/role.go
+++ b/role/role.go
@@ -51,9 +51,10 @@
 	// longest turns, or a page of records.
 	mostMessage = 64 << 20
 	// reconnectFirst and reconnectLongest bound the pauses between attempts
-	// to connect to a store that is down; it is back within seconds.
+	// to connect to a store that is down. After a loss of power everywhere turns
+	// wait for the stores, so that the longest pause is a part of the outage.
 	reconnectFirst   = 30 * time.Millisecond
-	reconnectLongest = 300 * time.Millisecond
+	reconnectLongest = 120 * time.Millisecond
 	// logFlush is how long the last log lines may take.
 	logFlush = 50 * time.Millisecond
 )
--- a/role/store.go
+++ b/role/store.go
@@ -52,7 +52,8 @@
 			news(ctx, turnstore.News{Copies: &copyset.Set{}})
 		}
 	}
-	p.follow([]topic{copies, presentTopic(p, news), retireTopic(p, news)}, membership.Pace{Wait: storeWatchWait, Gather: storeGather}, func(ctx context.Context) {
+	pace := membership.Pace{Wait: storeWatchWait, Gather: func() time.Duration { return storeGather(joiner.Settled()) }}
+	p.follow([]topic{copies, presentTopic(p, news), retireTopic(p, news)}, pace, func(ctx context.Context) {
 		news(ctx, turnstore.News{StoreLost: true})
 	})
 	p.member.GRPC, p.member.Disk = address, server.Disk()
--- a/turnstore/audience_test.go
+++ b/turnstore/audience_test.go
@@ -19,7 +19,7 @@
 		for i := range members {
 			disk := fmt.Sprintf("d%d", i)
 			set.Members = append(set.Members, copyset.Member{Disk: disk, Ready: true})
-			k.slotOf[disk], k.senders[i] = i, newSender(i, slog.New(slog.DiscardHandler), dialTest, nil)
+			k.slotOf[disk], k.senders[i] = i, newSender(i, slog.New(slog.DiscardHandler), dialTest, nil, nil)
 		}
 		return k
 	}
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -208,6 +208,37 @@
 		}
 	})
 
+	// Guards against a call that ends a backend server at each front anew.
+	It("tell the other fronts of a call that ended a backend server, once each", func() {
+		c := newCluster("a", "b", "c", "d")
+		one, two := c.keeper(), c.keeper()
+		Expect(one.Report(Crash{Call: "call", Attempt: "x", Expires: time.Now().Add(time.Minute)})).To(BeTrue())
+		heard := 0
+		exchange := func(id string) int {
+			Expect(do(two, Operation{Records: []*turnpb.Record{reserve(id, 1)}, Budget: 100}).Verdict).To(Equal(Stored))
+			for crash, ok := two.Crashes().TryPop(); ok; crash, ok = two.Crashes().TryPop() {
+				Expect(crash.Call + crash.Attempt).To(Equal("callx"))
+				heard++
+			}
+			return heard
+		}
+		Eventually(func() int { return exchange("r1") }, "2s", "20ms").Should(Equal(4), "by each store")
+		Expect(exchange("r2")).To(Equal(4))
+	})
+
+	// Guards against stores that watch the platform's store several times a second
+	// all day, and against ones that are slow while a member is missing.
+	It("are settled while all members are ready and registered", func() {
+		c := newCluster("a", "b", "c")
+		for _, host := range []string{"a", "b", "c"} {
+			c.tell(host)
+			Eventually(c.stores[host].joiner.Settled, "2s", "5ms").Should(BeTrue())
+		}
+		present := map[string]bool{c.stores["a"].server.Disk(): true, c.stores["b"].server.Disk(): true}
+		Expect(c.stores["a"].joiner.News().TryPush(News{Present: present})).To(Succeed())
+		Eventually(c.stores["a"].joiner.Settled, "2s", "5ms").Should(BeFalse())
+	})
+
 	It("hand over everything before a disk is taken away", func() {
 		c := newCluster("a", "b", "c", "d")
 		Expect(do(c.keeper(), Operation{Records: []*turnpb.Record{ended("t1", "", "one", time.Hour)}}).Verdict).To(Equal(Stored))
--- a/turnstore/join.go
+++ b/turnstore/join.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -56,6 +58,7 @@
 	report    RetireReport
 	connect   func(address string) (grpc.ClientConnInterface, func(), error)
 	news      *ring.Ring[News]
+	settled   atomic.Bool
 
 	// The fields below belong to the duty.
 	copies    copyset.Set
@@ -84,6 +87,10 @@
 // News returns the ring of news.
 func (j *Joiner) News() *ring.Ring[News] { return j.news }
 
+// Settled reports whether the copy set needs no change that this store knows
+// of: all members are ready and there, and it is one of them.
+func (j *Joiner) Settled() bool { return j.settled.Load() }
+
 // Run is the duty.
 func (j *Joiner) Run(ctx context.Context) error {
 	ticker := time.NewTicker(joinEvery)
@@ -129,6 +136,15 @@
 			j.missing[m.Disk] = now
 		}
 	}
+	j.settled.Store(j.atRest())
+}
+
+func (j *Joiner) atRest() bool {
+	changing := slices.ContainsFunc(j.copies.Members, func(m copyset.Member) bool {
+		return !m.Ready || j.present != nil && !j.present[m.Disk]
+	})
+	_, member := j.copies.Find(j.self.Disk)
+	return member && !changing && !j.retiring
 }
 
 // absent reports whether a member has been missing for long enough.
--- a/turnstore/keeper.go
+++ b/turnstore/keeper.go
@@ -24,8 +24,9 @@
 	// exchangeTimeout bounds one message. A disk that stalls answers later;
 	// its operations then count as unanswered.
 	exchangeTimeout = 700 * time.Millisecond
-	// probeEvery is how often a member that is lost is asked again.
-	probeEvery = 250 * time.Millisecond
+	// probeEvery is how often a member that is lost is asked again. Without a
+	// connection the question fails in this process, so it is cheap.
+	probeEvery = 100 * time.Millisecond
 )
 
 // Keeper is a front's client of the turn stores. Its duty sends each operation
@@ -35,6 +36,7 @@
 	zone      string
 	tolerated int
 	commands  *ring.Ring[command]
+	crashes   *ring.Ring[Crash] // that stores have told
 	senders   [memberSlots]*sender
 	serving   atomic.Bool
 
@@ -52,6 +54,7 @@
 	start  *start
 	answer *answer
 	copies *copyset.Set
+	crash  *Crash // to be told to other fronts
 	// reached says that a sender has lost or regained its member.
 	reached bool
 }
@@ -92,13 +95,13 @@
 func NewKeeper(group *duty.Group, log *slog.Logger, zone string, tolerated int,
 	connect func(address string) (grpc.ClientConnInterface, func(), error)) *Keeper {
 	k := &Keeper{
-		log: log, zone: zone, tolerated: tolerated, commands: ring.New[command](4 * operationSlots),
+		log: log, zone: zone, tolerated: tolerated, commands: ring.New[command](4 * operationSlots), crashes: ring.New[Crash](mostCrashes),
 		set: &copyset.Set{}, slotOf: map[string]int{}, pending: map[uint64]*pending{},
 		alarm: time.NewTimer(time.Hour),
 	}
 	k.alarm.Stop()
 	for i := range k.senders {
-		k.senders[i] = newSender(i, log, connect, k.commands)
+		k.senders[i] = newSender(i, log, connect, k.commands, k.crashes)
 		group.Go("turn-sender", k.senders[i].run)
 	}
 	group.Go("turn-keeper", k.run)
@@ -135,6 +138,16 @@
 	return err == nil
 }
 
+// Report tells other fronts, through the stores, that a call ended a backend
+// server. It reports whether the crash was taken.
+func (k *Keeper) Report(crash Crash) bool {
+	return k.commands.TryPush(command{crash: &crash}) == nil
+}
+
+// Crashes returns the ring of crashes that fronts have reported, this one's
+// too.
+func (k *Keeper) Crashes() *ring.Ring[Crash] { return k.crashes }
+
 func (k *Keeper) run(ctx context.Context) error {
 	defer k.alarm.Stop()
 	for {
@@ -159,11 +172,22 @@
 		k.count(*c.answer)
 	case c.copies != nil:
 		k.adopt(*c.copies)
+	case c.crash != nil:
+		k.spread(*c.crash)
 	case c.reached:
 		k.judge()
 	}
 }
 
+// spread sends a crash to all members. It is a hint: nobody waits for answers.
+func (k *Keeper) spread(crash Crash) {
+	for _, m := range k.set.Members {
+		if slot, ok := k.slotOf[m.Disk]; ok {
+			_ = k.senders[slot].queue.TryPush(message{set: k.set, disk: m.Disk, crash: encodeCrash(crash)}) // others tell too
+		}
+	}
+}
+
 // adopt takes a newer copy set and gives each member a sender.
 func (k *Keeper) adopt(set copyset.Set) {
 	if k.known && set.Version <= k.set.Version {
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -21,6 +21,7 @@
 	disk    string
 	records []*turnpb.Record
 	chain   string
+	crash   *turnpb.Crash
 }
 
 // sender is the duty that talks to one member.
@@ -30,6 +31,7 @@
 	connect func(address string) (grpc.ClientConnInterface, func(), error)
 	queue   *ring.Ring[message]
 	answers *ring.Ring[command]
+	crashes *ring.Ring[Crash]
 	address atomic.Pointer[string]
 	failing atomic.Bool
 
@@ -38,10 +40,12 @@
 	connected string
 	closeConn func()
 	told      uint64 // the copy set version that the member was told on this connection
+	heard     uint64 // the number of the last crash that the member has told
 }
 
-func newSender(slot int, log *slog.Logger, connect func(string) (grpc.ClientConnInterface, func(), error), answers *ring.Ring[command]) *sender {
-	s := &sender{slot: slot, log: log, connect: connect, queue: ring.New[message](operationSlots), answers: answers}
+func newSender(slot int, log *slog.Logger, connect func(string) (grpc.ClientConnInterface, func(), error),
+	answers *ring.Ring[command], crashes *ring.Ring[Crash]) *sender {
+	s := &sender{slot: slot, log: log, connect: connect, queue: ring.New[message](operationSlots), answers: answers, crashes: crashes}
 	s.assign("")
 	return s
 }
@@ -103,7 +107,7 @@
 
 func (s *sender) exchange(ctx context.Context, batch []message) error {
 	set := batch[0].set
-	request := &turnpb.ExchangeRequest{CopySet: set.Version}
+	request := &turnpb.ExchangeRequest{CopySet: set.Version, CrashesAfter: s.heard}
 	if s.told != set.Version {
 		request.Set = encodeVersioned(*set)
 	}
@@ -112,10 +116,14 @@
 		if m.chain != "" {
 			request.Chains = append(request.Chains, m.chain)
 		}
+		if m.crash != nil {
+			request.Crashes = append(request.Crashes, m.crash)
+		}
 	}
 	reply, err := s.call(ctx, request)
 	if err == nil {
-		s.told = set.Version
+		s.told, s.heard = set.Version, reply.LastCrash
+		s.tell(reply.Crashes)
 	}
 	if err := s.note(ctx, err); err != nil {
 		return err
@@ -170,7 +178,16 @@
 	if s.closeConn != nil {
 		s.closeConn()
 	}
-	s.conn, s.closeConn, s.connected, s.told = nil, nil, "", 0
+	s.conn, s.closeConn, s.connected, s.told, s.heard = nil, nil, "", 0, 0
+}
+
+// tell passes crashes that other fronts have seen on.
+func (s *sender) tell(crashes []*turnpb.Crash) {
+	for _, crash := range crashes {
+		if s.crashes.TryPush(decodeCrash(crash)) != nil {
+			s.log.Warn("turnstore: crash of a call not passed on, the ring is full", "attempt", crash.Attempt)
+		}
+	}
 }
 
 // note logs when the member is lost and regained, and tells the keeper.
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -46,6 +46,7 @@
 	requests *ring.Ring[request]
 	disk     *turnlog.Log
 	state    *state
+	crashes  *crashes
 	// unwritten is in the state, but the write that should have made it
 	// durable failed; nothing counts as stored until it is written.
 	unwritten [][]byte
@@ -75,7 +76,7 @@
 // NewServer opens the log in a folder and starts the writer duty.
 func NewServer(group *duty.Group, log *slog.Logger, folder string, memoryBytes int64) (*Server, error) {
 	s := &Server{
-		log: log, requests: ring.New[request](requestSlots), state: newState(),
+		log: log, requests: ring.New[request](requestSlots), state: newState(), crashes: newCrashes(),
 		maxBytes: int64(memoryShare * float64(memoryBytes)), timer: group.Timer("store-writer"),
 	}
 	replayed := 0
@@ -252,6 +253,8 @@
 func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte) (*turnpb.ExchangeReply, [][]byte) {
 	s.hear(in.Set)
 	out := &turnpb.ExchangeReply{}
+	s.crashes.add(in.Crashes, time.Now())
+	out.Crashes, out.LastCrash = s.crashes.after(in.CrashesAfter)
 	out.Status, out.Set, payloads = s.admit(in.CopySet, payloads)
 	if out.Status != turnpb.Status_STATUS_OK {
 		return out, payloads
