Keep clients and calls in their availability zone where it has enough hosts

Ruled out: ordering the list by zone, which changes nothing, since clients draw from it.

Change: clients get the fronts of their zone if two are listed there. A conversation's homes are among the model servers of the front's zone if it has two; the preference for servers of the own zone is 0.3 of the slots (0.03).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -208,8 +208,9 @@
 	slowCost      = 0.5
 	slowTolerated = 1.5
 	// otherZoneCost is the part of the slots by which a backend server in
-	// another availability zone must be less busy.
-	otherZoneCost = 0.03
+	// another availability zone must be less busy: its answers come later, bytes
+	// between zones are priced, and it needs one more connection.
+	otherZoneCost = 0.3
 	// connectCost is the part of the slots by which a backend server without an
 	// open connection must be less busy; opening one takes a slot for a moment.
 	connectCost = 0.15
@@ -245,15 +246,34 @@
 	return cost + tieSpread*float64(xxhash.Sum64String(s.ID)^ask.Draw)/(1<<64)
 }
 
+// fewestHomes is how many backend servers an availability zone needs for
+// conversations to stay in it: a home and a second choice.
+const fewestHomes = 2
+
+func (f *Fleet) count(service, zone string) int {
+	count := 0
+	for _, s := range f.byService[service] {
+		if s.AvailabilityZone == zone {
+			count++
+		}
+	}
+	return count
+}
+
 // homes returns the two backend servers that calls for the same object meet
-// at, from whichever front they come: the one that has handled it, and where
-// the calls go that are too many for it. They are nil without an object.
+// at, from whichever front of the availability zone they come: the one that has
+// handled it, and where the calls go that are too many for it. They are nil
+// without an object.
 func (f *Fleet) homes(ask Ask) (first, second *state) {
 	if ask.Affinity == "" {
 		return nil, nil
 	}
 	var best, next uint64
+	near := f.count(ask.Service, f.zone) >= fewestHomes
 	for _, s := range f.byService[ask.Service] {
+		if near && s.AvailabilityZone != f.zone {
+			continue
+		}
 		switch rank := xxhash.Sum64String(ask.Affinity + "\x00" + s.ID); {
 		case first == nil || rank > best:
 			first, second, best, next = s, first, rank, best
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -190,6 +190,29 @@
 		Expect(back.ID).To(Equal(home.ID))
 	})
 
+	// Guards against prompts that cross availability zones, and against calls
+	// that queue in one zone while others are idle.
+	It("stays in its availability zone until the servers there are much busier", func() {
+		f := fleet.New("a")
+		for i := range 9 {
+			b := backend(fmt.Sprintf("b%d", i))
+			b.AvailabilityZone = []string{"a", "b", "c"}[i%3]
+			f.Put(b)
+		}
+		for n := range 30 {
+			home, _, _ := f.Choose(fleet.Ask{Service: "s", Affinity: fmt.Sprintf("talk-%d", n)}, now)
+			Expect(home.AvailabilityZone).To(Equal("a"))
+		}
+		zones := map[string]int{}
+		for range 18 {
+			b, _, _ := f.Choose(ask, now)
+			f.Started(b.ID)
+			zones[b.AvailabilityZone]++
+		}
+		Expect(zones["a"]).To(BeNumerically(">", zones["b"]))
+		Expect(zones["b"]).To(BeNumerically(">", 3))
+	})
+
 	It("forgets what it believed of one that started again under its id", func() {
 		f := filled(2)
 		f.Ended(fleet.Report{ID: "b0", Unreachable: true}, now)
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -36,6 +36,18 @@
 		Expect([]int{large, small}).To(Equal([]int{10, 0}))
 	})
 
+	// On ortak-fiyat-grown each front opened connections to 130 backend servers
+	// in five availability zones.
+	It("is that of the client's availability zone, or all where one front is there", func() {
+		g := &Gateway{settings: Settings{MostAddresses: 8}, scheduler: &Scheduler{}}
+		g.SetFronts([]Front{{Address: "1", Zone: "a"}, {Address: "2", Zone: "a"}, {Address: "3", Zone: "b"}})
+		near, _ := g.Addresses("a")
+		Expect(near).To(ConsistOf("1", "2"))
+		all, _ := g.Addresses("b")
+		Expect(all).To(HaveLen(3))
+		Expect(all[0]).To(Equal("3"))
+	})
+
 	It("has all where hosts are alike", func() {
 		_, small := count(fronts(0, 7), 100)
 		Expect(small).To(Equal(7))
