Let fronts follow the platform's store through the stores

Ruled out: longer pauses in the fronts' own watches, which the bound for a new configuration forbids; fronts that are not listed answering as not ready.

Change: module newsfeed. A store passes what it hears on to fronts that wait for it, and refuses when the platform has not answered it for 2 s or changes are missing; a front then watches the platform's store itself at once. A front never goes back to an older revision. Lists still come from the platform. Homes lie in any zone again; the preference for the own zone holds for plain services only.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -175,6 +175,9 @@
 			continue
 		}
 		cost := f.cost(s, ask, now)
+		if home == nil && s.AvailabilityZone != f.zone {
+			cost += otherZoneCost
+		}
 		switch {
 		case home == nil || s == home:
 		case s == second:
@@ -209,7 +212,9 @@
 	slowTolerated = 1.5
 	// otherZoneCost is the part of the slots by which a backend server in
 	// another availability zone must be less busy: its answers come later, bytes
-	// between zones are priced, and it needs one more connection.
+	// between zones are priced, and it needs one more connection. A conversation
+	// has its home wherever that is, because its turns may come through fronts of
+	// several zones.
 	otherZoneCost = 0.3
 	// connectCost is the part of the slots by which a backend server without an
 	// open connection must be less busy; opening one takes a slot for a moment.
@@ -231,9 +236,6 @@
 	if load >= 1 {
 		cost += load // beyond its slots a call waits
 	}
-	if s.AvailabilityZone != f.zone {
-		cost += otherZoneCost
-	}
 	if ask.Connected != nil && !ask.Connected(s.Address) {
 		cost += connectCost
 	}
@@ -246,34 +248,15 @@
 	return cost + tieSpread*float64(xxhash.Sum64String(s.ID)^ask.Draw)/(1<<64)
 }
 
-// fewestHomes is how many backend servers an availability zone needs for
-// conversations to stay in it: a home and a second choice.
-const fewestHomes = 2
-
-func (f *Fleet) count(service, zone string) int {
-	count := 0
-	for _, s := range f.byService[service] {
-		if s.AvailabilityZone == zone {
-			count++
-		}
-	}
-	return count
-}
-
 // homes returns the two backend servers that calls for the same object meet
-// at, from whichever front of the availability zone they come: the one that has
-// handled it, and where the calls go that are too many for it. They are nil
-// without an object.
+// at, from whichever front they come: the one that has handled it, and where
+// the calls go that are too many for it. They are nil without an object.
 func (f *Fleet) homes(ask Ask) (first, second *state) {
 	if ask.Affinity == "" {
 		return nil, nil
 	}
 	var best, next uint64
-	near := f.count(ask.Service, f.zone) >= fewestHomes
 	for _, s := range f.byService[ask.Service] {
-		if near && s.AvailabilityZone != f.zone {
-			continue
-		}
 		switch rank := xxhash.Sum64String(ask.Affinity + "\x00" + s.ID); {
 		case first == nil || rank > best:
 			first, second, best, next = s, first, rank, best
--- a/role/follow.go
+++ b/role/follow.go
@@ -12,6 +12,7 @@
 	"dogwoodline.example/copyset"
 	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
+	"dogwoodline.example/newsfeed"
 	"dogwoodline.example/platform"
 )
 
@@ -24,9 +25,9 @@
 // news must be in force.
 const watchWait = 2 * time.Second
 
-// storeWatchWait is that of a store, which hears of a new copy set from fronts
-// and other stores too.
-const storeWatchWait = 6 * time.Second
+// storeWatchWait is that of a store, which passes the news on to fronts: with
+// the pause in which news gather it is below newsfeed.StaleAfter.
+const storeWatchWait = time.Second
 
 const (
 	// mostGather and leastGather bound how long a front lets further news gather
@@ -35,22 +36,26 @@
 	mostGather  = 2 * time.Second
 	leastGather = 200 * time.Millisecond
 	// joinGather is that of a store while the copy set changes, since stores
-	// join it in turn; restGather is that of a store while it does not. A store
-	// acts on nothing then but an order to retire, which leaves it seconds.
-	joinGather = 200 * time.Millisecond
-	restGather = 1500 * time.Millisecond
+	// join it in turn; mostFeedGather bounds that of a store at rest, which only
+	// passes news on.
+	joinGather     = 200 * time.Millisecond
+	mostFeedGather = 500 * time.Millisecond
+	// feedGatherShare is the part of the time within which a front must act that
+	// its news may spend in a store.
+	feedGatherShare = 6
 )
 
-// frontGather is how long a front lets news gather, because each watch is a
-// call and there are many fronts: half of the time within which it must act.
+// frontGather is how long a front without a feed lets news gather, because
+// each watch is a call and there are many fronts: half of the time within which
+// it must act.
 func frontGather(host platform.Host) time.Duration {
 	return min(mostGather, max(leastGather, host.NewsWithin/2))
 }
 
 // storeGather is how long a store lets news gather.
-func storeGather(settled bool) time.Duration {
+func storeGather(host platform.Host, settled bool) time.Duration {
 	if settled {
-		return restGather
+		return min(mostFeedGather, max(joinGather, host.NewsWithin/feedGatherShare))
 	}
 	return joinGather
 }
@@ -74,14 +79,15 @@
 	lost   bool
 	back   time.Time
 	onLost func(ctx context.Context)
+	feed   *newsfeed.Hub // is told everything; nil for none
 }
 
 // follow is a duty that follows everything in the platform's store with one
 // watch, because each waiting watch is a call.
-func (p *process) follow(topics []topic, pace membership.Pace, onLost func(ctx context.Context)) {
-	f := &follower{log: p.log, topics: topics, onLost: onLost}
+func (p *process) follow(store kvstore.Store, pace membership.Pace, f *follower) {
+	f.log = p.log
 	p.group.Go("follow", func(ctx context.Context) error {
-		return membership.FollowEvery(ctx, p.store, clockwork.NewRealClock(), "", pace, f)
+		return membership.FollowEvery(ctx, store, clockwork.NewRealClock(), "", pace, f)
 	})
 }
 
@@ -93,6 +99,9 @@
 		f.lost, f.back = false, time.Now()
 		f.log.Info("role: platform store regained", "revision", revision)
 	}
+	if f.feed != nil {
+		_ = f.feed.Listed(ctx, revision) // fails only when the process ends
+	}
 	for _, t := range f.topics {
 		keys := map[string]bool{}
 		for _, item := range items {
@@ -111,7 +120,10 @@
 }
 
 // Changed implements membership.Follower.
-func (f *follower) Changed(ctx context.Context, events []kvstore.Event, _ kvstore.Version) {
+func (f *follower) Changed(ctx context.Context, events []kvstore.Event, revision kvstore.Version) {
+	if f.feed != nil {
+		_ = f.feed.Changed(ctx, events, revision) // fails only when the process ends
+	}
 	for _, t := range f.topics {
 		touched := false
 		for _, event := range events {
--- a/role/front.go
+++ b/role/front.go
@@ -1,17 +1,21 @@
 package role
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 
 	"dogwoodline.example/copyset"
 	"dogwoodline.example/gateway"
 	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
+	"dogwoodline.example/newsfeed"
 	"dogwoodline.example/platform"
 	"dogwoodline.example/turnstore"
 )
@@ -40,7 +44,14 @@
 		Address: p.host.FrontAddress, Zone: p.host.AvailabilityZone, Callers: callerCount,
 		AddressTTL: min(addressTTL, p.host.LongestAddressTTL), MostAddresses: platform.MostAddresses,
 	}, platform.DecodeRequest, platform.Codec{}, keeper)
-	p.follow([]topic{
+	reader := newsfeed.NewReader(p.store, p.log, connect)
+	gather := func() time.Duration {
+		if reader.Fed() {
+			return 0 // news have gathered at the feed
+		}
+		return frontGather(p.host)
+	}
+	p.follow(reader, membership.Pace{Wait: watchWait, Gather: gather}, &follower{topics: []topic{
 		configTopic(p.log, func(value []byte) error {
 			table, err := platform.DecodeConfig(value)
 			if err == nil {
@@ -50,8 +61,11 @@
 		}),
 		backendsTopic(g),
 		copiesTopic(p.log, func(ctx context.Context, set copyset.Set) { _ = keeper.SetCopies(ctx, set) }),
-		membersTopic(p.log, func(_ context.Context, members map[string]membership.Member) { g.SetFronts(frontsOf(members)) }),
-	}, membership.Pace{Wait: watchWait, Gather: func() time.Duration { return frontGather(p.host) }}, nil)
+		membersTopic(p.log, func(_ context.Context, members map[string]membership.Member) {
+			g.SetFronts(frontsOf(members))
+			reader.SetFeeds(feedsOf(members, p.host))
+		}),
+	}})
 	p.member.HTTP, p.member.Cores = p.host.FrontAddress, p.host.Cores
 	if err := p.listenFront(ctx, g); err != nil {
 		return err
@@ -114,6 +128,32 @@
 	return fronts
 }
 
+// feedsOf returns where a front may follow the platform's store: the stores of
+// its availability zone first, in an order that differs between fronts.
+func feedsOf(members map[string]membership.Member, host platform.Host) []string {
+	var stores []membership.Member
+	for _, m := range members {
+		if m.Disk != "" && m.GRPC != "" && !m.Draining {
+			stores = append(stores, m)
+		}
+	}
+	distance := func(m membership.Member) int {
+		if m.Zone == host.AvailabilityZone {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(stores, func(a, b membership.Member) int {
+		return cmp.Or(cmp.Compare(distance(a), distance(b)),
+			cmp.Compare(xxhash.Sum64String(host.Name+a.ID), xxhash.Sum64String(host.Name+b.ID)))
+	})
+	addresses := make([]string, 0, len(stores))
+	for _, m := range stores {
+		addresses = append(addresses, m.GRPC)
+	}
+	return addresses
+}
+
 // backendsTopic passes the registrations of backend servers to the scheduler.
 func backendsTopic(g *gateway.Gateway) topic {
 	id := func(key string) string { return key[len(platform.BackendKeys):] }
--- a/role/store.go
+++ b/role/store.go
@@ -13,6 +13,8 @@
 	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
 	"dogwoodline.example/netdial"
+	"dogwoodline.example/newsfeed"
+	"dogwoodline.example/newsfeed/feedpb"
 	"dogwoodline.example/platform"
 	"dogwoodline.example/turnstore"
 	"dogwoodline.example/turnstore/turnpb"
@@ -39,6 +41,8 @@
 	}
 	messages := grpc.NewServer(grpc.MaxRecvMsgSize(mostMessage), grpc.MaxSendMsgSize(mostMessage))
 	turnpb.RegisterTurnStoreServer(messages, server)
+	feed := newsfeed.NewHub(p.group)
+	feedpb.RegisterFeedServer(messages, feed)
 	p.group.Go("grpc-accept", func(context.Context) error { return messages.Serve(listener) })
 
 	self := copyset.Member{Host: p.host.Name, Address: address, Zone: p.host.AvailabilityZone}
@@ -52,9 +56,11 @@
 			news(ctx, turnstore.News{Copies: &copyset.Set{}})
 		}
 	}
-	pace := membership.Pace{Wait: storeWatchWait, Gather: func() time.Duration { return storeGather(joiner.Settled()) }}
-	p.follow([]topic{copies, presentTopic(p, news), retireTopic(p, news)}, pace, func(ctx context.Context) {
-		news(ctx, turnstore.News{StoreLost: true})
+	pace := membership.Pace{Wait: storeWatchWait, Gather: func() time.Duration { return storeGather(p.host, joiner.Settled()) }}
+	p.follow(p.store, pace, &follower{
+		topics: []topic{copies, presentTopic(p, news), retireTopic(p, news)},
+		onLost: func(ctx context.Context) { news(ctx, turnstore.News{StoreLost: true}) },
+		feed:   feed,
 	})
 	p.member.GRPC, p.member.Disk = address, server.Disk()
 	p.register()
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -4,7 +4,7 @@
 # the generated code is committed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for source in rpc/peerpb/peer.proto turnstore/turnpb/turn.proto; do
+for source in rpc/peerpb/peer.proto turnstore/turnpb/turn.proto newsfeed/feedpb/feed.proto; do
   (
     cd "${source%%/*}"
     PATH="$(go env GOPATH)/bin:$PATH" protoc \
