Avoid backend servers that fail calls; learn when idle connections are forgotten

A backend server that fails at once is idle, so that it was the least busy one and got most calls. And a call that may run once, sent on a connection that the server had forgotten, was lost; nothing was learned from it.

Ruled out: asking for health, which may be false and is priced; treating a reset connection as not run, which is not proved.

Change: the fleet keeps a rate of failures for each backend server, which raises its cost and fades with age; two failures in a row take it out of the choice for 0.5 s, doubling up to 4 s, while others are left. Timeouts without an answer and answers with a status of 500 or above count as well. The pool takes the end of a connection within 25 ms after a rest for a sign that the service's servers forget connections, and for 8 s uses those of half that rest only. The field that was named time to the first byte held the time of the exchange and is named so.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,6 +37,7 @@
 	suspect   time.Time
 	fullUntil time.Time
 	latency   latency
+	failures  failures
 	goneAt    time.Time // when to forget it; zero while it is registered
 }
 
@@ -64,7 +65,7 @@
 	changed := known.Draining != b.Draining || known.Address != b.Address || known.Service != b.Service ||
 		known.Incarnation != b.Incarnation || !known.goneAt.IsZero()
 	if known.Incarnation != b.Incarnation {
-		known.latency, known.suspect, known.fullUntil = latency{}, time.Time{}, time.Time{}
+		known.latency, known.failures, known.suspect, known.fullUntil = latency{}, failures{}, time.Time{}, time.Time{}
 	}
 	known.Backend, known.goneAt = b, time.Time{}
 	f.index()
@@ -204,7 +205,7 @@
 	// secondCost is that of the second choice, where calls of the same object
 	// meet when their first choice is busy.
 	secondCost = 0.6
-	// slowCost is what each multiple of the typical time to the first byte costs
+	// slowCost is what each multiple of the typical time of a call costs
 	// beyond slowTolerated, also without any call there: a turn at a server that
 	// is three times as slow takes longer than reading its prompt elsewhere.
 	// Below that, what a call has to read differs by as much.
@@ -232,7 +233,7 @@
 func (f *Fleet) cost(s *state, ask Ask, now time.Time) float64 {
 	load := float64(s.running) / float64(s.Slots)
 	slowness := s.latency.factor(now)
-	cost := load*slowness + slowCost*max(0, slowness-slowTolerated)
+	cost := load*slowness + slowCost*max(0, slowness-slowTolerated) + failureCost*s.failures.now(now)
 	if load >= 1 {
 		cost += load // beyond its slots a call waits
 	}
@@ -292,9 +293,12 @@
 	Full bool
 	// Misdirected says that another backend server has the address now.
 	Misdirected bool
-	// First is the time to the first byte of the answer; 0 if none came.
-	First time.Duration
-	// Typical says that First may be compared between backend servers.
+	// Failed says that the call broke off, or that its answer was an error or
+	// could not be used.
+	Failed bool
+	// Took is the time of the whole exchange; 0 if no answer came.
+	Took time.Duration
+	// Typical says that Took may be compared between backend servers.
 	Typical bool
 }
 
@@ -313,10 +317,15 @@
 		s.suspect = now.Add(suspectFor)
 	case report.Full:
 		s.fullUntil = now.Add(fullFor)
-	case report.First > 0:
+	case report.Failed:
+		if avoid := s.failures.observe(true, now); avoid > 0 {
+			s.suspect = now.Add(avoid)
+		}
+	case report.Took > 0:
 		s.suspect = time.Time{}
+		s.failures.observe(false, now)
 		if report.Typical {
-			s.latency.observe(report.First, f.typical(s.Service), now)
+			s.latency.observe(report.Took, f.typical(s.Service), now)
 		}
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -146,7 +146,7 @@
 				}
 				id := fmt.Sprintf("b%d", i)
 				f.Started(id)
-				f.Ended(fleet.Report{ID: id, First: first, Typical: true}, now)
+				f.Ended(fleet.Report{ID: id, Took: first, Typical: true}, now)
 			}
 		}
 		counts := map[string]int{}
@@ -172,7 +172,7 @@
 				if id == home.ID {
 					took = first
 				}
-				f.Ended(fleet.Report{ID: id, First: took, Typical: true}, now)
+				f.Ended(fleet.Report{ID: id, Took: took, Typical: true}, now)
 			}
 		}
 		report(50 * time.Millisecond)
@@ -227,6 +227,47 @@
 		Expect(zones["b"]).To(BeNumerically(">", 3))
 	})
 
+	// On a day with backend servers that said they were well and reset every call,
+	// each was the least busy one and got most calls (0.44 of the worth was left).
+	It("avoids a backend server that fails every call, although it is idle, and tries it again later", func() {
+		f := filled(3)
+		for range 4 {
+			f.Started("b0")
+			f.Ended(fleet.Report{ID: "b0", Failed: true}, now)
+		}
+		for range 3 {
+			f.Started("b1")
+			f.Started("b2")
+		}
+		b, _, _ := f.Choose(ask, now)
+		Expect(b.ID).NotTo(Equal("b0"))
+		b, _, _ = f.Choose(ask, now.Add(time.Minute))
+		Expect(b.ID).To(Equal("b0"))
+	})
+
+	It("prefers a somewhat busier backend server to one that fails half of its calls", func() {
+		f := filled(2)
+		for i := range 12 {
+			f.Started("b0")
+			f.Ended(fleet.Report{ID: "b0", Failed: i%2 == 0, Took: time.Millisecond}, now)
+		}
+		f.Started("b1")
+		b, _, _ := f.Choose(ask, now)
+		Expect(b.ID).To(Equal("b1"))
+	})
+
+	// Guards against a fleet that is avoided as a whole after single failures.
+	It("takes little notice of one failure among many calls", func() {
+		f := filled(2)
+		f.Ended(fleet.Report{ID: "b0", Failed: true}, now)
+		for range 12 {
+			f.Ended(fleet.Report{ID: "b0", Took: time.Millisecond}, now)
+		}
+		f.Started("b1")
+		b, _, _ := f.Choose(ask, now)
+		Expect(b.ID).To(Equal("b0"))
+	})
+
 	It("forgets what it believed of one that started again under its id", func() {
 		f := filled(2)
 		f.Ended(fleet.Report{ID: "b0", Unreachable: true}, now)
--- a/fleet/latency.go
+++ b/fleet/latency.go
@@ -17,7 +17,7 @@
 	slowestFactor = 8
 )
 
-// latency is a backend server's time to the first byte relative to the
+// latency is a backend server's time for a call relative to the
 // others of its service.
 type latency struct {
 	average  float64 // ms
@@ -25,8 +25,8 @@
 	at       time.Time
 }
 
-func (l *latency) observe(first time.Duration, typical float64, now time.Time) {
-	ms := float64(first) / float64(time.Millisecond)
+func (l *latency) observe(took time.Duration, typical float64, now time.Time) {
+	ms := float64(took) / float64(time.Millisecond)
 	if l.at.IsZero() {
 		l.average = ms
 	} else {
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -72,7 +72,7 @@
 		}
 	}
 	request := upstream.Request{
-		ID: j.request.ID, Address: a.backend.Address, Method: j.request.Method, Target: j.request.Target,
+		ID: j.request.ID, Address: a.backend.Address, Service: a.backend.Service, Method: j.request.Method, Target: j.request.Target,
 		Host: j.request.Host, Body: j.body, Header: c.codec.Encode(j.request, a.backend.ID, left, rank, j.resumeAfter),
 	}
 	sent := time.Now()
@@ -80,14 +80,18 @@
 	if err != nil {
 		end := attemptEnd{verdict: verdict, reason: err.Error(), done: j.ctx.Err() != nil}
 		end.broken = verdict == call.Unknown && !end.done
+		// A call that ran out of time without an answer counts; one that its client
+		// gave up does not.
+		end.report.Failed = verdict == call.Unknown && !errors.Is(j.ctx.Err(), context.Canceled)
 		end.report.Unreachable = errors.Is(err, upstream.ErrNotConnected)
 		c.probe(&end, a)
 		return end
 	}
 	defer exchange.Close()
 	end := c.receive(j, exchange)
+	end.report.Failed = end.verdict == call.Unknown && !end.done || exchange.Answer.Status >= http.StatusInternalServerError && !exchange.Answer.NotRun
 	c.probe(&end, a)
-	end.report.First = time.Since(sent)
+	end.report.Took = time.Since(sent)
 	end.report.Typical = j.route.Kind != route.Unsafe
 	return end
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -27,13 +27,14 @@
 	idle    map[string][]*conn
 	open    map[string]int
 	dialled int
+	rests   rests
 }
 
 // NewPool returns a pool whose duties run in group.
 func NewPool(group *duty.Group, decoder Decoder) *Pool {
 	p := &Pool{
 		decoder: decoder, writers: ring.New[func()](writerCount),
-		idle: map[string][]*conn{}, open: map[string]int{},
+		idle: map[string][]*conn{}, open: map[string]int{}, rests: rests{},
 	}
 	for range writerCount {
 		group.Go("upstream-writer", p.runWriter)
@@ -90,13 +91,13 @@
 }
 
 // take returns the idle connection that was used last, or opens one.
-func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) take(ctx context.Context, address, service string) (*conn, error) {
 	for {
-		c := p.takeIdle(address)
+		c, rested := p.takeIdle(address, service)
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && netdial.Usable(c.Conn) {
+		if rested && time.Now().Before(c.expires) && netdial.Usable(c.Conn) {
 			return c, nil
 		}
 		p.discard(c)
@@ -104,6 +105,13 @@
 	return p.connect(ctx, address)
 }
 
+// forgotten learns that a connection ended when it was used after a rest.
+func (p *Pool) forgotten(service string, idle, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rests.note(service, idle, took, time.Now())
+}
+
 // connect opens a connection and counts it.
 func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
 	c, err := dial(ctx, address)
@@ -117,17 +125,20 @@
 	return c, nil
 }
 
-func (p *Pool) takeIdle(address string) *conn {
+// takeIdle returns the idle connection that was used last, if any, and whether
+// it may still be used after its rest.
+func (p *Pool) takeIdle(address, service string) (c *conn, usable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	if len(list) == 0 {
-		return nil
+		return nil, false
 	}
+	now := time.Now()
 	last := list[len(list)-1]
-	last.idle = time.Since(last.since)
+	last.idle = now.Sub(last.since)
 	p.idle[address] = list[:len(list)-1]
-	return last
+	return last, p.rests.allows(service, last.idle, now)
 }
 
 func (p *Pool) put(c *conn) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -85,6 +85,9 @@
 type Request struct {
 	ID      string
 	Address string
+	// Service names the kind of backend server; those of one kind keep idle
+	// connections alike.
+	Service string
 	Method  string
 	Target  string
 	Host    string
@@ -117,7 +120,7 @@
 	if err != nil {
 		return nil, call.NotRun, Error.Wrap(err)
 	}
-	c, err := p.take(ctx, request.Address)
+	c, err := p.take(ctx, request.Address, request.Service)
 	if err != nil {
 		return nil, call.NotRun, err
 	}
@@ -127,6 +130,7 @@
 	}
 	// Closing is the only way to tell a backend server that nobody waits.
 	unhook := context.AfterFunc(ctx, func() { _ = c.Close() })
+	sent := time.Now()
 	p.write(c, message)
 	exchange, err := p.readAnswer(c, request)
 	if err != nil {
@@ -135,6 +139,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		} else if c.idle > 0 {
+			p.forgotten(request.Service, c.idle, time.Since(sent))
 			err = fmt.Errorf("%w, on a connection that was idle for %s", err, c.idle.Round(time.Millisecond))
 		}
 		return nil, call.Unknown, err
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -132,6 +132,33 @@
 		Expect(accepted.Load()).To(BeEquivalentTo(4))
 	})
 
+	// On a day with idle connections forgotten after 300 ms, each front lost one
+	// call after the other that may run once.
+	It("opens a new connection after the backend server forgot one that rested as long", func() {
+		var served atomic.Int64
+		address, accepted := backend(func(conn net.Conn, reader *bufio.Reader) {
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				if served.Add(1) == 2 {
+					return // this one comes on a connection that was forgotten
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+			}
+		})
+		p := newPool(decoder{keep: 10 * time.Second})
+		for n, wanted := range []call.Verdict{call.Answered, call.Unknown, call.Answered, call.Answered} {
+			if n > 0 {
+				time.Sleep(150 * time.Millisecond)
+			}
+			_, verdict, _ := ask(p, address, fmt.Sprint("r", n), "in")
+			Expect(verdict).To(Equal(wanted))
+		}
+		Expect(accepted.Load()).To(BeEquivalentTo(3), "one more for each call after the one that was lost")
+	})
+
 	It("proves that a request was not run when no connection could be opened", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
