--- a/soak/roles/roles.go
+++ b/soak/roles/roles.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -83,7 +84,8 @@
 		return Result{}, Error.Wrap(err)
 	}
 	d, err := deploy(ctx, config, folder)
-	defer d.end()
+	end := sync.OnceFunc(d.end)
+	defer end()
 	if err != nil {
 		return Result{Folder: folder}, err
 	}
@@ -103,6 +105,7 @@
 	}
 	clients.Stop()
 	group.Stop()
+	end() // the folder can be removed only when no process writes to it
 	report := recorder.take().check(d.backend.Runs())
 	report.Seed, report.Faults, report.Folder = config.Seed, faults, folder
 	if failed != nil {
--- a/soak/roles/roles_test.go
+++ b/soak/roles/roles_test.go
@@ -38,6 +38,8 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(report.Write(GinkgoWriter)).To(Succeed())
 			Expect(report.Violations).To(BeEmpty())
+			// Runs of many seeds ended where a store wrote to a folder that was being removed.
+			Expect(report.Folder).NotTo(BeADirectory())
 			Expect(report.Answered).To(BeNumerically(">", 50))
 		}
 	}, NodeTimeout(3*time.Minute))
