Pass the head of a stream on that has no event

A caller passes the head with the first event; a stream that its client resumes after the last event has none, so that the front ended an answer that it had not begun, and net/http sent a bare 200.

Change: the head goes before the end too. The spec failed before.

--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -153,18 +153,18 @@
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && events.rest() == 0 {
+			// A stream that its client resumed after the last event has no event.
+			if !passHead(j, exchange) {
+				return attemptEnd{verdict: call.Unknown, done: true}
+			}
 			finish(j, part{end: true})
 			return attemptEnd{verdict: call.Answered, done: true}
 		}
 		if err != nil {
 			return attemptEnd{verdict: call.Unknown, reason: "stream broken off", done: j.ctx.Err() != nil, broken: j.ctx.Err() == nil}
 		}
-		if !j.headSent {
-			answer := exchange.Answer
-			if j.parts.Push(j.ctx, part{head: &answer}) != nil {
-				return attemptEnd{verdict: call.Unknown, done: true}
-			}
-			j.headSent = true
+		if !passHead(j, exchange) {
+			return attemptEnd{verdict: call.Unknown, done: true}
 		}
 		if j.parts.Push(j.ctx, part{event: event.raw}) != nil {
 			return attemptEnd{verdict: call.Unknown, done: true}
@@ -175,3 +175,14 @@
 		}
 	}
 }
+
+// passHead passes the head of a stream on unless that is done. It reports false
+// if nobody waits.
+func passHead(j *job, exchange *upstream.Exchange) bool {
+	if j.headSent {
+		return true
+	}
+	answer := exchange.Answer
+	j.headSent = j.parts.Push(j.ctx, part{head: &answer}) == nil
+	return j.headSent
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -251,6 +251,17 @@
 		Expect(s.runs.Load()).To(BeEquivalentTo(10))
 	})
 
+	// On a varied day of losses on satamavirta-prod a client got a success without
+	// the signature of the backend server: it had resumed a stream of which it had
+	// all events.
+	It("passes the head of a stream on that ends without an event", func() {
+		s := newSite(route.Route{Kind: route.Streaming}, events())
+		status, body, header := s.get("/r/x")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(BeEmpty())
+		Expect(header.Get(signature)).To(Equal("s"))
+	})
+
 	It("answers 503 with a time to come back when every backend server refuses", func() {
 		s := newSite(route.Route{Kind: route.Unsafe}, refuse, refuse)
 		status, _, header := s.get("/r/x")
