Give clients the fronts of all availability zones again

A zone has one or two fronts there; when they fail together its clients have none until the list changes.

Ruled out: three fronts as the least, which no zone of either site has.

Change: the list begins with the client's zone and goes on with the others.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -18,10 +18,6 @@
 	// muchLess is the part of the largest front's capacity below which a front
 	// is listed only if it is needed: clients pick one of the list at random.
 	muchLess = 0.5
-	// fewestNear is how many fronts of a client's availability zone suffice for
-	// it, so that it has another one when one fails. Calls then stay in the zone,
-	// and each front opens connections to the backend servers there only.
-	fewestNear = 2
 )
 
 // Front is a front that clients may connect to.
@@ -50,8 +46,8 @@
 	return ordered
 }
 
-// Addresses returns the fronts that a client should use, and for how long:
-// those in its availability zone, or all where these are too few.
+// Addresses returns the fronts that a client should use, those in its
+// availability zone first, and for how long.
 func (g *Gateway) Addresses(zone string) ([]string, time.Duration) {
 	var near, far []string
 	for _, f := range listed(*g.fronts.Load(), g.scheduler.slots()) {
@@ -63,10 +59,7 @@
 			far = append(far, f.Address)
 		}
 	}
-	all := near
-	if len(near) < fewestNear {
-		all = slices.Concat(near, far)
-	}
+	all := slices.Concat(near, far)
 	if len(all) == 0 && !g.draining.Load() && g.table.Load() != nil {
 		all = []string{g.settings.Address} // calls that keep no turn are still served
 	}
