copyset, turnstore: Keep acknowledged records readable when the set shrinks

Cause: two changes of the copy set let a read quorum miss a record that a majority had acknowledged. Dropping an absent member of a set with an odd number of members keeps the majority, but shrinks the read quorum. And a disk that retired still accepted records between its last transfer and its leaving; such a record could be on this disk and too few others.

Change: only a member of a set with an even number of members is dropped. A disk that retires refuses requests from its last transfer on, until its leaving is settled; what others accept is unchanged.

Ruled out: a larger read quorum for sets with an even number of members, which every read would pay for.

--- a/copyset/copyset.go
+++ b/copyset/copyset.go
@@ -160,14 +160,27 @@
 	return next, true
 }
 
+// SurvivableLosses is the number of ready members that may be unreachable while
+// the others still form a majority.
+func (s Set) SurvivableLosses() int { return max(0, s.readyCount()-s.Majority()) }
+
+// LeavingCostsTolerance reports whether the set without the member could lose
+// fewer of the tolerated disks than it can now and still serve.
+func (s Set) LeavingCostsTolerance(disk string, tolerated int) bool {
+	next, allowed := s.Leave(disk, tolerated)
+	return !allowed || next.SurvivableLosses() < min(tolerated, s.SurvivableLosses())
+}
+
 // minSpareMembers is how many members beyond the tolerated losses must remain
 // when an absent member is dropped.
 const minSpareMembers = 2
 
 // Drop returns the set without one absent member, and the disk of that member.
-// It reports false if no member is absent or too few would remain.
+// It reports false if no member is absent, if too few would remain, or if the
+// number of members is odd: its majority would stay the same, and a read quorum
+// of the smaller set could miss a record of which the absent member has a copy.
 func (s Set) Drop(absent func(disk string) bool, tolerated int) (Set, string, bool) {
-	if len(s.Members)-1 < tolerated+minSpareMembers {
+	if len(s.Members)%2 == 1 || len(s.Members)-1 < tolerated+minSpareMembers {
 		return Set{}, "", false
 	}
 	for _, m := range s.Members {
--- a/role/store.go
+++ b/role/store.go
@@ -58,9 +58,13 @@
 	}
 	options := membership.FollowOptions{WatchWait: storeWatchWait, BatchDelay: func() time.Duration { return storeBatchDelay(p.host, joiner.Stable()) }}
 	p.followStore(p.store, options, &follower{
-		subscriptions: []subscription{copySets, disksSubscription(p, notify), retireSubscription(p, notify)},
-		onStoreLost:   func(ctx context.Context) { notify(ctx, turnstore.Update{PlatformStoreLost: true}) },
-		feed:          feed,
+		subscriptions: []subscription{
+			// The order to retire comes first, so that a store that restarts after
+			// it has left does not join again.
+			retireSubscription(p, notify), copySets, disksSubscription(p, notify),
+		},
+		onStoreLost: func(ctx context.Context) { notify(ctx, turnstore.Update{PlatformStoreLost: true}) },
+		feed:        feed,
 	})
 	p.member.GRPC, p.member.Disk = address, server.Disk()
 	p.register()
@@ -90,9 +94,14 @@
 func retireSubscription(p *process, notify func(context.Context, turnstore.Update)) subscription {
 	key := platform.RetireKey(p.host.Name)
 	return subscription{prefix: key, onChange: func(ctx context.Context, item kvstore.Item, deleted, _ bool) {
-		if item.Key == key && !deleted {
-			p.log.Info("role: operator ordered the retirement of the disk", "revision", item.Version)
-			notify(ctx, turnstore.Update{Retire: true})
+		if item.Key != key || deleted {
+			return
 		}
+		within, err := platform.DecodeRetireOrder(item.Value)
+		if err != nil {
+			p.log.Error("role: time of the retirement not decoded, retiring at once", "revision", item.Version, "error", err)
+		}
+		p.log.Info("role: operator ordered the retirement of the disk", "revision", item.Version, "within_ms", within.Milliseconds())
+		notify(ctx, turnstore.Update{Retire: &turnstore.RetireOrder{Within: within}})
 	}}
 }
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -55,7 +55,10 @@
 	return c
 }
 
-func (c *cluster) start(host, folder string) {
+func (c *cluster) start(host, folder string) { c.startOn(host, folder, c.kv) }
+
+// startOn starts a store whose joiner writes to the given platform store.
+func (c *cluster) startOn(host, folder string, kv kvstore.Store) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
@@ -66,7 +69,7 @@
 	var served sync.WaitGroup
 	served.Go(func() { _ = s.grpc.Serve(listener) })
 	report := func(done bool) (string, []byte) { return "report/" + host, fmt.Append(nil, done) }
-	s.joiner = NewJoiner(server, c.kv, slog.New(slog.DiscardHandler), copyset.Member{Host: host, Address: s.address, Zone: host}, 1, report, dialTest)
+	s.joiner = NewJoiner(server, kv, slog.New(slog.DiscardHandler), copyset.Member{Host: host, Address: s.address, Zone: host}, 1, report, dialTest)
 	group.Go("joiner", s.joiner.Run)
 	c.stores[host] = s
 	c.notify(host)
@@ -248,7 +251,7 @@
 		c := newCluster("a", "b", "c", "d")
 		Expect(do(c.newClient(), Operation{Records: []*turnpb.Record{turnRecord("t1", "", "one", time.Hour)}}).Verdict).To(Equal(Stored))
 		c.notify("d")
-		Expect(c.stores["d"].joiner.Updates().TryPush(Update{Retire: true})).To(Succeed())
+		Expect(c.stores["d"].joiner.Updates().TryPush(Update{Retire: &RetireOrder{}})).To(Succeed())
 		Eventually(func() string {
 			item, _ := c.kv.Get(context.Background(), "report/d")
 			return string(item.Value)
--- a/turnstore/joiner.go
+++ b/turnstore/joiner.go
@@ -40,16 +40,12 @@
 	CopySet *copyset.Set
 	// RegisteredDisks holds the disks of the registered store processes.
 	RegisteredDisks map[string]bool
-	// Retire means that the operator has ordered this host's disk to be retired.
-	Retire bool
+	// Retire is the operator's order to retire this host's disk.
+	Retire *RetireOrder
 	// PlatformStoreLost means that the platform store does not answer.
 	PlatformStoreLost bool
 }
 
-// RetireReport returns the key and value to write to the platform store when
-// the retirement of the disk has begun (done is false) or is complete.
-type RetireReport func(done bool) (key string, value []byte)
-
 // Joiner makes the disk of a server a member of the copy set, drops absent
 // members, and copies the records to the other members when the disk is retired.
 type Joiner struct {
@@ -69,9 +65,7 @@
 	missingSince    map[string]time.Time // by disk, for members that are not registered
 	registered      map[string]bool      // registered disks; nil while the platform store is lost
 	registeredSince time.Time            // when registered last became known
-	retiring        bool                 // the operator has ordered the retirement
-	retireReported  bool                 // the start of the retirement was reported
-	retired         bool                 // the end of the retirement was reported
+	retirement      *retirement          // nil unless the operator has ordered one
 	pulledDisks     map[string]bool      // members that were pulled from to the end
 	pulledVersion   uint64               // the copy set version that pulledDisks belongs to
 	pullStart       time.Time            // when the first pull under that version began
@@ -104,7 +98,7 @@
 		for update, ok := j.updates.TryPop(); ok; update, ok = j.updates.TryPop() {
 			j.handleUpdate(update, time.Now())
 		}
-		if j.hasSet && !j.retired {
+		if j.hasSet && !j.retirement.complete() {
 			j.step(ctx)
 		}
 		select {
@@ -130,8 +124,10 @@
 			j.registeredSince = now
 		}
 		j.registered = update.RegisteredDisks
-	case update.Retire:
-		j.retiring = true
+	case update.Retire != nil:
+		if j.retirement == nil {
+			j.retirement = newRetirement(*update.Retire, now)
+		}
 	case update.PlatformStoreLost:
 		j.registered = nil // leases may lapse without being seen here
 	}
@@ -150,7 +146,7 @@
 		return !m.Ready || j.registered != nil && !j.registered[m.Disk]
 	})
 	_, member := j.copySet.Find(j.self.Disk)
-	return member && !changing && !j.retiring
+	return member && !changing && j.retirement == nil
 }
 
 // absent reports whether a member has been missing for longer than absentAfter,
@@ -162,50 +158,50 @@
 
 // step makes the next change that is due for this disk or the copy set.
 func (j *Joiner) step(ctx context.Context) {
-	if j.retiring {
-		j.retire(ctx)
+	if j.retirement != nil {
+		j.retire(ctx, time.Now())
 		return
 	}
 	member, ok := j.copySet.Find(j.self.Disk)
 	switch {
 	case !ok:
 		if next, allowed := j.copySet.Join(j.self, j.absent); allowed {
-			j.replaceCopySet(ctx, next, "joins")
+			_ = j.replaceCopySet(ctx, next, "joins") // logged, and tried again at the next step
 		}
 	case member.Address != j.self.Address:
 		if next, moved := j.copySet.SetAddress(j.self.Disk, j.self.Address); moved {
-			j.replaceCopySet(ctx, next, "has another address")
+			_ = j.replaceCopySet(ctx, next, "has another address") // as above
 		}
 	case !member.Ready:
 		if j.pullAll(ctx) {
 			if next, changed := j.copySet.MarkReady(j.self.Disk); changed {
-				j.replaceCopySet(ctx, next, "is ready")
+				_ = j.replaceCopySet(ctx, next, "is ready") // as above
 			}
 		}
 	default:
 		if next, disk, changed := j.copySet.Drop(j.absent, j.tolerated); changed {
 			j.log.Warn("turnstore: member dropped", "absent_disk", disk, "missing_ms", time.Since(j.missingSince[disk]).Milliseconds())
-			j.replaceCopySet(ctx, next, "drops an absent member")
+			_ = j.replaceCopySet(ctx, next, "drops an absent member") // as above
 		}
 	}
 }
 
 // replaceCopySet writes the next copy set, unless the stored one has changed
 // since it was read.
-func (j *Joiner) replaceCopySet(ctx context.Context, next copyset.Set, reason string) bool {
+func (j *Joiner) replaceCopySet(ctx context.Context, next copyset.Set, reason string) error {
 	version, err := kvstore.PutResolved(ctx, j.store, copyset.Key, next.Encode(), kvstore.Version(j.copySet.Version), 0)
 	if err != nil {
 		j.log.Warn("turnstore: copy set not changed", "why", reason, "version", j.copySet.Version, "error", err)
 		if errors.Is(err, kvstore.ErrConflict) {
 			j.reloadCopySet(ctx)
 		}
-		return false
+		return err
 	}
 	next.Version = uint64(version)
 	j.log.Info("turnstore: copy set changed", "why", reason, "disk", j.self.Disk, "from", j.copySet.Version, "to", next.Version,
 		"members", len(next.Members))
 	j.handleUpdate(Update{CopySet: &next}, time.Now())
-	return true
+	return nil
 }
 
 func (j *Joiner) reloadCopySet(ctx context.Context) {
@@ -285,94 +281,3 @@
 	defer cancel()
 	return client.Pull(ctx, request)
 }
-
-// retire copies the records of this disk to all other members, leaves the copy
-// set, and reports both the start and the end to the operator.
-func (j *Joiner) retire(ctx context.Context) {
-	if !j.retireReported {
-		j.retireReported = j.reportRetirement(ctx, false)
-	}
-	if _, member := j.copySet.Find(j.self.Disk); member {
-		next, allowed := j.copySet.Leave(j.self.Disk, j.tolerated)
-		if !allowed {
-			j.log.Warn("turnstore: disk not retired, too few other members are ready", "members", len(j.copySet.Members))
-			return
-		}
-		if !j.pushAll(ctx) {
-			return
-		}
-		if !j.replaceCopySet(ctx, next, "retires") {
-			return
-		}
-	}
-	j.server.MarkRetired()
-	j.retired = j.reportRetirement(ctx, true)
-}
-
-func (j *Joiner) reportRetirement(ctx context.Context, done bool) bool {
-	key, value := j.report(done)
-	if _, err := j.store.Put(ctx, key, value, kvstore.AnyVersion, 0); err != nil {
-		j.log.Warn("turnstore: retirement not reported", "done", done, "error", err)
-		return false
-	}
-	j.log.Info("turnstore: retirement reported", "disk", j.self.Disk, "done", done)
-	return true
-}
-
-// pushAll stores all records of this disk at every other member. It reports
-// whether all of them have the records.
-func (j *Joiner) pushAll(ctx context.Context) bool {
-	all := true
-	for _, m := range j.copySet.Members {
-		if m.Disk == j.self.Disk {
-			continue
-		}
-		if err := j.push(ctx, m); err != nil {
-			j.log.Warn("turnstore: records not copied to member", "to", m.Host, "error", err)
-			all = false
-		}
-	}
-	return all
-}
-
-// push stores all records of this disk at one member.
-func (j *Joiner) push(ctx context.Context, to copyset.Member) error {
-	conn, closeConn, err := j.connect(to.Address)
-	if err != nil {
-		return err
-	}
-	defer closeConn()
-	client := turnpb.NewTurnStoreClient(conn)
-	var cursor uint64
-	for {
-		page, err := j.server.Pull(ctx, &turnpb.PullRequest{CopySet: j.copySet.Version, Cursor: cursor})
-		if err != nil {
-			return err
-		}
-		if page.Status != turnpb.Status_STATUS_OK {
-			return Error.New("pull from this store refused with %s", page.Status)
-		}
-		if len(page.Records) > 0 {
-			if err := pushPage(ctx, client, &turnpb.ExchangeRequest{CopySet: j.copySet.Version, Records: page.Records}); err != nil {
-				return err
-			}
-		}
-		if page.Done {
-			return nil
-		}
-		cursor = page.Cursor
-	}
-}
-
-func pushPage(ctx context.Context, client turnpb.TurnStoreClient, request *turnpb.ExchangeRequest) error {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
-	defer cancel()
-	reply, err := client.Exchange(ctx, request)
-	if err != nil {
-		return err
-	}
-	if reply.Status != turnpb.Status_STATUS_OK && reply.Status != turnpb.Status_STATUS_NOT_READY {
-		return Error.New("exchange refused with %s", reply.Status)
-	}
-	return nil
-}
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -56,16 +56,17 @@
 
 	copySet     atomic.Pointer[copyset.Set] // the newest one known
 	ready       atomic.Bool                 // this disk counts for majorities
-	retired     atomic.Bool                 // this disk has left the copy set for good
+	refusing    atomic.Bool                 // this disk leaves the copy set or has left it
 	recordBytes atomic.Int64                // for metrics
 	turnCount   atomic.Int64                // for metrics
 }
 
-// request is an item of the writer's queue. One of exchange, pull and imported
-// is set.
+// request is an item of the writer's queue. One of exchange, pull, ownPage and
+// imported is set.
 type request struct {
 	exchange *turnpb.ExchangeRequest
 	pull     *turnpb.PullRequest
+	ownPage  *uint64          // cursor from which this process reads its own records
 	imported []*turnpb.Record // pulled from another store
 	reply    chan<- outcome   // has a buffer of one
 }
@@ -139,9 +140,10 @@
 	s.SetCopySet(set)
 }
 
-// MarkRetired makes the store refuse all requests, because other members have
-// its records and its disk is about to be removed.
-func (s *Server) MarkRetired() { s.retired.Store(true) }
+// Refuse makes the store refuse the requests of other processes, or accept them
+// again. A disk that retires refuses them from its last transfer on. Requests
+// that were accepted before are applied before any later readPage.
+func (s *Server) Refuse(on bool) { s.refusing.Store(on) }
 
 // Exchange stores records durably and answers with the ledgers and
 // conversations that the request asks for.
@@ -156,6 +158,13 @@
 	return result.pull, err
 }
 
+// readPage returns one page of the live records to the joiner of this process,
+// also while the store refuses the requests of others.
+func (s *Server) readPage(ctx context.Context, cursor uint64) (*turnpb.PullReply, error) {
+	result, err := s.submit(ctx, request{ownPage: &cursor})
+	return result.pull, err
+}
+
 // Import makes records that were pulled from another store durable here.
 func (s *Server) Import(ctx context.Context, records []*turnpb.Record) error {
 	_, err := s.submit(ctx, request{imported: records})
@@ -213,6 +222,8 @@
 			outcomes[i].exchange, payloads = s.exchange(r.exchange, payloads)
 		case r.pull != nil:
 			outcomes[i].pull, payloads = s.pull(r.pull, payloads)
+		case r.ownPage != nil:
+			outcomes[i].pull = s.page(*r.ownPage)
 		default:
 			payloads = s.applyRecords(r.imported, payloads)
 		}
@@ -247,11 +258,11 @@
 
 // checkVersion refuses a request under an older copy set version than the store
 // has accepted, and records a newer version as the lowest that is accepted from
-// now on. A retired store refuses every request. A refusal returns the newest
+// now on. A store that leaves the copy set refuses every request. A refusal returns the newest
 // known copy set if that is newer than the request's.
 func (s *Server) checkVersion(version uint64, payloads [][]byte) (turnpb.Status, []byte, [][]byte) {
 	known := s.copySet.Load()
-	if s.retired.Load() || version < s.state.fence {
+	if s.refusing.Load() || version < s.state.fence {
 		if known != nil && known.Version > version {
 			return turnpb.Status_STATUS_STALE, encodeVersionedSet(*known), payloads
 		}
@@ -301,11 +312,17 @@
 		out.Status = turnpb.Status_STATUS_NOT_READY
 	}
 	if out.Status == turnpb.Status_STATUS_OK {
-		out.Records, out.Cursor, out.Done = s.state.page(in.Cursor, pullPageBytes)
+		page := s.page(in.Cursor)
+		out.Records, out.Cursor, out.Done = page.Records, page.Cursor, page.Done
 	}
 	return out, payloads
 }
 
+func (s *Server) page(cursor uint64) *turnpb.PullReply {
+	records, next, done := s.state.page(cursor, pullPageBytes)
+	return &turnpb.PullReply{Records: records, Cursor: next, Done: done}
+}
+
 // applyRecords applies records to the state and appends the encoding of the new
 // ones to payloads.
 func (s *Server) applyRecords(records []*turnpb.Record, payloads [][]byte) [][]byte {
