upstream: Bound the head of a response, and assign refusals by id

Cause: package net/http reads a head of any length, so a backend server that sends header lines, a long line or interim responses without end fills the memory of the host until the call times out. A refusal without an id was taken for the answer to whatever request was on the connection; a late copy of an earlier refusal then stated that a call that ran had not run. Of the body of a skipped response only the first MiB was read, and what followed was parsed as the next response. More than three interim responses ended a call.

Change: at most 64 KiB are read up to the end of the response's head, over all interim and skipped heads; the call then may have run and the connection is closed. Interim responses are not counted. A refusal without an id counts only as the first response on a connection. A skipped response with a longer body ends the exchange.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -41,13 +41,15 @@
 	// defaultIdleTimeout is how long an idle connection is kept when the backend
 	// server does not announce its own idle timeout.
 	defaultIdleTimeout = 4 * time.Second
-	// maxSkippedResponses is how many responses are read from a connection in
-	// search of the one to the request before the connection is given up. Interim
-	// (1xx) responses count too.
+	// maxSkippedResponses is how many responses to other requests are read from a
+	// connection before the connection is given up.
 	maxSkippedResponses = 4
 	// maxSkippedBytes bounds the bytes that are read from the body of a skipped
-	// response.
+	// response. The connection is given up if the body is longer.
 	maxSkippedBytes = 1 << 20
+	// maxHeadBytes bounds the bytes that are read up to the end of the head of the
+	// response, over all interim (1xx) and skipped heads.
+	maxHeadBytes = 64 << 10
 	// readBufferSize is the size of a connection's read buffer. It is small
 	// because responses are.
 	readBufferSize = 4 << 10
@@ -76,7 +78,9 @@
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
+	reader      *bufio.Reader // reads from bounded
+	bounded     *boundedReader
+	answered    bool // a response has arrived on it
 	address     string
 	idleSince   time.Time // when it became idle
 	expires     time.Time // when it may no longer be reused
@@ -180,30 +184,55 @@
 // readResponse reads the status and header of the response to the request, and
 // skips responses to other requests.
 func (p *Pool) readResponse(c *conn, request Request) (*Exchange, error) {
-	for range maxSkippedResponses {
+	c.bounded.limit(maxHeadBytes)
+	for skipped := 0; skipped <= maxSkippedResponses; {
 		reply, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		if err != nil && c.bounded.exhausted() {
+			return nil, errors.Join(ErrBroken, ErrHeadTooLong)
+		}
 		if err != nil {
 			return nil, errors.Join(ErrBroken, err)
 		}
 		if reply.StatusCode < http.StatusOK {
 			continue // interim (1xx) response; the final one follows
 		}
+		firstAnswer := !c.answered
+		c.answered = true
 		response := p.decoder.Decode(reply)
-		if response.RequestID == request.ID || (response.RequestID == "" && response.NotRun) {
+		// A refusal without an id can only be assigned to a request if the
+		// connection has carried no other: a late copy of an earlier refusal would
+		// state that this request has not run.
+		if response.RequestID == request.ID || (response.RequestID == "" && response.NotRun && firstAnswer) {
+			c.bounded.unlimit()
 			c.framed = reply.ContentLength >= 0 || len(reply.TransferEncoding) > 0
 			c.idleTimeout = idleTimeout(response.IdleTimeout)
 			return &Exchange{Response: response, Body: reply.Body, Length: reply.ContentLength, pool: p, conn: c}, nil
 		}
-		if reply.Close || (reply.ContentLength < 0 && len(reply.TransferEncoding) == 0) {
-			return nil, errors.Join(ErrBroken, Error.New("answer to another request"))
-		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(reply.Body, maxSkippedBytes)); err != nil {
+		if err := c.skipBody(reply); err != nil {
 			return nil, errors.Join(ErrBroken, err)
 		}
+		skipped++
 	}
 	return nil, errors.Join(ErrBroken, Error.New("answers to other requests"))
 }
 
+// skipBody reads the body of a response to another request.
+func (c *conn) skipBody(reply *http.Response) error {
+	if reply.Close || (reply.ContentLength < 0 && len(reply.TransferEncoding) == 0) {
+		return Error.New("answer to another request")
+	}
+	left := c.bounded.unlimit()
+	count, err := io.Copy(io.Discard, io.LimitReader(reply.Body, maxSkippedBytes+1))
+	if err != nil {
+		return err
+	}
+	if count > maxSkippedBytes {
+		return Error.New("the answer to another request has more than %d bytes", maxSkippedBytes)
+	}
+	c.bounded.limit(left)
+	return nil
+}
+
 // idleTimeout returns how long an idle connection is kept, given the idle timeout
 // that the backend server announced, or 0 if it announced none. A connection
 // whose result is 0 or less must not be reused.
@@ -251,7 +280,8 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotConnected, err)
 	}
+	bounded := &boundedReader{source: socket, left: unlimited}
 	return &conn{
-		Conn: socket, address: address, reader: bufio.NewReaderSize(socket, readBufferSize), writeResult: make(chan error, 1),
+		Conn: socket, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize), writeResult: make(chan error, 1),
 	}, nil
 }
