turnstore, gateway: Keep records in their segment, and events whole

Cause: a record that arrived a second time was tagged with the log segment that was open then, although nothing was written there; when the segment that had it was removed, the record was gone at the next restart. The bound on records that wait for a disk that refuses writes was compared after their list had been emptied, so it never applied. An event line as long as the read buffer ended the event early, and the rest of a longer line could be taken for a field.

Change: a known record keeps its segment; compaction moves what it has written again. The bound is read before the list is emptied. A line is parsed when it is complete, and an event is too long as soon as it exceeds its bound.

The bound on waiting records has no spec.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -42,20 +42,22 @@
 // stream; incompleteBytes then tells whether an incomplete event was cut off.
 func (r *eventReader) next() (event, error) {
 	var e event
+	lineStart := 0
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		part, err := r.reader.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
 		r.pending = len(e.raw)
-		if errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes {
-			continue
+		if len(e.raw) > maxEventBytes {
+			return event{}, errEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue // the line goes on
 		}
 		if err != nil {
 			return event{}, err
 		}
-		if len(e.raw) > maxEventBytes {
-			return event{}, errEventTooLong
-		}
-		field := bytes.TrimRight(line, "\r\n")
+		field := bytes.TrimRight(e.raw[lineStart:], "\r\n")
+		lineStart = len(e.raw)
 		if len(field) == 0 && len(bytes.TrimSpace(e.raw)) > 0 {
 			r.pending = 0
 			return e, nil
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -214,12 +214,13 @@
 // log in one write, and replies.
 func (s *Server) processBatch(batch []request) {
 	payloads := s.unwritten
+	diskRefuses := len(s.unwritten) > maxUnwrittenRecords
 	s.unwritten = nil
 	outcomes := make([]outcome, len(batch))
 	for i, r := range batch {
 		switch {
 		case r.exchange != nil:
-			outcomes[i].exchange, payloads = s.exchange(r.exchange, payloads)
+			outcomes[i].exchange, payloads = s.exchange(r.exchange, payloads, diskRefuses)
 		case r.pull != nil:
 			outcomes[i].pull, payloads = s.pull(r.pull, payloads)
 		case r.ownPage != nil:
@@ -274,7 +275,9 @@
 	return turnpb.Status_STATUS_OK, nil, payloads
 }
 
-func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte) (*turnpb.ExchangeReply, [][]byte) {
+// exchange applies a request. If the disk has refused writes for long, it takes
+// no further records, so that those in memory stay bounded.
+func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte, diskRefuses bool) (*turnpb.ExchangeReply, [][]byte) {
 	s.adoptEncodedSet(in.Set)
 	out := &turnpb.ExchangeReply{}
 	s.crashes.add(in.Crashes, time.Now())
@@ -283,8 +286,8 @@
 	if out.Status != turnpb.Status_STATUS_OK {
 		return out, payloads
 	}
-	if len(in.Records) > 0 && (s.state.bytes > s.maxBytes || len(s.unwritten) > maxUnwrittenRecords) {
-		s.log.Error("turnstore: records refused, limit reached", "bytes", s.state.bytes, "limit", s.maxBytes, "unwritten", len(s.unwritten))
+	if len(in.Records) > 0 && (s.state.bytes > s.maxBytes || diskRefuses) {
+		s.log.Error("turnstore: records refused, limit reached", "bytes", s.state.bytes, "limit", s.maxBytes, "disk_refuses", diskRefuses)
 		out.Status = turnpb.Status_STATUS_FAILED
 		return out, payloads
 	}
@@ -369,9 +372,7 @@
 			s.log.Error("turnstore: live records of a segment not rewritten", "segment", segment, "error", err)
 			return
 		}
-		for _, record := range live {
-			s.state.apply(record, s.turnLog.CurrentSegment())
-		}
+		s.state.moveTo(s.turnLog.CurrentSegment(), segment)
 	}
 	if err := s.turnLog.RemoveOldestSegment(); err != nil {
 		s.log.Error("turnstore: segment not removed", "segment", segment, "error", err)
--- a/turnstore/state.go
+++ b/turnstore/state.go
@@ -26,7 +26,7 @@
 	attempt string
 	tokens  int64
 	settled bool
-	segment uint64 // the log segment that was open when it last arrived
+	segment uint64 // the newest log segment that has it
 }
 
 // ledger holds the entries of one program.
@@ -60,8 +60,8 @@
 	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}}
 }
 
-// apply adds a record that is or will be durable in the given segment. It
-// reports whether the record was new.
+// apply adds a record that will be written to the given segment if it is new,
+// and reports whether it is. A record that is known stays in its segment.
 func (s *state) apply(record *turnpb.Record, segment uint64) bool {
 	switch kind := record.Kind.(type) {
 	case *turnpb.Record_Reservation:
@@ -96,7 +96,6 @@
 			continue
 		}
 		if known.settled || !e.settled {
-			known.segment = max(known.segment, e.segment)
 			return false
 		}
 		*known = e
@@ -112,9 +111,7 @@
 // applyTurn adds a turn and extends the expiry of those that it continues.
 func (s *state) applyTurn(record *turnpb.Turn, segment uint64) bool {
 	known := s.turns[record.Id]
-	if known != nil {
-		known.segment = max(known.segment, segment)
-	} else {
+	if known == nil {
 		s.turns[record.Id] = &turn{record: record, expires: record.ExpiresUnixMs, segment: segment}
 		s.bytes += int64(len(record.Content)) + recordOverhead
 		s.applied = append(s.applied, recordRef{turn: record.Id})
@@ -131,6 +128,23 @@
 	return known == nil
 }
 
+// moveTo records that all live records up to the end of the given segment have
+// been written again to the current one.
+func (s *state) moveTo(current, segment uint64) {
+	for _, t := range s.turns {
+		if t.segment <= segment {
+			t.segment = current
+		}
+	}
+	for _, l := range s.programs {
+		for i := range l.entries {
+			if l.entries[i].segment <= segment {
+				l.entries[i].segment = current
+			}
+		}
+	}
+}
+
 // ledger returns the entries of a program for a reply.
 func (s *state) ledger(program string) *turnpb.Ledger {
 	out := &turnpb.Ledger{Program: program}
--- a/turnstore/state_test.go
+++ b/turnstore/state_test.go
@@ -28,6 +28,20 @@
 }
 
 var _ = Describe("State", func() {
+	// Guards against the loss of a record at a restart: it was tagged with the
+	// segment that was open when a copy of it arrived, although nothing was
+	// written there, and the only segment that had it was removed.
+	It("keeps a record with the segment that has it when the record arrives again", func() {
+		s := newState()
+		for _, segment := range []uint64{1, 5} {
+			s.apply(turnRecord("a", "", "one", time.Hour), segment)
+			s.apply(reserve("x", 7), segment)
+		}
+		Expect(s.liveThrough(1)).To(HaveLen(2), "both are rewritten before segment 1 is removed")
+		s.moveTo(6, 1)
+		Expect(s.liveThrough(5)).To(BeEmpty())
+	})
+
 	It("does not let a reservation that arrives late undo its settlement", func() {
 		s := newState()
 		s.apply(settle("a", 7), 1)
