gateway: Bound the memory of all answers together

Cause: each call may hold an answer of 8 MiB, or an event of 1 MiB, so a few backend servers that send without end take the memory of a host with 112 MB.

When that is used up, the exchange that holds most is ended, and its call may have run; calls with short answers never depend on it. Two gauges show the bytes held and the answers given up.

--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -96,7 +96,11 @@
 		return result
 	}
 	defer exchange.Close()
+	j.answer.begin(exchange.Abort)
 	result := c.forward(j, exchange)
+	if j.answer.end(result.verdict == call.Answered) && result.verdict != call.Answered {
+		result.reason = errAnswerBytes.Error()
+	}
 	result.report.Failed = result.verdict == call.Unknown && !result.done || exchange.Response.Status >= http.StatusInternalServerError && !exchange.Response.NotRun
 	c.detectLostServer(&result, a)
 	result.report.Duration = time.Since(sent)
@@ -144,9 +148,9 @@
 
 // forwardBody forwards a response that is not a stream, once it is complete.
 func (c *callWorker) forwardBody(j *job, exchange *upstream.Exchange) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(exchange, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
-		return attemptResult{verdict: call.Unknown, reason: "answer broken off", done: j.ctx.Err() != nil, incomplete: j.ctx.Err() == nil}
+	body, err := j.answer.readBody(exchange, maxResponseBytes)
+	if err != nil {
+		return attemptResult{verdict: call.Unknown, reason: "answer broken off: " + err.Error(), done: j.ctx.Err() != nil, incomplete: j.ctx.Err() == nil}
 	}
 	response := exchange.Response
 	if j.headSent { // the response to a resumed stream must be a stream
@@ -158,7 +162,7 @@
 
 // forwardStream forwards events as they arrive.
 func (c *callWorker) forwardStream(j *job, exchange *upstream.Exchange) attemptResult {
-	events := newEventReader(exchange)
+	events := newEventReader(exchange, j.answer.grow)
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && events.incompleteBytes() == 0 {
@@ -170,7 +174,7 @@
 			return attemptResult{verdict: call.Answered, done: true}
 		}
 		if err != nil {
-			return attemptResult{verdict: call.Unknown, reason: "stream broken off", done: j.ctx.Err() != nil, incomplete: j.ctx.Err() == nil}
+			return attemptResult{verdict: call.Unknown, reason: "stream broken off: " + err.Error(), done: j.ctx.Err() != nil, incomplete: j.ctx.Err() == nil}
 		}
 		if !forwardHead(j, exchange) {
 			return attemptResult{verdict: call.Unknown, done: true}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -29,10 +29,13 @@
 type eventReader struct {
 	reader  *bufio.Reader
 	pending int // bytes read of an incomplete event
+	// grow is called for the bytes that an event takes. The stream is given up if
+	// it reports false.
+	grow func(count int) bool
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10)}
+func newEventReader(r io.Reader, grow func(count int) bool) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10), grow: grow}
 }
 
 // incompleteBytes returns the number of bytes read of an incomplete event.
@@ -50,6 +53,9 @@
 		if len(e.raw) > maxEventBytes {
 			return event{}, errEventTooLong
 		}
+		if !r.grow(len(part)) {
+			return event{}, errAnswerBytes
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue // the line goes on
 		}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -10,7 +10,7 @@
 
 // readEvents returns the events of a stream and the error that ends it.
 func readEvents(stream string) (events []event, err error) {
-	reader := newEventReader(strings.NewReader(stream))
+	reader := newEventReader(strings.NewReader(stream), func(int) bool { return true })
 	for {
 		e, err := reader.next()
 		if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync/atomic"
@@ -32,12 +33,19 @@
 	// CallWorkers is the number of call workers, and thus the limit of concurrent
 	// calls to backend servers.
 	CallWorkers int
+	// AnswerBytes is the limit of the bytes that the answers of all calls hold in
+	// memory; 0 means defaultAnswerBytes.
+	AnswerBytes int64
 	// AddressTTL is how long a client may cache the list of fronts.
 	AddressTTL time.Duration
 	// MaxAddresses is the maximum length of that list.
 	MaxAddresses int
 }
 
+// defaultAnswerBytes is the limit of the bytes of all answers if the settings
+// have none.
+const defaultAnswerBytes = 16 << 20
+
 // Gateway is the HTTP handler that serves client requests.
 type Gateway struct {
 	settings  Settings
@@ -48,6 +56,7 @@
 	scheduler *Scheduler
 	pool      *upstream.Pool
 
+	answerBudget   *answerBudget
 	table          atomic.Pointer[route.Table]
 	fronts         atomic.Pointer[[]Front]
 	draining       atomic.Bool
@@ -58,6 +67,7 @@
 func New(group *duty.Group, log *slog.Logger, set *metrics.Set, settings Settings, decode RequestDecoder, codec Codec, turnStore TurnStore) *Gateway {
 	g := &Gateway{settings: settings, log: log, set: set, decode: decode, turnStore: turnStore}
 	g.fronts.Store(&[]Front{})
+	g.answerBudget = newAnswerBudget(cmp.Or(settings.AnswerBytes, defaultAnswerBytes))
 	g.pool = upstream.NewPool(group, codec)
 	attempts := ring.New[attempt](settings.CallWorkers)
 	g.scheduler = newScheduler(group, log, settings.Zone, attempts, g.pool, turnStore)
@@ -68,6 +78,8 @@
 	group.RegisterGauge("dogwoodline_requests_running", func() int { return int(g.activeRequests.Load()) })
 	group.RegisterGauge("dogwoodline_upstream_connections", func() int { open, _ := g.pool.ConnCounts(); return open })
 	group.RegisterGauge("dogwoodline_upstream_dials_total", func() int { _, dialled := g.pool.ConnCounts(); return dialled })
+	group.RegisterGauge("dogwoodline_answer_bytes", func() int { used, _ := g.answerBudget.counts(); return int(used) })
+	group.RegisterGauge("dogwoodline_answers_given_up_total", func() int { _, stopped := g.answerBudget.counts(); return stopped })
 	group.RegisterGauge("dogwoodline_config_version", func() int { return int(g.version()) })
 	return g
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -121,7 +121,9 @@
 	j := &job{
 		ctx: ctx, request: &e.request, route: e.route, service: service, body: body, deadline: deadline, startsProgram: e.startsProgram,
 		parts: ring.New[responsePart](partRingSize), resumeAfter: e.request.LastEventID,
+		answer: &answerBytes{budget: e.gateway.answerBudget},
 	}
+	defer j.answer.close()
 	if err := e.gateway.scheduler.messages.TryPush(schedulerMessage{job: j}); err != nil {
 		e.turn.settle(time.Now())
 		e.refuse("too many requests wait", retryAfterFull)
@@ -197,6 +199,9 @@
 			return
 		default:
 			e.writeEvent(p.event)
+			if !e.route.RetainTurns {
+				j.answer.shrink(len(p.event))
+			}
 		}
 	}
 }
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -40,6 +40,7 @@
 	deadline      time.Time
 	startsProgram bool // it starts a program
 	parts         *ring.Ring[responsePart]
+	answer        *answerBytes // what is held in memory of its answer
 	phase         atomic.Int32
 
 	// The fields below are not synchronized: only the goroutine that currently
--- a/role/front.go
+++ b/role/front.go
@@ -25,6 +25,9 @@
 	// concurrently. At the planned deployment sizes a burst is below 100 calls
 	// per front.
 	callWorkers = 384
+	// answerMemoryShare is the fraction of the process's memory that answers of
+	// backend servers may hold, above the few KiB that each may hold anyway.
+	answerMemoryShare = 0.1
 	// addressTTL is how long clients may cache the list of fronts. It is short so
 	// that clients soon stop using a front that was lost.
 	addressTTL = time.Second
@@ -45,7 +48,8 @@
 	turnStores := turnstore.NewClient(p.group, p.log, p.host.AvailabilityZone, p.host.ToleratedHostLosses, connect)
 	g := gateway.New(p.group, p.log, p.metricSet, gateway.Settings{
 		Address: p.host.FrontAddress, Zone: p.host.AvailabilityZone, CallWorkers: callWorkers,
-		AddressTTL: min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
+		AnswerBytes: int64(answerMemoryShare * float64(p.host.MemoryBytes)),
+		AddressTTL:  min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
 	batchDelay := func() time.Duration {
