--- a/role/front.go
+++ b/role/front.go
@@ -31,14 +31,6 @@
 	// addressTTL is how long clients may cache the list of fronts. It is short so
 	// that clients soon stop using a front that was lost.
 	addressTTL = time.Second
-	// drainMargin allows for the delivery of the last change of the member list
-	// to the fronts and of the last address lists to clients.
-	drainMargin = 300 * time.Millisecond
-	// drainReserve is the part of the time between SIGTERM and SIGKILL that is
-	// left for closing connections.
-	drainReserve = 700 * time.Millisecond
-	// drainPollInterval is how often a stopping front checks whether it is drained.
-	drainPollInterval = 20 * time.Millisecond
 )
 
 // RunFront runs a front until the process receives SIGTERM or SIGINT.
@@ -56,7 +48,7 @@
 		if reader.FollowsFeed() {
 			return 0 // the feed already delivers changes in batches
 		}
-		return frontBatchDelay(p.host)
+		return frontBatchDelay(p.currentHost())
 	}
 	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay}, &follower{subscriptions: []subscription{
 		configSubscription(p.log, func(value []byte) error {
@@ -219,29 +211,3 @@
 	}
 	return nil
 }
-
-// drain takes a front out of service without breaking off requests. It first
-// marks the front as draining in the directory, then keeps serving until clients
-// have switched to other fronts and no request is running, or until the stop
-// window is nearly used up.
-func (p *process) drain(ctx context.Context, g *gateway.Gateway) {
-	started := time.Now()
-	g.Drain()
-	p.sendCommand(ctx, membership.SetDraining{})
-	// All fronts must have learned of the change, and clients must have asked for
-	// addresses again; some keep them three times as long as addressTTL.
-	minDuration := frontBatchDelay(p.host) + 3*addressTTL + drainMargin
-	maxDuration := p.host.StopWindow - drainReserve
-	for time.Since(started) < maxDuration && (time.Since(started) < minDuration || g.ActiveRequests() > 0) {
-		time.Sleep(drainPollInterval)
-	}
-	p.log.Info("role: drained", "took_ms", time.Since(started).Milliseconds(), "running", g.ActiveRequests())
-	p.sendCommand(ctx, membership.Leave{})
-	ctx, cancel := context.WithTimeout(ctx, drainReserve/2)
-	defer cancel()
-	for _, server := range p.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			p.log.Warn("role: HTTP server not shut down gracefully", "error", err)
-		}
-	}
-}
--- a/role/role.go
+++ b/role/role.go
@@ -16,6 +16,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,7 +67,10 @@
 
 // process holds the state that both roles need.
 type process struct {
+	// host holds the settings that the process started with, and reread the ones
+	// that were read again since; nil if there are none.
 	host      platform.Host
+	reread    atomic.Pointer[platform.Host]
 	log       *slog.Logger
 	metricSet *metrics.Set
 	group     *duty.Group
@@ -186,11 +190,20 @@
 			p.log.Error("role: settings not read again, keeping the previous ones", "error", err)
 			continue
 		}
-		p.log.Info("role: settings read again", "changed", host != p.host)
-		p.host = host
+		p.log.Info("role: settings read again", "changed", host != p.currentHost())
+		p.reread.Store(&host)
 	}
 }
 
+// currentHost returns the newest settings. Goroutines that run until the process
+// stops use it for values that may change.
+func (p *process) currentHost() platform.Host {
+	if host := p.reread.Load(); host != nil {
+		return *host
+	}
+	return p.host
+}
+
 // connect returns a gRPC connection to another process of the system and a
 // function that closes it.
 func connect(address string) (grpc.ClientConnInterface, func(), error) {
--- a/role/store.go
+++ b/role/store.go
@@ -56,7 +56,7 @@
 			notify(ctx, turnstore.Update{CopySet: &copyset.Set{}})
 		}
 	}
-	options := membership.FollowOptions{WatchWait: storeWatchWait, BatchDelay: func() time.Duration { return storeBatchDelay(p.host, joiner.Stable()) }}
+	options := membership.FollowOptions{WatchWait: storeWatchWait, BatchDelay: func() time.Duration { return storeBatchDelay(p.currentHost(), joiner.Stable()) }}
 	p.followStore(p.store, options, &follower{
 		subscriptions: []subscription{
 			// The order to retire comes first, so that a store that restarts after
