turnstore: Send the copy set again after a failed request

Cause: a sender remembered which copy set the member had received, also when the member's process had restarted behind the same address, or when a new connection was opened after the request had been built. The store then refused turns until the platform's store told it the set; the number of the last crash report, which a process counts from its start, could skip reports.

Change: a sender connects before it builds a request, and forgets both after a failed one.

Before: the spec fails, the fourth request carries no set. After: it passes.

--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -93,7 +93,10 @@
 	if !s.failing.Load() || *s.address.Load() == "" {
 		return nil
 	}
-	_, err := s.call(ctx, &turnpb.ExchangeRequest{})
+	err := s.ensureConnected()
+	if err == nil {
+		_, err = s.call(ctx, &turnpb.ExchangeRequest{})
+	}
 	return s.updateReachability(ctx, err)
 }
 
@@ -110,24 +113,18 @@
 // exchange sends a batch in one request and passes each operation's part of the
 // reply to the client.
 func (s *sender) exchange(ctx context.Context, batch []message) error {
-	set := batch[0].set
-	request := &turnpb.ExchangeRequest{CopySet: set.Version, CrashesAfter: s.lastCrash}
-	if s.sentVersion != set.Version {
-		request.Set = encodeVersionedSet(*set)
-	}
-	for _, m := range batch {
-		request.Records = append(request.Records, m.records...)
-		if m.chain != "" {
-			request.Chains = append(request.Chains, m.chain)
-		}
-		if m.crash != nil {
-			request.Crashes = append(request.Crashes, m.crash)
-		}
+	var reply *turnpb.ExchangeReply
+	err := s.ensureConnected()
+	if err == nil {
+		reply, err = s.call(ctx, s.encode(batch))
 	}
-	reply, err := s.call(ctx, request)
 	if err == nil {
-		s.sentVersion, s.lastCrash = set.Version, reply.LastCrash
+		s.sentVersion, s.lastCrash = batch[0].set.Version, reply.LastCrash
 		s.forwardCrashes(reply.Crashes)
+	} else {
+		// The next answer may come from a process that has restarted. It does not
+		// serve before it knows the copy set, and it counts crashes anew.
+		s.sentVersion, s.lastCrash = 0, 0
 	}
 	if err := s.updateReachability(ctx, err); err != nil {
 		return err
@@ -155,20 +152,46 @@
 	return nil
 }
 
-// call makes one request, over a new connection if the address has changed.
-func (s *sender) call(ctx context.Context, request *turnpb.ExchangeRequest) (*turnpb.ExchangeReply, error) {
+// encode returns the request for a batch. It carries the copy set unless the
+// member has received that version on this connection.
+func (s *sender) encode(batch []message) *turnpb.ExchangeRequest {
+	set := batch[0].set
+	request := &turnpb.ExchangeRequest{CopySet: set.Version, CrashesAfter: s.lastCrash}
+	if s.sentVersion != set.Version {
+		request.Set = encodeVersionedSet(*set)
+	}
+	for _, m := range batch {
+		request.Records = append(request.Records, m.records...)
+		if m.chain != "" {
+			request.Chains = append(request.Chains, m.chain)
+		}
+		if m.crash != nil {
+			request.Crashes = append(request.Crashes, m.crash)
+		}
+	}
+	return request
+}
+
+// ensureConnected opens a connection if there is none to the member's address.
+func (s *sender) ensureConnected() error {
 	address := *s.address.Load()
 	if address == "" {
-		return nil, Error.New("no member is assigned to this sender")
+		return Error.New("no member is assigned to this sender")
 	}
-	if s.connAddress != address {
-		s.disconnect()
-		conn, closeConn, err := s.connect(address)
-		if err != nil {
-			return nil, err
-		}
-		s.conn, s.closeConn, s.connAddress = turnpb.NewTurnStoreClient(conn), closeConn, address
+	if s.connAddress == address {
+		return nil
 	}
+	s.disconnect()
+	conn, closeConn, err := s.connect(address)
+	if err != nil {
+		return err
+	}
+	s.conn, s.closeConn, s.connAddress = turnpb.NewTurnStoreClient(conn), closeConn, address
+	return nil
+}
+
+// call makes one request on the open connection.
+func (s *sender) call(ctx context.Context, request *turnpb.ExchangeRequest) (*turnpb.ExchangeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply, err := s.conn.Exchange(ctx, request)
