turnstore: Transfer the content of each turn once when a store joins

Cause: a store that joined pulled all records from every ready member, and one that retired sent all of its records to every other member, although nearly all of them hold the same turns.

Change: a joining store gets short records and turns without content, and asks for the contents that it lacks, nearest member first. A retiring store asks which turns a member holds. A store of the release before ignores the new fields and sends or gets everything, as before.

Ruled out: pulling from fewer members. A read quorum is needed for safety, and the others make a record survive more losses.

--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +30,36 @@
 type cluster struct {
 	kv     *memstore.Store
 	stores map[string]*testStore
+	// transferred counts the bytes of turns in the requests and replies of joiners.
+	transferred atomic.Int64
+}
+
+// countingConn adds the bytes of the turns that pass through a connection to
+// count.
+type countingConn struct {
+	grpc.ClientConnInterface
+	count *atomic.Int64
+}
+
+func (c countingConn) Invoke(ctx context.Context, method string, in, out any, options ...grpc.CallOption) error {
+	err := c.ClientConnInterface.Invoke(ctx, method, in, out, options...)
+	var records []*turnpb.Record
+	if request, ok := in.(*turnpb.ExchangeRequest); ok {
+		records = request.Records
+	}
+	if reply, ok := out.(*turnpb.PullReply); ok {
+		records = append(records, reply.Records...)
+	}
+	for _, record := range records {
+		c.count.Add(int64(len(record.GetTurn().GetContent())))
+	}
+	return err
+}
+
+// dial connects a joiner and counts what it transfers.
+func (c *cluster) dial(address string) (grpc.ClientConnInterface, func(), error) {
+	conn, closeConn, err := dialTest(address)
+	return countingConn{conn, &c.transferred}, closeConn, err
 }
 
 type testStore struct {
@@ -69,7 +100,7 @@
 	var served sync.WaitGroup
 	served.Go(func() { _ = s.grpc.Serve(listener) })
 	report := func(done bool) (string, []byte) { return "report/" + host, fmt.Append(nil, done) }
-	s.joiner = NewJoiner(server, kv, slog.New(slog.DiscardHandler), copyset.Member{Host: host, Address: s.address, Zone: host}, 1, report, dialTest)
+	s.joiner = NewJoiner(server, kv, slog.New(slog.DiscardHandler), copyset.Member{Host: host, Address: s.address, Zone: host}, 1, report, c.dial)
 	group.Go("joiner", s.joiner.Run)
 	c.stores[host] = s
 	c.notify(host)
--- a/turnstore/joiner.go
+++ b/turnstore/joiner.go
@@ -13,18 +13,11 @@
 	"dogwoodline.example/copyset"
 	"dogwoodline.example/kvstore"
 	"dogwoodline.example/ring"
-	"dogwoodline.example/turnstore/turnpb"
 )
 
 const (
 	// joinInterval is how often the joiner checks the copy set without updates.
 	joinInterval = 500 * time.Millisecond
-	// pageTimeout bounds the transfer of one page of records.
-	pageTimeout = 2 * time.Second
-	// pullAllGrace is how long a joining store tries to pull from all ready
-	// members before a read quorum of them suffices, because a record on more
-	// disks survives more losses.
-	pullAllGrace = 700 * time.Millisecond
 	// absentAfter is how long a member must be missing from the registered
 	// processes before it counts as absent. A lease lapses after 2 s, and a store
 	// that lost power is mostly back within that time.
@@ -217,67 +210,3 @@
 	}
 	j.handleUpdate(Update{CopySet: &set}, time.Now())
 }
-
-// pullAll pulls from the ready members. It reports whether it has read so many
-// of them to the end that every earlier majority is represented.
-func (j *Joiner) pullAll(ctx context.Context) bool {
-	if j.pulledVersion != j.copySet.Version {
-		j.pulledVersion, j.pulledDisks, j.pullStart = j.copySet.Version, map[string]bool{}, time.Now()
-	}
-	ready := 0
-	for _, m := range j.copySet.Members {
-		if !m.Ready || m.Disk == j.self.Disk {
-			continue
-		}
-		ready++
-		if j.pulledDisks[m.Disk] {
-			continue
-		}
-		count, err := j.pull(ctx, m)
-		if err != nil {
-			j.log.Warn("turnstore: pull failed", "from", m.Host, "copy_set", j.copySet.Version, "error", err)
-			continue
-		}
-		j.pulledDisks[m.Disk] = true
-		j.log.Info("turnstore: pulled", "from", m.Host, "records", count, "copy_set", j.copySet.Version)
-	}
-	enough := len(j.pulledDisks) >= j.copySet.ReadQuorum()
-	return enough && (len(j.pulledDisks) == ready || time.Since(j.pullStart) > pullAllGrace)
-}
-
-// pull makes all records of one member durable here and returns their number.
-func (j *Joiner) pull(ctx context.Context, from copyset.Member) (int, error) {
-	conn, closeConn, err := j.connect(from.Address)
-	if err != nil {
-		return 0, err
-	}
-	defer closeConn()
-	client := turnpb.NewTurnStoreClient(conn)
-	request := &turnpb.PullRequest{CopySet: j.copySet.Version, Set: encodeVersionedSet(j.copySet)}
-	count := 0
-	for {
-		page, err := pullPage(ctx, client, request)
-		if err != nil {
-			return count, err
-		}
-		if page.Status != turnpb.Status_STATUS_OK {
-			return count, Error.New("pull refused with %s", page.Status)
-		}
-		if len(page.Records) > 0 {
-			if err := j.server.Import(ctx, page.Records); err != nil {
-				return count, err
-			}
-		}
-		count += len(page.Records)
-		if page.Done {
-			return count, nil
-		}
-		request.Cursor = page.Cursor
-	}
-}
-
-func pullPage(ctx context.Context, client turnpb.TurnStoreClient, request *turnpb.PullRequest) (*turnpb.PullReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
-	defer cancel()
-	return client.Pull(ctx, request)
-}
--- a/turnstore/retire.go
+++ b/turnstore/retire.go
@@ -7,7 +7,6 @@
 
 	"dogwoodline.example/copyset"
 	"dogwoodline.example/kvstore"
-	"dogwoodline.example/turnstore/turnpb"
 )
 
 const (
@@ -143,41 +142,3 @@
 	}
 	return complete >= next.Majority()
 }
-
-// push stores the records of this disk that one member has not received yet.
-func (j *Joiner) push(ctx context.Context, to copyset.Member) error {
-	conn, closeConn, err := j.connect(to.Address)
-	if err != nil {
-		return err
-	}
-	defer closeConn()
-	client := turnpb.NewTurnStoreClient(conn)
-	for {
-		page, err := j.server.readPage(ctx, j.retirement.sent[to.Disk])
-		if err != nil {
-			return err
-		}
-		if len(page.Records) > 0 {
-			if err := pushPage(ctx, client, &turnpb.ExchangeRequest{CopySet: j.copySet.Version, Records: page.Records}); err != nil {
-				return err
-			}
-		}
-		j.retirement.sent[to.Disk] = page.Cursor
-		if page.Done {
-			return nil
-		}
-	}
-}
-
-func pushPage(ctx context.Context, client turnpb.TurnStoreClient, request *turnpb.ExchangeRequest) error {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
-	defer cancel()
-	reply, err := client.Exchange(ctx, request)
-	if err != nil {
-		return err
-	}
-	if reply.Status != turnpb.Status_STATUS_OK && reply.Status != turnpb.Status_STATUS_NOT_READY {
-		return Error.New("exchange refused with %s", reply.Status)
-	}
-	return nil
-}
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -75,6 +75,7 @@
 type outcome struct {
 	exchange *turnpb.ExchangeReply
 	pull     *turnpb.PullReply
+	missing  []string // ids of imported turns whose contents are not held
 	err      error
 }
 
@@ -165,10 +166,12 @@
 	return result.pull, err
 }
 
-// Import makes records that were pulled from another store durable here.
-func (s *Server) Import(ctx context.Context, records []*turnpb.Record) error {
-	_, err := s.submit(ctx, request{imported: records})
-	return err
+// Import makes records that were pulled from another store durable here. It
+// returns the ids of the turns without content that are not held here yet; they
+// have not been imported.
+func (s *Server) Import(ctx context.Context, records []*turnpb.Record) (missing []string, err error) {
+	result, err := s.submit(ctx, request{imported: records})
+	return result.missing, err
 }
 
 // submit queues a request for the writer and waits for its outcome.
@@ -224,9 +227,10 @@
 		case r.pull != nil:
 			outcomes[i].pull, payloads = s.pull(r.pull, payloads)
 		case r.ownPage != nil:
-			outcomes[i].pull = s.page(*r.ownPage)
+			outcomes[i].pull = &turnpb.PullReply{}
+			s.fillPull(&turnpb.PullRequest{Cursor: *r.ownPage}, outcomes[i].pull)
 		default:
-			payloads = s.applyRecords(r.imported, payloads)
+			payloads, outcomes[i].missing = s.importRecords(r.imported, payloads)
 		}
 	}
 	if len(payloads) > 0 {
@@ -315,15 +319,33 @@
 		out.Status = turnpb.Status_STATUS_NOT_READY
 	}
 	if out.Status == turnpb.Status_STATUS_OK {
-		page := s.page(in.Cursor)
-		out.Records, out.Cursor, out.Done = page.Records, page.Cursor, page.Done
+		s.fillPull(in, out)
 	}
 	return out, payloads
 }
 
-func (s *Server) page(cursor uint64) *turnpb.PullReply {
-	records, next, done := s.state.page(cursor, pullPageBytes)
-	return &turnpb.PullReply{Records: records, Cursor: next, Done: done}
+// fillPull adds the turns that a request names, or else a page, to the reply.
+func (s *Server) fillPull(in *turnpb.PullRequest, out *turnpb.PullReply) {
+	if len(in.Turns) > 0 {
+		records, lookedUp := s.state.turnRecords(in.Turns, pullPageBytes, in.OmitContent)
+		out.Records, out.Cursor, out.Done = records, uint64(lookedUp), lookedUp == len(in.Turns)
+		return
+	}
+	out.Records, out.Cursor, out.Done = s.state.page(in.Cursor, pullPageBytes, in.OmitContent)
+}
+
+// importRecords is applyRecords without the turns that have no content and are
+// not held. It returns their ids.
+func (s *Server) importRecords(records []*turnpb.Record, payloads [][]byte) (_ [][]byte, missing []string) {
+	usable := make([]*turnpb.Record, 0, len(records))
+	for _, record := range records {
+		if t := record.GetTurn(); t != nil && t.ContentOmitted && s.state.turns[t.Id] == nil {
+			missing = append(missing, t.Id)
+			continue
+		}
+		usable = append(usable, record)
+	}
+	return s.applyRecords(usable, payloads), missing
 }
 
 // applyRecords applies records to the state and appends the encoding of the new
--- a/turnstore/state.go
+++ b/turnstore/state.go
@@ -208,23 +208,54 @@
 
 // page returns the live records from a cursor on, up to about limit bytes, and
 // the cursor of the next page.
-func (s *state) page(cursor uint64, limit int) (records []*turnpb.Record, next uint64, done bool) {
+func (s *state) page(cursor uint64, limit int, omitContent bool) (records []*turnpb.Record, next uint64, done bool) {
 	cursor = max(cursor, s.firstCursor)
 	size := 0
 	for cursor < s.firstCursor+uint64(len(s.applied)) && size < limit {
 		r := s.applied[cursor-s.firstCursor]
 		cursor++
 		if record := s.record(r); record != nil {
-			records = append(records, record)
-			size += recordOverhead
-			if t := record.GetTurn(); t != nil {
-				size += len(t.Content)
+			if omitContent {
+				omit(record)
 			}
+			records = append(records, record)
+			size += recordSize(record)
 		}
 	}
 	return records, cursor, cursor >= s.firstCursor+uint64(len(s.applied))
 }
 
+// turnRecords returns the records of the given turns that are held, up to about
+// limit bytes, and the number of ids that were looked up.
+func (s *state) turnRecords(ids []string, limit int, omitContent bool) (records []*turnpb.Record, lookedUp int) {
+	size := 0
+	for lookedUp < len(ids) && size < limit {
+		record := s.record(recordRef{turn: ids[lookedUp]})
+		lookedUp++
+		if record == nil {
+			continue
+		}
+		if omitContent {
+			omit(record)
+		}
+		records = append(records, record)
+		size += recordSize(record)
+	}
+	return records, lookedUp
+}
+
+// omit removes the content of a turn's record.
+func omit(record *turnpb.Record) {
+	if t := record.GetTurn(); t != nil {
+		t.Content, t.ContentOmitted = nil, true
+	}
+}
+
+// recordSize is the size of a record as it counts for the limit of a reply.
+func recordSize(record *turnpb.Record) int {
+	return recordOverhead + len(record.GetTurn().GetContent())
+}
+
 // expire removes the records that have expired by now.
 func (s *state) expire(now time.Time) {
 	limit := now.UnixMilli()
--- a/turnstore/state_test.go
+++ b/turnstore/state_test.go
@@ -72,7 +72,7 @@
 		s.apply(turnRecord("new", "", "y", time.Hour), 1)
 		s.apply(reserve("a", 5), 1)
 		s.expire(time.Now().Add(10 * time.Second))
-		records, _, done := s.page(0, 1<<20)
+		records, _, done := s.page(0, 1<<20, false)
 		Expect(done).To(BeTrue())
 		Expect(records).To(HaveLen(2))
 		Expect(s.chain("old").Turns).To(BeEmpty())
@@ -86,7 +86,7 @@
 		seen := map[string]bool{}
 		for cursor, done := uint64(0), false; !done; {
 			var records []*turnpb.Record
-			records, cursor, done = s.page(cursor, 1)
+			records, cursor, done = s.page(cursor, 1, false)
 			for _, r := range records {
 				seen[r.GetTurn().Id] = true
 			}
--- /dev/null
+++ b/turnstore/transfer.go
@@ -0,0 +1,192 @@
+package turnstore
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"dogwoodline.example/copyset"
+	"dogwoodline.example/turnstore/turnpb"
+)
+
+const (
+	// pageTimeout bounds the transfer of one page of records.
+	pageTimeout = 2 * time.Second
+	// pullAllGrace is how long a joining store tries to pull from all ready
+	// members before a read quorum of them suffices, because a record on more
+	// disks survives more losses.
+	pullAllGrace = 700 * time.Millisecond
+)
+
+// pullAll pulls from the ready members. It reports whether it has read so many
+// of them to the end that every earlier majority is represented.
+func (j *Joiner) pullAll(ctx context.Context) bool {
+	if j.pulledVersion != j.copySet.Version {
+		j.pulledVersion, j.pulledDisks, j.pullStart = j.copySet.Version, map[string]bool{}, time.Now()
+	}
+	ready := 0
+	for _, m := range j.nearestFirst() {
+		if !m.Ready || m.Disk == j.self.Disk {
+			continue
+		}
+		ready++
+		if j.pulledDisks[m.Disk] {
+			continue
+		}
+		count, err := j.pull(ctx, m)
+		if err != nil {
+			j.log.Warn("turnstore: pull failed", "from", m.Host, "copy_set", j.copySet.Version, "error", err)
+			continue
+		}
+		j.pulledDisks[m.Disk] = true
+		j.log.Info("turnstore: pulled", "from", m.Host, "records", count, "copy_set", j.copySet.Version)
+	}
+	enough := len(j.pulledDisks) >= j.copySet.ReadQuorum()
+	return enough && (len(j.pulledDisks) == ready || time.Since(j.pullStart) > pullAllGrace)
+}
+
+// nearestFirst returns the members, those in this availability zone first. The
+// first one that is pulled from sends most of the contents.
+func (j *Joiner) nearestFirst() []copyset.Member {
+	members := slices.Clone(j.copySet.Members)
+	distance := func(m copyset.Member) int {
+		if m.Zone == j.self.Zone {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(members, func(a, b copyset.Member) int { return distance(a) - distance(b) })
+	return members
+}
+
+// pull makes all records of one member durable here and returns their number. The
+// contents of turns are transferred only if this store lacks them, because most
+// members hold the same turns.
+func (j *Joiner) pull(ctx context.Context, from copyset.Member) (int, error) {
+	conn, closeConn, err := j.connect(from.Address)
+	if err != nil {
+		return 0, err
+	}
+	defer closeConn()
+	client := turnpb.NewTurnStoreClient(conn)
+	count := 0
+	for cursor := uint64(0); ; {
+		page, err := j.pullPage(ctx, client, &turnpb.PullRequest{Cursor: cursor, OmitContent: true})
+		if err != nil {
+			return count, err
+		}
+		missing, err := j.server.Import(ctx, page.Records)
+		if err != nil {
+			return count, err
+		}
+		if err := j.pullTurns(ctx, client, missing); err != nil {
+			return count, err
+		}
+		count += len(page.Records)
+		if page.Done {
+			return count, nil
+		}
+		cursor = page.Cursor
+	}
+}
+
+// pullTurns makes the given turns durable here, as far as the other store still
+// holds them.
+func (j *Joiner) pullTurns(ctx context.Context, client turnpb.TurnStoreClient, ids []string) error {
+	for len(ids) > 0 {
+		reply, err := j.pullPage(ctx, client, &turnpb.PullRequest{Turns: ids})
+		if err != nil {
+			return err
+		}
+		if reply.Cursor == 0 || reply.Cursor > uint64(len(ids)) {
+			return Error.New("pull of %d turns answered with cursor %d", len(ids), reply.Cursor)
+		}
+		if _, err := j.server.Import(ctx, reply.Records); err != nil {
+			return err
+		}
+		ids = ids[reply.Cursor:]
+	}
+	return nil
+}
+
+// pullPage makes one Pull request under the current copy set.
+func (j *Joiner) pullPage(ctx context.Context, client turnpb.TurnStoreClient, request *turnpb.PullRequest) (*turnpb.PullReply, error) {
+	request.CopySet, request.Set = j.copySet.Version, encodeVersionedSet(j.copySet)
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	reply, err := client.Pull(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Status != turnpb.Status_STATUS_OK {
+		return nil, Error.New("pull refused with %s", reply.Status)
+	}
+	return reply, nil
+}
+
+// push stores the records of this disk that one member has not received yet.
+func (j *Joiner) push(ctx context.Context, to copyset.Member) error {
+	conn, closeConn, err := j.connect(to.Address)
+	if err != nil {
+		return err
+	}
+	defer closeConn()
+	client := turnpb.NewTurnStoreClient(conn)
+	for {
+		page, err := j.server.readPage(ctx, j.retirement.sent[to.Disk])
+		if err != nil {
+			return err
+		}
+		if records := j.withoutHeldTurns(ctx, client, to, page.Records); len(records) > 0 {
+			if err := pushPage(ctx, client, &turnpb.ExchangeRequest{CopySet: j.copySet.Version, Records: records}); err != nil {
+				return err
+			}
+		}
+		j.retirement.sent[to.Disk] = page.Cursor
+		if page.Done {
+			return nil
+		}
+	}
+}
+
+// withoutHeldTurns returns the records without the turns that the member says it
+// holds. If the member does not say, it returns all.
+func (j *Joiner) withoutHeldTurns(ctx context.Context, client turnpb.TurnStoreClient, to copyset.Member, records []*turnpb.Record) []*turnpb.Record {
+	var ids []string
+	for _, record := range records {
+		if t := record.GetTurn(); t != nil {
+			ids = append(ids, t.Id)
+		}
+	}
+	if len(ids) == 0 || !to.Ready {
+		return records
+	}
+	reply, err := j.pullPage(ctx, client, &turnpb.PullRequest{Turns: ids, OmitContent: true})
+	if err != nil {
+		j.log.Info("turnstore: turns of member not known, sending all", "to", to.Host, "error", err)
+		return records
+	}
+	held := map[string]bool{}
+	for _, record := range reply.Records {
+		if t := record.GetTurn(); t != nil {
+			held[t.Id] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(records), func(record *turnpb.Record) bool {
+		t := record.GetTurn()
+		return t != nil && held[t.Id]
+	})
+}
+
+func pushPage(ctx context.Context, client turnpb.TurnStoreClient, request *turnpb.ExchangeRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	reply, err := client.Exchange(ctx, request)
+	if err != nil {
+		return err
+	}
+	if reply.Status != turnpb.Status_STATUS_OK && reply.Status != turnpb.Status_STATUS_NOT_READY {
+		return Error.New("exchange refused with %s", reply.Status)
+	}
+	return nil
+}
