membership, platform: Let a front's first listing be a stale read

Cause: each process lists the platform's store in pages when it starts.

Change: a front's first listing reads from replicas, which costs a tenth and does not count for the rate. It watches from the revision of the oldest page, so it gets every change since. Any later listing is a full one, since a replica may lack what a compacted watch has missed. Stores always list in full.

The new specs need the new calls, so they could not fail before.

--- a/kvstore/kvstore.go
+++ b/kvstore/kvstore.go
@@ -101,6 +101,15 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 }
 
+// StaleLister is implemented by stores that can also list from a replica, which
+// costs them less.
+type StaleLister interface {
+	// ListStale is List, but the items may be some seconds old. A watch from the
+	// returned revision delivers all changes since, and may deliver some that the
+	// items already have.
+	ListStale(ctx context.Context, prefix string) ([]Item, Version, error)
+}
+
 // HostState tells whether a host may receive new work.
 type HostState string
 
--- a/membership/follow.go
+++ b/membership/follow.go
@@ -49,14 +49,24 @@
 	// further events accumulate, because each watch counts as a call to the
 	// store. It is called after each such watch; nil means no pause.
 	BatchDelay func() time.Duration
+	// StaleFirstList allows the first listing to be some seconds old, if the store
+	// is a kvstore.StaleLister. Its age lasts for one watch call, and a process
+	// that has just started knows nothing newer. It keeps the load on the store
+	// low when many processes start at once.
+	StaleFirstList bool
 }
 
 // FollowWithOptions is Follow with a given pace. If the store silently stops
 // delivering events to a watch, that is noticed when the wait of the watch
 // ends.
 func FollowWithOptions(ctx context.Context, store kvstore.Store, clock clockwork.Clock, prefix string, pace FollowOptions, f Follower) error {
+	list := store.List
+	if lister, ok := store.(kvstore.StaleLister); ok && pace.StaleFirstList {
+		list = lister.ListStale
+	}
 	for ctx.Err() == nil {
-		err := listAndWatch(ctx, store, clock, prefix, pace, f)
+		err := listAndWatch(ctx, store, list, clock, prefix, pace, f)
+		list = store.List
 		if ctx.Err() != nil {
 			break
 		}
@@ -70,9 +80,12 @@
 	return ctx.Err()
 }
 
+// listFunc is the type of kvstore.Store.List.
+type listFunc func(ctx context.Context, prefix string) ([]kvstore.Item, kvstore.Version, error)
+
 // listAndWatch lists the prefix once and then watches it until a call fails.
-func listAndWatch(ctx context.Context, store kvstore.Store, clock clockwork.Clock, prefix string, pace FollowOptions, f Follower) error {
-	items, revision, err := store.List(ctx, prefix)
+func listAndWatch(ctx context.Context, store kvstore.Store, list listFunc, clock clockwork.Clock, prefix string, pace FollowOptions, f Follower) error {
+	items, revision, err := list(ctx, prefix)
 	if err != nil {
 		return err
 	}
--- a/membership/follow_test.go
+++ b/membership/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -40,6 +41,17 @@
 	}
 }
 
+// replicaStore is a silentWatchStore that counts the listings from replicas.
+type replicaStore struct {
+	silentWatchStore
+	staleLists atomic.Int64
+}
+
+func (s *replicaStore) ListStale(ctx context.Context, prefix string) ([]kvstore.Item, kvstore.Version, error) {
+	s.staleLists.Add(1)
+	return s.List(ctx, prefix)
+}
+
 func (s *silentWatchStore) startTimes() []time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,6 +108,17 @@
 		Eventually(func() bool { return l.has("op/config") }, "1500ms", "10ms").Should(BeTrue())
 	})
 
+	It("lists from a replica at the start only, because it may lack what a watch has missed", func(ctx SpecContext) {
+		store := &replicaStore{silentWatchStore: silentWatchStore{Store: memstore.New(clockwork.NewRealClock()), silent: true}}
+		l := &keyRecorder{keys: map[string]bool{}}
+		go func() {
+			pace := membership.FollowOptions{WatchWait: 10 * time.Millisecond, StaleFirstList: true}
+			_ = membership.FollowWithOptions(ctx, store, clockwork.NewRealClock(), "", pace, l)
+		}()
+		Eventually(func() int { return len(store.startTimes()) }, "5s").Should(BeNumerically(">=", 3))
+		Expect(store.staleLists.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("batches changes before it watches again, since each watch is a store call", func(ctx SpecContext) {
 		store := &silentWatchStore{Store: memstore.New(clockwork.NewRealClock())}
 		l := start(ctx, store, membership.FollowOptions{WatchWait: time.Minute, BatchDelay: func() time.Duration { return 150 * time.Millisecond }})
--- a/newsfeed/reader.go
+++ b/newsfeed/reader.go
@@ -60,6 +60,15 @@
 // FollowsFeed reports whether the last watch that was sent to a feed succeeded.
 func (r *Reader) FollowsFeed() bool { return r.followsFeed.Load() }
 
+// ListStale implements kvstore.StaleLister, with a List if the store has no
+// replicas to read from.
+func (r *Reader) ListStale(ctx context.Context, prefix string) ([]kvstore.Item, kvstore.Version, error) {
+	if store, ok := r.Store.(kvstore.StaleLister); ok {
+		return store.ListStale(ctx, prefix)
+	}
+	return r.Store.List(ctx, prefix)
+}
+
 // Watch implements kvstore.Store. The loss of a feed is not reported as an
 // error: the reader watches the store in its place.
 func (r *Reader) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Event, kvstore.Version, error) {
--- a/role/front.go
+++ b/role/front.go
@@ -50,7 +50,7 @@
 		}
 		return frontBatchDelay(p.currentHost())
 	}
-	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay}, &follower{subscriptions: []subscription{
+	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay, StaleFirstList: true}, &follower{subscriptions: []subscription{
 		configSubscription(p.log, func(value []byte) error {
 			table, err := platform.DecodeConfig(value)
 			if err == nil {
