--- a/gateway/events.go
+++ b/gateway/events.go
@@ -29,10 +29,13 @@
 type eventReader struct {
 	reader  *bufio.Reader
 	pending int // bytes read of an incomplete event
+	// grow is called for the bytes that an event takes. The stream is given up if
+	// it reports false.
+	grow func(count int) bool
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10)}
+func newEventReader(r io.Reader, grow func(count int) bool) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10), grow: grow}
 }
 
 // incompleteBytes returns the number of bytes read of an incomplete event.
@@ -42,20 +45,25 @@
 // stream; incompleteBytes then tells whether an incomplete event was cut off.
 func (r *eventReader) next() (event, error) {
 	var e event
+	lineStart := 0
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		part, err := r.reader.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
 		r.pending = len(e.raw)
-		if errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes {
-			continue
+		if len(e.raw) > maxEventBytes {
+			return event{}, errEventTooLong
+		}
+		if !r.grow(len(part)) {
+			return event{}, errAnswerBytes
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue // the line goes on
 		}
 		if err != nil {
 			return event{}, err
 		}
-		if len(e.raw) > maxEventBytes {
-			return event{}, errEventTooLong
-		}
-		field := bytes.TrimRight(line, "\r\n")
+		field := bytes.TrimRight(e.raw[lineStart:], "\r\n")
+		lineStart = len(e.raw)
 		if len(field) == 0 && len(bytes.TrimSpace(e.raw)) > 0 {
 			r.pending = 0
 			return e, nil
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +30,36 @@
 type cluster struct {
 	kv     *memstore.Store
 	stores map[string]*testStore
+	// transferred counts the bytes of turns in the requests and replies of joiners.
+	transferred atomic.Int64
+}
+
+// countingConn adds the bytes of the turns that pass through a connection to
+// count.
+type countingConn struct {
+	grpc.ClientConnInterface
+	count *atomic.Int64
+}
+
+func (c countingConn) Invoke(ctx context.Context, method string, in, out any, options ...grpc.CallOption) error {
+	err := c.ClientConnInterface.Invoke(ctx, method, in, out, options...)
+	var records []*turnpb.Record
+	if request, ok := in.(*turnpb.ExchangeRequest); ok {
+		records = request.Records
+	}
+	if reply, ok := out.(*turnpb.PullReply); ok {
+		records = append(records, reply.Records...)
+	}
+	for _, record := range records {
+		c.count.Add(int64(len(record.GetTurn().GetContent())))
+	}
+	return err
+}
+
+// dial connects a joiner and counts what it transfers.
+func (c *cluster) dial(address string) (grpc.ClientConnInterface, func(), error) {
+	conn, closeConn, err := dialTest(address)
+	return countingConn{conn, &c.transferred}, closeConn, err
 }
 
 type testStore struct {
@@ -55,7 +86,10 @@
 	return c
 }
 
-func (c *cluster) start(host, folder string) {
+func (c *cluster) start(host, folder string) { c.startOn(host, folder, c.kv) }
+
+// startOn starts a store whose joiner writes to the given platform store.
+func (c *cluster) startOn(host, folder string, kv kvstore.Store) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
@@ -66,7 +100,7 @@
 	var served sync.WaitGroup
 	served.Go(func() { _ = s.grpc.Serve(listener) })
 	report := func(done bool) (string, []byte) { return "report/" + host, fmt.Append(nil, done) }
-	s.joiner = NewJoiner(server, c.kv, slog.New(slog.DiscardHandler), copyset.Member{Host: host, Address: s.address, Zone: host}, 1, report, dialTest)
+	s.joiner = NewJoiner(server, kv, slog.New(slog.DiscardHandler), copyset.Member{Host: host, Address: s.address, Zone: host}, 1, report, c.dial)
 	group.Go("joiner", s.joiner.Run)
 	c.stores[host] = s
 	c.notify(host)
@@ -248,7 +282,7 @@
 		c := newCluster("a", "b", "c", "d")
 		Expect(do(c.newClient(), Operation{Records: []*turnpb.Record{turnRecord("t1", "", "one", time.Hour)}}).Verdict).To(Equal(Stored))
 		c.notify("d")
-		Expect(c.stores["d"].joiner.Updates().TryPush(Update{Retire: true})).To(Succeed())
+		Expect(c.stores["d"].joiner.Updates().TryPush(Update{Retire: &RetireOrder{}})).To(Succeed())
 		Eventually(func() string {
 			item, _ := c.kv.Get(context.Background(), "report/d")
 			return string(item.Value)
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -56,16 +56,17 @@
 
 	copySet     atomic.Pointer[copyset.Set] // the newest one known
 	ready       atomic.Bool                 // this disk counts for majorities
-	retired     atomic.Bool                 // this disk has left the copy set for good
+	refusing    atomic.Bool                 // this disk leaves the copy set or has left it
 	recordBytes atomic.Int64                // for metrics
 	turnCount   atomic.Int64                // for metrics
 }
 
-// request is an item of the writer's queue. One of exchange, pull and imported
-// is set.
+// request is an item of the writer's queue. One of exchange, pull, ownPage and
+// imported is set.
 type request struct {
 	exchange *turnpb.ExchangeRequest
 	pull     *turnpb.PullRequest
+	ownPage  *uint64          // cursor from which this process reads its own records
 	imported []*turnpb.Record // pulled from another store
 	reply    chan<- outcome   // has a buffer of one
 }
@@ -74,6 +75,7 @@
 type outcome struct {
 	exchange *turnpb.ExchangeReply
 	pull     *turnpb.PullReply
+	missing  []string // ids of imported turns whose contents are not held
 	err      error
 }
 
@@ -139,9 +141,10 @@
 	s.SetCopySet(set)
 }
 
-// MarkRetired makes the store refuse all requests, because other members have
-// its records and its disk is about to be removed.
-func (s *Server) MarkRetired() { s.retired.Store(true) }
+// Refuse makes the store refuse the requests of other processes, or accept them
+// again. A disk that retires refuses them from its last transfer on. Requests
+// that were accepted before are applied before any later readPage.
+func (s *Server) Refuse(on bool) { s.refusing.Store(on) }
 
 // Exchange stores records durably and answers with the ledgers and
 // conversations that the request asks for.
@@ -156,10 +159,19 @@
 	return result.pull, err
 }
 
-// Import makes records that were pulled from another store durable here.
-func (s *Server) Import(ctx context.Context, records []*turnpb.Record) error {
-	_, err := s.submit(ctx, request{imported: records})
-	return err
+// readPage returns one page of the live records to the joiner of this process,
+// also while the store refuses the requests of others.
+func (s *Server) readPage(ctx context.Context, cursor uint64) (*turnpb.PullReply, error) {
+	result, err := s.submit(ctx, request{ownPage: &cursor})
+	return result.pull, err
+}
+
+// Import makes records that were pulled from another store durable here. It
+// returns the ids of the turns without content that are not held here yet; they
+// have not been imported.
+func (s *Server) Import(ctx context.Context, records []*turnpb.Record) (missing []string, err error) {
+	result, err := s.submit(ctx, request{imported: records})
+	return result.missing, err
 }
 
 // submit queues a request for the writer and waits for its outcome.
@@ -205,16 +217,20 @@
 // log in one write, and replies.
 func (s *Server) processBatch(batch []request) {
 	payloads := s.unwritten
+	diskRefuses := len(s.unwritten) > maxUnwrittenRecords
 	s.unwritten = nil
 	outcomes := make([]outcome, len(batch))
 	for i, r := range batch {
 		switch {
 		case r.exchange != nil:
-			outcomes[i].exchange, payloads = s.exchange(r.exchange, payloads)
+			outcomes[i].exchange, payloads = s.exchange(r.exchange, payloads, diskRefuses)
 		case r.pull != nil:
 			outcomes[i].pull, payloads = s.pull(r.pull, payloads)
+		case r.ownPage != nil:
+			outcomes[i].pull = &turnpb.PullReply{}
+			s.fillPull(&turnpb.PullRequest{Cursor: *r.ownPage}, outcomes[i].pull)
 		default:
-			payloads = s.applyRecords(r.imported, payloads)
+			payloads, outcomes[i].missing = s.importRecords(r.imported, payloads)
 		}
 	}
 	if len(payloads) > 0 {
@@ -247,11 +263,11 @@
 
 // checkVersion refuses a request under an older copy set version than the store
 // has accepted, and records a newer version as the lowest that is accepted from
-// now on. A retired store refuses every request. A refusal returns the newest
+// now on. A store that leaves the copy set refuses every request. A refusal returns the newest
 // known copy set if that is newer than the request's.
 func (s *Server) checkVersion(version uint64, payloads [][]byte) (turnpb.Status, []byte, [][]byte) {
 	known := s.copySet.Load()
-	if s.retired.Load() || version < s.state.fence {
+	if s.refusing.Load() || version < s.state.fence {
 		if known != nil && known.Version > version {
 			return turnpb.Status_STATUS_STALE, encodeVersionedSet(*known), payloads
 		}
@@ -263,7 +279,9 @@
 	return turnpb.Status_STATUS_OK, nil, payloads
 }
 
-func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte) (*turnpb.ExchangeReply, [][]byte) {
+// exchange applies a request. If the disk has refused writes for long, it takes
+// no further records, so that those in memory stay bounded.
+func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte, diskRefuses bool) (*turnpb.ExchangeReply, [][]byte) {
 	s.adoptEncodedSet(in.Set)
 	out := &turnpb.ExchangeReply{}
 	s.crashes.add(in.Crashes, time.Now())
@@ -272,8 +290,8 @@
 	if out.Status != turnpb.Status_STATUS_OK {
 		return out, payloads
 	}
-	if len(in.Records) > 0 && (s.state.bytes > s.maxBytes || len(s.unwritten) > maxUnwrittenRecords) {
-		s.log.Error("turnstore: records refused, limit reached", "bytes", s.state.bytes, "limit", s.maxBytes, "unwritten", len(s.unwritten))
+	if len(in.Records) > 0 && (s.state.bytes > s.maxBytes || diskRefuses) {
+		s.log.Error("turnstore: records refused, limit reached", "bytes", s.state.bytes, "limit", s.maxBytes, "disk_refuses", diskRefuses)
 		out.Status = turnpb.Status_STATUS_FAILED
 		return out, payloads
 	}
@@ -301,11 +319,35 @@
 		out.Status = turnpb.Status_STATUS_NOT_READY
 	}
 	if out.Status == turnpb.Status_STATUS_OK {
-		out.Records, out.Cursor, out.Done = s.state.page(in.Cursor, pullPageBytes)
+		s.fillPull(in, out)
 	}
 	return out, payloads
 }
 
+// fillPull adds the turns that a request names, or else a page, to the reply.
+func (s *Server) fillPull(in *turnpb.PullRequest, out *turnpb.PullReply) {
+	if len(in.Turns) > 0 {
+		records, lookedUp := s.state.turnRecords(in.Turns, pullPageBytes, in.OmitContent)
+		out.Records, out.Cursor, out.Done = records, uint64(lookedUp), lookedUp == len(in.Turns)
+		return
+	}
+	out.Records, out.Cursor, out.Done = s.state.page(in.Cursor, pullPageBytes, in.OmitContent)
+}
+
+// importRecords is applyRecords without the turns that have no content and are
+// not held. It returns their ids.
+func (s *Server) importRecords(records []*turnpb.Record, payloads [][]byte) (_ [][]byte, missing []string) {
+	usable := make([]*turnpb.Record, 0, len(records))
+	for _, record := range records {
+		if t := record.GetTurn(); t != nil && t.ContentOmitted && s.state.turns[t.Id] == nil {
+			missing = append(missing, t.Id)
+			continue
+		}
+		usable = append(usable, record)
+	}
+	return s.applyRecords(usable, payloads), missing
+}
+
 // applyRecords applies records to the state and appends the encoding of the new
 // ones to payloads.
 func (s *Server) applyRecords(records []*turnpb.Record, payloads [][]byte) [][]byte {
@@ -352,9 +394,7 @@
 			s.log.Error("turnstore: live records of a segment not rewritten", "segment", segment, "error", err)
 			return
 		}
-		for _, record := range live {
-			s.state.apply(record, s.turnLog.CurrentSegment())
-		}
+		s.state.moveTo(s.turnLog.CurrentSegment(), segment)
 	}
 	if err := s.turnLog.RemoveOldestSegment(); err != nil {
 		s.log.Error("turnstore: segment not removed", "segment", segment, "error", err)
