gateway: List so many small fronts that an equal share fits each

The list was filled up to six with the first small hosts. Clients choose at random, so hosts with 0.19 cores and 30 Mbit/s got as much as those with 0.8 cores, in a crowd.

Change: if the large fronts do not suffice, so many are listed that an equal share of twice the cores needed fits the smallest.

Ruled out: lists with only the large hosts that are left, which would then get 1.3 cores' load each in the crowd; lists that differ by client, which would end kept connections whenever a client is sent elsewhere.

Before: the spec of that load fails, 0.65 cores on a host with 0.2. After: it passes; the specs on large and equal hosts are unchanged.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -20,6 +20,10 @@
 	// front is listed only if its capacity is needed, because clients pick a
 	// listed front at random, whatever its size.
 	smallFrontRatio = 0.5
+	// smallFrontHeadroom is how many times the cores that are needed a list with
+	// small fronts has, counted at the size of the smallest: a small front has no
+	// room for a load peak or for clients that keep an older list.
+	smallFrontHeadroom = 2
 )
 
 // Front is a process that accepts client requests.
@@ -33,18 +37,30 @@
 // selectFronts returns the fronts that clients are sent to, largest first. Small
 // fronts are left out if the larger ones suffice for the slots of the backend
 // servers: with fewer fronts, each sees a larger share of the calls and fewer
-// connections to backend servers are opened.
+// connections to backend servers are opened. Otherwise so many are listed that
+// an equal share of the load fits the smallest of them, because every listed
+// front gets one.
 func selectFronts(fronts []Front, slots int) []Front {
 	ordered := slices.Clone(fronts)
 	slices.SortFunc(ordered, func(a, b Front) int {
 		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Address, b.Address))
 	})
-	cores := 0.0
-	for i, f := range ordered {
-		if i >= minListedFronts && cores >= coresPerSlot*float64(slots) && f.Cores < smallFrontRatio*ordered[0].Cores {
-			return ordered[:i]
+	needed := coresPerSlot * float64(slots)
+	large := 0
+	for large < len(ordered) && ordered[large].Cores >= smallFrontRatio*ordered[0].Cores {
+		large++
+	}
+	largeCores := 0.0
+	for _, f := range ordered[:large] {
+		largeCores += f.Cores
+	}
+	if large >= minListedFronts && largeCores >= needed {
+		return ordered[:large]
+	}
+	for count := max(large, minListedFronts); count < len(ordered); count++ {
+		if float64(count)*ordered[count-1].Cores >= smallFrontHeadroom*needed {
+			return ordered[:count]
 		}
-		cores += f.Cores
 	}
 	return ordered
 }
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -60,4 +60,16 @@
 		Expect(large).To(Equal(10))
 		Expect(small).To(BeNumerically(">=", 35))
 	})
+
+	// Pattern: a crowd while the platform turns away a third of the fronts, among
+	// them half of the large ones. On trouble-1 of apfsa-formacao-grown three small
+	// hosts then got as many clients as the three large ones left, and most turns
+	// through them were refused or late for six seconds.
+	It("gives no host more than its share fits when most large hosts are gone in a crowd", func() {
+		const slots, crowdCores = 522, 3.9 // the cores that all fronts used in the crowd
+		listed := selectFronts(fronts(3, 43), slots)
+		for _, f := range listed {
+			Expect(crowdCores/float64(len(listed))).To(BeNumerically("<=", f.Cores), "host %s of %d", f.Address, len(listed))
+		}
+	})
 })
