turnstore: End a pull when a read quorum has been read

Cause: a joining store pulled from every ready member before it looked whether it had enough.

Before: the spec sees six members dialled where four are a read quorum.

--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -32,6 +32,8 @@
 	stores map[string]*testStore
 	// transferred counts the bytes of turns in the requests and replies of joiners.
 	transferred atomic.Int64
+	dialDelay   atomic.Int64 // of joiners, in nanoseconds
+	dials       atomic.Int64 // by joiners
 }
 
 // countingConn adds the bytes of the turns that pass through a connection to
@@ -58,6 +60,8 @@
 
 // dial connects a joiner and counts what it transfers.
 func (c *cluster) dial(address string) (grpc.ClientConnInterface, func(), error) {
+	c.dials.Add(1)
+	time.Sleep(time.Duration(c.dialDelay.Load()))
 	conn, closeConn, err := dialTest(address)
 	return countingConn{conn, &c.transferred}, closeConn, err
 }
--- a/turnstore/transfer.go
+++ b/turnstore/transfer.go
@@ -19,32 +19,35 @@
 )
 
 // pullAll pulls from the ready members. It reports whether it has read so many
-// of them to the end that every earlier majority is represented.
+// of them to the end that every earlier majority is represented. Once it has, it
+// goes on with the others for pullAllGrace at most.
 func (j *Joiner) pullAll(ctx context.Context) bool {
 	if j.pulledVersion != j.copySet.Version {
 		j.pulledVersion, j.pulledDisks, j.pullStart = j.copySet.Version, map[string]bool{}, time.Now()
 	}
-	ready := 0
+	complete := true
 	for _, m := range j.nearestFirst() {
-		if !m.Ready || m.Disk == j.self.Disk {
+		if !m.Ready || m.Disk == j.self.Disk || j.pulledDisks[m.Disk] {
 			continue
 		}
-		ready++
-		if j.pulledDisks[m.Disk] {
-			continue
+		if j.pulledEnough() && time.Since(j.pullStart) > pullAllGrace {
+			return true
 		}
 		count, err := j.pull(ctx, m)
 		if err != nil {
 			j.log.Warn("turnstore: pull failed", "from", m.Host, "copy_set", j.copySet.Version, "error", err)
+			complete = false
 			continue
 		}
 		j.pulledDisks[m.Disk] = true
 		j.log.Info("turnstore: pulled", "from", m.Host, "records", count, "copy_set", j.copySet.Version)
 	}
-	enough := len(j.pulledDisks) >= j.copySet.ReadQuorum()
-	return enough && (len(j.pulledDisks) == ready || time.Since(j.pullStart) > pullAllGrace)
+	return j.pulledEnough() && (complete || time.Since(j.pullStart) > pullAllGrace)
 }
 
+// pulledEnough reports whether a read quorum has been pulled from.
+func (j *Joiner) pulledEnough() bool { return len(j.pulledDisks) >= j.copySet.ReadQuorum() }
+
 // nearestFirst returns the members, those in this availability zone first. The
 // first one that is pulled from sends most of the contents.
 func (j *Joiner) nearestFirst() []copyset.Member {
