copyset: Let a set that grows lose a disk

A disk was lost while the third store joined. That store had to pull from a read quorum of the set with itself, two, but only one ready member was left; and the new disk of the lost one had to wait until no other member was joining. The same can happen to any set that grows while it loses as many disks as it tolerates. A set that has not served yet is stuck in the same way if its only ready disk is lost.

Change: a joining member carries the number of ready members that it must pull from, worked out from the set that it joins: each acknowledged record is on a majority of that, of which at most the replaced disk is gone. For a set of two that grows it is one. A disk that replaces the last ready one of a set that has never served is ready at once. Sets of earlier releases have neither field and behave as before.

--- a/copyset/copyset.go
+++ b/copyset/copyset.go
@@ -34,6 +34,10 @@
 	// Ready members count for majorities. A member that is not ready yet
 	// receives new records and pulls the earlier ones from ready members.
 	Ready bool `json:"ready"`
+	// PullFrom is the number of ready members that a member that is not ready
+	// must pull from, so that it has every record that a majority has synced. It
+	// is 0 in sets of earlier releases.
+	PullFrom int `json:"pull_from,omitempty"`
 }
 
 // Set is one version of the copy set. Version is the revision of the platform
@@ -41,6 +45,9 @@
 type Set struct {
 	Version uint64   `json:"-"`
 	Members []Member `json:"members"`
+	// Forming says that no version of the set has been able to serve yet, so that
+	// no record can be lost.
+	Forming bool `json:"forming,omitempty"`
 }
 
 // Decode parses the value that the platform store holds at the given version.
@@ -75,6 +82,15 @@
 	return s.readyCount() >= s.Majority() && s.Majority() > tolerated
 }
 
+// MustPullFrom returns the number of ready members that a joining member must
+// pull from before it is ready.
+func (s Set) MustPullFrom(joining Member) int {
+	if joining.PullFrom > 0 {
+		return joining.PullFrom
+	}
+	return s.ReadQuorum()
+}
+
 func (s Set) readyCount() int {
 	count := 0
 	for _, m := range s.Members {
@@ -100,36 +116,76 @@
 // because no other has its records. Join reports false while another member
 // that is not absent is still joining: one member joins at a time, so that
 // majorities of successive sets overlap.
+//
+// While the set is forming, a disk that replaces the last ready one is ready at
+// once, since there are no records to pull; otherwise no member could become
+// ready any more.
 func (s Set) Join(joining Member, absent func(disk string) bool) (Set, bool) {
-	joining.Ready = len(s.Members) == 0
-	next := Set{Members: slices.Clone(s.Members)}
+	next := Set{Members: slices.Clone(s.Members), Forming: s.Forming || len(s.Members) == 0}
 	replaced := -1
 	for i, m := range next.Members {
 		switch {
 		case m.Host == joining.Host:
 			replaced = i
-		case !m.Ready && !absent(m.Disk):
+		case !m.Ready && !absent(m.Disk) && !s.lastReady(joining.Host):
 			return Set{}, false
 		case replaced < 0 && len(next.Members) > 1 && absent(m.Disk):
 			replaced = i
 		}
 	}
+	joining.Ready, joining.PullFrom = false, 0
 	if replaced < 0 {
 		next.Members = append(next.Members, joining)
-		return next, true
+	} else {
+		next.Members[replaced] = joining
 	}
-	joining.Ready = len(next.Members) == 1 // the only member was replaced; there is nothing to pull
-	next.Members[replaced] = joining
+	ready := next.readyCount()
+	joining.Ready = len(next.Members) == 1 || ready == 0 && s.Forming
+	if !joining.Ready {
+		joining.PullFrom = s.pullFrom(ready, replaced)
+	}
+	next.Members[slices.IndexFunc(next.Members, func(m Member) bool { return m.Disk == joining.Disk })] = joining
 	return next, true
 }
 
+// lastReady reports whether the set is forming and its only ready member is on
+// the host.
+func (s Set) lastReady(host string) bool {
+	return s.Forming && s.readyCount() == 1 && slices.ContainsFunc(s.Members, func(m Member) bool { return m.Ready && m.Host == host })
+}
+
+// pullFrom returns how many of the ready members that are left a new member must
+// pull from. Each record that was acknowledged is on a majority of the set; one
+// of them may be the replaced member.
+func (s Set) pullFrom(ready, replaced int) int {
+	holders := s.Majority()
+	switch {
+	case replaced < 0:
+	case s.Members[replaced].Ready:
+		holders--
+	default:
+		// The replaced member may itself have replaced one with records.
+		return max(s.MustPullFrom(s.Members[replaced]), ready-holders+1)
+	}
+	return max(1, ready-holders+1)
+}
+
+// Formed returns the set, no longer forming if it serves.
+func (s Set) Formed(tolerated int) Set {
+	s.Forming = s.Forming && !s.Serves(tolerated)
+	return s
+}
+
+// clone returns a copy that can be changed, without the version.
+func (s Set) clone() Set { return Set{Members: slices.Clone(s.Members), Forming: s.Forming} }
+
 // MarkReady returns the set in which the member counts for majorities. It
 // reports false if the disk is not a member or is ready already.
 func (s Set) MarkReady(disk string) (Set, bool) {
-	next := Set{Members: slices.Clone(s.Members)}
+	next := s.clone()
 	for i := range next.Members {
 		if next.Members[i].Disk == disk && !next.Members[i].Ready {
-			next.Members[i].Ready = true
+			next.Members[i].Ready, next.Members[i].PullFrom = true, 0
 			return next, true
 		}
 	}
@@ -139,7 +195,7 @@
 // SetAddress returns the set with a new address of the member. It reports false
 // if the disk is not a member or has that address already.
 func (s Set) SetAddress(disk, address string) (Set, bool) {
-	next := Set{Members: slices.Clone(s.Members)}
+	next := s.clone()
 	for i := range next.Members {
 		if next.Members[i].Disk == disk && next.Members[i].Address != address {
 			next.Members[i].Address = address
@@ -153,7 +209,8 @@
 // a member, or if the others could not lose the tolerated number of disks or
 // lack a majority of ready members.
 func (s Set) Leave(disk string, tolerated int) (Set, bool) {
-	next := Set{Members: slices.DeleteFunc(slices.Clone(s.Members), func(m Member) bool { return m.Disk == disk })}
+	next := s.clone()
+	next.Members = slices.DeleteFunc(next.Members, func(m Member) bool { return m.Disk == disk })
 	if len(next.Members) == len(s.Members) || next.Majority() <= tolerated || next.readyCount() < next.Majority() {
 		return Set{}, false
 	}
--- a/copyset/copyset_test.go
+++ b/copyset/copyset_test.go
@@ -47,6 +47,41 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against a set that can never serve again after the loss of one disk
+	// while it grows. Seed 1006 of the soak, with three stores: the third had to
+	// pull from both others, one of which had lost its disk, and the new disk of
+	// that one had to wait for the third.
+	It("lets a set of two that grows lose a disk", func() {
+		growing, ok := setOf(2).Join(member("c", "h2"), noneAbsent)
+		Expect(ok).To(BeTrue())
+		joining, _ := growing.Find("c")
+		Expect(growing.MustPullFrom(joining)).To(Equal(1), "each record is on both members")
+		grown, _ := growing.MarkReady("c")
+		replaced, ok := grown.Join(member("new", "h1"), noneAbsent)
+		Expect(ok).To(BeTrue())
+		joining, _ = replaced.Find("new")
+		Expect(replaced.MustPullFrom(joining)).To(Equal(2))
+	})
+
+	It("makes a disk ready at once that replaces the last ready one before the set has served", func() {
+		forming, _ := copyset.Set{}.Join(member("a", "h0"), noneAbsent)
+		forming, _ = forming.Join(member("b", "h1"), noneAbsent)
+		again, ok := forming.Formed(1).Join(member("new", "h0"), noneAbsent)
+		Expect(ok).To(BeTrue())
+		joined, _ := again.Find("new")
+		Expect(joined.Ready).To(BeTrue())
+	})
+
+	It("never makes a disk ready without its records once the set has served", func() {
+		served, _ := copyset.Set{}.Join(member("a", "h0"), noneAbsent)
+		served, _ = served.Join(member("b", "h1"), noneAbsent)
+		served, _ = served.MarkReady("b")
+		served = served.Formed(1)
+		one, _ := served.Join(member("new b", "h1"), noneAbsent)
+		_, ok := one.Join(member("new a", "h0"), noneAbsent)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("replaces the earlier disk of a host by a new member that is not ready", func() {
 		next, ok := setOf(4).Join(member("new", "h2"), noneAbsent)
 		Expect(ok).To(BeTrue())
--- a/soak/roles/client.go
+++ b/soak/roles/client.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"dogwoodline.example/emulator/usersplatform"
@@ -122,8 +123,12 @@
 type recorder struct {
 	inbox    *ring.Ring[attempt]
 	attempts history
+	answered atomic.Int64 // turns that were answered completely
 }
 
+// answerPollInterval is how often awaitAnswer looks for an answer.
+const answerPollInterval = 50 * time.Millisecond
+
 // recorderSlots is the number of attempts that can wait for the recorder.
 const recorderSlots = 1024
 
@@ -141,7 +146,25 @@
 
 // add records an attempt. It waits while the ring is full, so that no attempt
 // is lost.
-func (r *recorder) add(a attempt) { _ = r.inbox.Push(context.Background(), a) } // fails only on a closed ring
+func (r *recorder) add(a attempt) {
+	if a.turn && a.succeeded() {
+		r.answered.Add(1)
+	}
+	_ = r.inbox.Push(context.Background(), a) // fails only on a closed ring
+}
+
+// awaitAnswer waits until one more turn has been answered. It returns an error
+// if that takes longer than limit.
+func (r *recorder) awaitAnswer(ctx context.Context, limit time.Duration) error {
+	before := r.answered.Load()
+	for deadline := time.Now().Add(limit); r.answered.Load() == before; {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return Error.New("no turn was answered within %s after the faults, although all fronts are ready", limit)
+		}
+		time.Sleep(answerPollInterval)
+	}
+	return nil
+}
 
 // drain returns all recorded attempts. It may be called only after the worker
 // has ended.
--- a/soak/roles/roles.go
+++ b/soak/roles/roles.go
@@ -109,6 +109,9 @@
 	if failure == nil {
 		failure = d.awaitService(ctx, recoveryLimit)
 	}
+	if failure == nil {
+		failure = recorder.awaitAnswer(ctx, recoveryLimit)
+	}
 	clients.Stop()
 	group.Stop()
 	stop() // the folder can be removed only when no process writes to it
--- a/turnstore/joiner.go
+++ b/turnstore/joiner.go
@@ -182,6 +182,7 @@
 // replaceCopySet writes the next copy set, unless the stored one has changed
 // since it was read.
 func (j *Joiner) replaceCopySet(ctx context.Context, next copyset.Set, reason string) error {
+	next = next.Formed(j.tolerated)
 	version, err := kvstore.PutResolved(ctx, j.store, copyset.Key, next.Encode(), kvstore.Version(j.copySet.Version), 0)
 	if err != nil {
 		j.log.Warn("turnstore: copy set not changed", "why", reason, "version", j.copySet.Version, "error", err)
--- a/turnstore/transfer.go
+++ b/turnstore/transfer.go
@@ -45,8 +45,12 @@
 	return j.pulledEnough() && (complete || time.Since(j.pullStart) > pullAllGrace)
 }
 
-// pulledEnough reports whether a read quorum has been pulled from.
-func (j *Joiner) pulledEnough() bool { return len(j.pulledDisks) >= j.copySet.ReadQuorum() }
+// pulledEnough reports whether so many members have been pulled from that this
+// disk has every record that a majority has synced.
+func (j *Joiner) pulledEnough() bool {
+	self, _ := j.copySet.Find(j.self.Disk)
+	return len(j.pulledDisks) >= j.copySet.MustPullFrom(self)
+}
 
 // nearestFirst returns the members, those in this availability zone first. The
 // first one that is pulled from sends most of the contents.
