gateway: Log what a request's deadline found, and say what is retained

Cause: a backend server that missed the deadline left no line, so a request that timed out could not be traced to it. A stream that retains nothing was logged as stored, with the verdict undecided.

Change: one line for an attempt that ends with its request, with the backend server and whether the deadline had passed. `stream ended` says whether the stream is retained, and only then what the stores answered. The model of the copy set now also lets a disk retire when only a majority has its records.

--- a/copyset/model_test.go
+++ b/copyset/model_test.go
@@ -213,15 +213,18 @@
 			add(dropped)
 		}
 		if next, ok := w.current().Leave(disk, tolerated); ok && m.Ready && !w.lost[disk] {
-			left := w.copyWith("retire " + disk)
-			left.fence[disk] = len(w.sets) + 1
-			for _, other := range next.Members {
-				if w.holds[disk] && !w.lost[other.Disk] {
-					left.holds[other.Disk] = true
+			// Members that are down need not get the records.
+			subsets(w.readyDisks(next), next.Majority(), func(receivers []string) {
+				left := w.copyWith(fmt.Sprint("retire ", disk, " after a transfer to ", receivers))
+				left.fence[disk] = len(w.sets) + 1
+				for _, receiver := range receivers {
+					if w.holds[disk] {
+						left.holds[receiver] = true
+					}
 				}
-			}
-			left.sets = append(left.sets, next)
-			add(left)
+				left.sets = append(left.sets, next)
+				add(left)
+			})
 		}
 	}
 }
--- a/gateway/answerbytes_test.go
+++ b/gateway/answerbytes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -73,7 +74,7 @@
 	DescribeTable("stay within the memory of a small host, and other calls are served",
 		func(kind route.Kind, retains bool, contentType, head, piece string) {
 			r := route.Route{Kind: kind, Timeout: 3 * time.Second, RetainTurns: retains}
-			s := newFixtureWith(gateway.Settings{CallWorkers: endlessCalls + 8, AnswerBytes: smallHostBytes / 10}, r, endless(contentType, head, piece))
+			s := newFixtureWith(slog.New(slog.DiscardHandler), gateway.Settings{CallWorkers: endlessCalls + 8, AnswerBytes: smallHostBytes / 10}, r, endless(contentType, head, piece))
 			sound := func() time.Duration {
 				start := time.Now()
 				status, body, _ := s.post("/r/sound")
@@ -120,7 +121,7 @@
 	)
 
 	It("do not count bytes of events that the client has received", func() {
-		s := newFixtureWith(gateway.Settings{CallWorkers: 8, AnswerBytes: 2 << 20}, route.Route{Kind: route.Streaming},
+		s := newFixtureWith(slog.New(slog.DiscardHandler), gateway.Settings{CallWorkers: 8, AnswerBytes: 2 << 20}, route.Route{Kind: route.Streaming},
 			events(strings.Split(strings.Repeat(strings.Repeat("x", 20<<10)+" ", 200), " ")...))
 		status, body, _ := s.post("/r/x")
 		Expect(status).To(Equal(http.StatusOK))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -123,17 +123,17 @@
 }
 
 func newFixture(r route.Route, backends ...http.HandlerFunc) *fixture {
-	return newFixtureWith(gateway.Settings{CallWorkers: 8}, r, backends...)
+	return newFixtureWith(slog.New(slog.DiscardHandler), gateway.Settings{CallWorkers: 8}, r, backends...)
 }
 
-// newFixtureWith is newFixture with settings of the gateway that concern its
-// capacity.
-func newFixtureWith(settings gateway.Settings, r route.Route, backends ...http.HandlerFunc) *fixture {
+// newFixtureWith is newFixture with a log, and with settings of the gateway that
+// concern its capacity.
+func newFixtureWith(log *slog.Logger, settings gateway.Settings, r route.Route, backends ...http.HandlerFunc) *fixture {
 	s := &fixture{turnStore: &fakeTurnStore{begin: turnstore.Result{Verdict: turnstore.Stored}, commit: make(chan turnstore.Result, 8),
 		crashes: ring.New[turnstore.Crash](8)}}
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
 	settings.Address, settings.Zone, settings.AddressTTL, settings.MaxAddresses = "self", "a", time.Second, 8
-	s.gateway = gateway.New(group, slog.New(slog.DiscardHandler), metrics.NewSet(), settings, decode, codec{}, s.turnStore)
+	s.gateway = gateway.New(group, log, metrics.NewSet(), settings, decode, codec{}, s.turnStore)
 	for i, handle := range backends {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(idHeader, r.Header.Get(idHeader))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -268,9 +268,12 @@
 func (e *clientExchange) finishStream(ctx context.Context) {
 	start := time.Now()
 	result, stored := e.turn.commit(ctx)
-	e.log(slog.LevelInfo, "gateway: stream ended", "stored", stored, "verdict", result.Verdict.String(), "synced", result.Synced,
-		"copy_set", result.CopySet, "tokens", e.turn.tokens, "store_ms", time.Since(start).Milliseconds(),
-		"age_ms", time.Since(e.request.Arrived).Milliseconds())
+	attributes := []any{"retained", e.route.RetainTurns, "tokens", e.turn.tokens, "age_ms", time.Since(e.request.Arrived).Milliseconds()}
+	if e.route.RetainTurns {
+		attributes = append(attributes, "stored", stored, "verdict", result.Verdict.String(), "synced", result.Synced,
+			"copy_set", result.CopySet, "store_ms", time.Since(start).Milliseconds())
+	}
+	e.log(slog.LevelInfo, "gateway: stream ended", attributes...)
 	if !stored {
 		e.abortResponse("its turn could not be stored")
 	}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -251,6 +251,11 @@
 	s.fleet.CallEnded(result.report, now)
 	j := result.job
 	if result.done {
+		if result.verdict != call.Answered {
+			s.log.Info("gateway: attempt ended with its request", "request", j.request.ID, "backend", result.backend.ID,
+				"verdict", result.verdict.String(), "events", j.events, "took_ms", now.Sub(result.started).Milliseconds(),
+				"past_deadline", !now.Before(j.deadline))
+		}
 		return
 	}
 	j.lastReason = result.reason
