gateway: List as many large fronts as the load needs

Change: of the large fronts, so many are listed that they have three times the cores needed, if that leaves out a third or more; here nine of 18. Fronts of one size alternate between availability zones.

Before: the spec finds 18 hosts listed where at most nine are allowed. After: nine from six.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -20,6 +20,13 @@
 	// front is listed only if its capacity is needed, because clients pick a
 	// listed front at random, whatever its size.
 	smallFrontRatio = 0.5
+	// largeFrontHeadroom is how many times the cores that are needed a list of
+	// large fronts has at the most. More fronts would each see a smaller part of
+	// the calls at a backend server, and balance them worse.
+	largeFrontHeadroom = 3
+	// maxListedShare is the largest share of the large fronts that are listed if not
+	// all are.
+	maxListedShare = 0.67
 	// smallFrontHeadroom is how many times the cores that are needed a list with
 	// small fronts has, counted at the size of the smallest: a small front has no
 	// room for a load peak or for clients that keep an older list.
@@ -34,34 +41,62 @@
 	Cores float64
 }
 
-// selectFronts returns the fronts that clients are sent to, largest first. Small
-// fronts are left out if the larger ones suffice for the slots of the backend
-// servers: with fewer fronts, each sees a larger share of the calls and fewer
-// connections to backend servers are opened. Otherwise so many are listed that
-// an equal share of the load fits the smallest of them, because every listed
-// front gets one.
+// selectFronts returns the fronts that clients are sent to, largest first. It
+// lists as many as the slots of the backend servers need: with fewer fronts, each
+// sees a larger share of the calls and fewer connections to backend servers are
+// opened. Small fronts are left out if the larger ones suffice. Otherwise so many
+// are listed that an equal share of the load fits the smallest of them, because
+// every listed front gets one.
 func selectFronts(fronts []Front, slots int) []Front {
-	ordered := slices.Clone(fronts)
-	slices.SortFunc(ordered, func(a, b Front) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Address, b.Address))
-	})
+	ordered := orderFronts(fronts)
 	needed := coresPerSlot * float64(slots)
 	large := 0
+	largeCores := 0.0
 	for large < len(ordered) && ordered[large].Cores >= smallFrontRatio*ordered[0].Cores {
+		largeCores += ordered[large].Cores
 		large++
 	}
-	largeCores := 0.0
-	for _, f := range ordered[:large] {
-		largeCores += f.Cores
-	}
 	if large >= minListedFronts && largeCores >= needed {
-		return ordered[:large]
+		if enough := fitting(ordered[:large], largeFrontHeadroom*needed); enough <= int(maxListedShare*float64(large)) {
+			return ordered[:enough]
+		}
+		return ordered[:large] // leaving out a few would change little
 	}
-	for count := max(large, minListedFronts); count < len(ordered); count++ {
-		if float64(count)*ordered[count-1].Cores >= smallFrontHeadroom*needed {
-			return ordered[:count]
+	return ordered[:max(large, fitting(ordered, smallFrontHeadroom*needed))]
+}
+
+// fitting returns how many fronts, of those ordered by size, are enough for the
+// cores if each gets an equal share, but at least minListedFronts.
+func fitting(ordered []Front, cores float64) int {
+	for count := minListedFronts; count < len(ordered); count++ {
+		if float64(count)*ordered[count-1].Cores >= cores {
+			return count
 		}
 	}
+	return len(ordered)
+}
+
+// orderFronts returns the fronts with the largest first. Fronts of the same size
+// alternate between availability zones, so that a list of the first ones covers
+// many zones.
+func orderFronts(fronts []Front) []Front {
+	ordered := slices.Clone(fronts)
+	slices.SortFunc(ordered, func(a, b Front) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Address, b.Address))
+	})
+	type group struct {
+		cores float64
+		zone  string
+	}
+	rank := map[string]int{} // by address: the number of fronts of its size and zone before it
+	size := map[group]int{}
+	for _, f := range ordered {
+		rank[f.Address] = size[group{f.Cores, f.Zone}]
+		size[group{f.Cores, f.Zone}]++
+	}
+	slices.SortStableFunc(ordered, func(a, b Front) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rank[a.Address], rank[b.Address]))
+	})
 	return ordered
 }
 
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -72,4 +72,25 @@
 			Expect(crowdCores/float64(len(listed))).To(BeNumerically("<=", f.Cores), "host %s of %d", f.Address, len(listed))
 		}
 	})
+
+	// Pattern: a crowd at many large hosts. On scale-1 of satamavirta-prod-large 18
+	// fronts were listed, and when a front placed a call it knew of a fifth of one
+	// call at the chosen model server, of six that fit.
+	It("contains as many large hosts as the load needs, from all availability zones", func() {
+		var all []Front
+		for zone := range 6 {
+			for i := range 3 {
+				all = append(all, Front{Address: fmt.Sprintf("%d-%d", zone, i), Zone: fmt.Sprint(zone), Cores: 0.8})
+			}
+		}
+		listed := selectFronts(append(all, fronts(0, 65)...), 558)
+		Expect(len(listed)).To(BeNumerically("<=", 9))
+		zones, cores := map[string]bool{}, 0.0
+		for _, f := range listed {
+			zones[f.Zone] = true
+			cores += f.Cores
+		}
+		Expect(zones).To(HaveLen(6))
+		Expect(cores).To(BeNumerically(">=", 2*coresPerSlot*558), "room for a crowd")
+	})
 })
