turnstore: Hand the records of a retiring disk to a majority

Change: the nearest members that form a majority of the next set get them. The model of the copy set covers this: a retirement hands over to any majority.

Ruled out: no transfer at all for a record that is on other members, which this disk cannot know without asking.

No spec measures the bytes of short records; the specs of retirements pass.

--- a/turnstore/retire.go
+++ b/turnstore/retire.go
@@ -85,13 +85,13 @@
 		j.log.Warn("turnstore: disk not retired, too few other members are ready", "members", len(j.copySet.Members))
 		return false
 	}
-	if !j.pushAll(ctx, next) || now.Before(j.retirement.leaveTime(j.copySet.LeavingCostsTolerance(j.self.Disk, j.tolerated), j.othersPresent())) {
+	if !j.pushToMajority(ctx, next) || now.Before(j.retirement.leaveTime(j.copySet.LeavingCostsTolerance(j.self.Disk, j.tolerated), j.othersPresent())) {
 		return false
 	}
 	// From here on no majority may include this disk: a record that it accepted
 	// after the transfer would be on too few of the remaining members.
 	j.server.Refuse(true)
-	if !j.pushAll(ctx, next) {
+	if !j.pushToMajority(ctx, next) {
 		j.server.Refuse(false)
 		return false
 	}
@@ -126,19 +126,24 @@
 	return true
 }
 
-// pushAll stores the records of this disk at the members of the next set, except
-// those that have them already. It reports whether every read quorum of that set
-// includes a member with all of them.
-func (j *Joiner) pushAll(ctx context.Context, next copyset.Set) bool {
+// pushToMajority stores the records of this disk at a majority of the next set,
+// the nearest members first, except the records that these have already. It
+// reports whether every read quorum of that set then includes one with all of
+// them.
+func (j *Joiner) pushToMajority(ctx context.Context, next copyset.Set) bool {
 	complete := 0
-	for _, m := range next.Members {
+	for _, m := range j.nearestFirst() {
+		if complete >= next.Majority() {
+			break
+		}
+		if !m.Ready || m.Disk == j.self.Disk {
+			continue
+		}
 		if err := j.push(ctx, m); err != nil {
 			j.log.Warn("turnstore: records not copied to member", "to", m.Host, "error", err)
 			continue
 		}
-		if m.Ready {
-			complete++
-		}
+		complete++
 	}
 	return complete >= next.Majority()
 }
--- a/turnstore/transfer.go
+++ b/turnstore/transfer.go
@@ -165,7 +165,7 @@
 			ids = append(ids, t.Id)
 		}
 	}
-	if len(ids) == 0 || !to.Ready {
+	if len(ids) == 0 {
 		return records
 	}
 	reply, err := j.pullPage(ctx, client, &turnpb.PullRequest{Turns: ids, OmitContent: true})
