gateway: Keep the list of fronts short when one large host is gone

Cause: with five of six large hosts the list grew to 22 fronts. A front estimates the load of all from its own calls and the number of listed fronts; one that kept a fifth of the calls took the model servers for up to five times full and refused programs.

Change: fewer than six large fronts are listed alone if they have half more cores than needed; small ones fill up a short list only where an equal share fits them.

Ruled out: an estimate that knows how calls spread over fronts needs messages between them, which were measured and removed before.

Not mended: the estimate when half of the large hosts are gone.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -27,6 +27,9 @@
 	// maxListedShare is the largest share of the large fronts that are listed if not
 	// all are.
 	maxListedShare = 0.67
+	// fewFrontsHeadroom is how many times the cores that are needed the large
+	// fronts must have if fewer than minListedFronts of them are listed alone.
+	fewFrontsHeadroom = 1.5
 	// smallFrontHeadroom is how many times the cores that are needed a list with
 	// small fronts has, counted at the size of the smallest: a small front has no
 	// room for a load peak or for clients that keep an older list.
@@ -62,7 +65,11 @@
 		}
 		return ordered[:large] // leaving out a few would change little
 	}
-	return ordered[:max(large, fitting(ordered, smallFrontHeadroom*needed))]
+	count := fitting(ordered, smallFrontHeadroom*needed)
+	if count > minListedFronts && largeCores >= fewFrontsHeadroom*needed {
+		return ordered[:large] // small ones could carry no equal share of this load
+	}
+	return ordered[:max(large, count)]
 }
 
 // fitting returns how many fronts, of those ordered by size, are enough for the
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -73,6 +73,14 @@
 		}
 	})
 
+	// Pattern: one large host is gone, on an ordinary load. With 22 hosts in the list
+	// in place of six, a large one that still had a fifth of the calls took itself
+	// for one of 22, and refused programs although the model servers were free.
+	It("stays short when one of six large hosts is gone and the others suffice", func() {
+		large, small := count(fronts(5, 65), 522)
+		Expect([]int{large, small}).To(Equal([]int{5, 0}))
+	})
+
 	// Pattern: a crowd at many large hosts. On scale-1 of satamavirta-prod-large 18
 	// fronts were listed, and when a front placed a call it knew of a fifth of one
 	// call at the chosen model server, of six that fit.
