--- a/cmd/dogwoodline/explain.go
+++ b/cmd/dogwoodline/explain.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"io"
 	"os"
 
 	"github.com/zeebo/errs"
@@ -43,14 +42,12 @@
 }
 
 func readLog(collector *explain.Collector, name string) error {
-	var log io.Reader = os.Stdin
-	if name != "-" {
-		file, err := os.Open(name)
-		if err != nil {
-			return err
-		}
-		defer file.Close()
-		log = file
+	if name == "-" {
+		return collector.Read(os.Stdin)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return err
 	}
-	return collector.Read(log)
+	return errs.Combine(collector.Read(file), file.Close())
 }
--- a/copyset/model_test.go
+++ b/copyset/model_test.go
@@ -11,10 +11,6 @@
 	"dogwoodline.example/copyset"
 )
 
-// noWrite is the number of the set under which the record was written while it
-// is not written yet.
-const noWrite = -1
-
 // world is one state of a copy set whose stores keep a single record. Records do
 // not influence each other, so one record stands for all of them.
 type world struct {
--- a/newsfeed/reader.go
+++ b/newsfeed/reader.go
@@ -66,7 +66,7 @@
 	if store, ok := r.Store.(kvstore.StaleLister); ok {
 		return store.ListStale(ctx, prefix)
 	}
-	return r.Store.List(ctx, prefix)
+	return r.List(ctx, prefix)
 }
 
 // Watch implements kvstore.Store. The loss of a feed is not reported as an
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -254,7 +254,7 @@
 
 // Abort ends the connection, so that reading the body fails. Unlike the other
 // methods it may be called by any goroutine, but not after Close.
-func (e *Exchange) Abort() { _ = e.conn.Conn.Close() } // fails only if the connection is closed already
+func (e *Exchange) Abort() { _ = e.conn.Close() } // fails only if the connection is closed already
 
 // Close ends the exchange. The connection is kept for reuse only if the request
 // was written and the response read completely, nothing else has arrived, and the
