--- /dev/null
+++ b/turnstore/pull.go
@@ -0,0 +1,43 @@
+package turnstore
+
+import "dogwoodline.example/turnstore/turnpb"
+
+// pullPageBytes is the approximate size of a reply to Pull.
+const pullPageBytes = 512 << 10
+
+func (s *Server) pull(in *turnpb.PullRequest, payloads [][]byte) (*turnpb.PullReply, [][]byte) {
+	s.adoptEncodedSet(in.Set)
+	out := &turnpb.PullReply{}
+	out.Status, _, payloads = s.checkVersion(in.CopySet, payloads)
+	if out.Status == turnpb.Status_STATUS_OK && !s.ready.Load() {
+		out.Status = turnpb.Status_STATUS_NOT_READY
+	}
+	if out.Status == turnpb.Status_STATUS_OK {
+		s.fillPull(in, out)
+	}
+	return out, payloads
+}
+
+// fillPull adds the turns that a request names, or else a page, to the reply.
+func (s *Server) fillPull(in *turnpb.PullRequest, out *turnpb.PullReply) {
+	if len(in.Turns) > 0 {
+		records, lookedUp := s.state.turnRecords(in.Turns, pullPageBytes, in.OmitContent)
+		out.Records, out.Cursor, out.Done = records, uint64(lookedUp), lookedUp == len(in.Turns)
+		return
+	}
+	out.Records, out.Cursor, out.Done = s.state.page(in.Cursor, pullPageBytes, in.OmitContent)
+}
+
+// importRecords is applyRecords without the turns that have no content and are
+// not held. It returns their ids.
+func (s *Server) importRecords(records []*turnpb.Record, payloads [][]byte) (_ [][]byte, missing []string) {
+	usable := make([]*turnpb.Record, 0, len(records))
+	for _, record := range records {
+		if t := record.GetTurn(); t != nil && t.ContentOmitted && s.state.turns[t.Id] == nil {
+			missing = append(missing, t.Id)
+			continue
+		}
+		usable = append(usable, record)
+	}
+	return s.applyRecords(usable, payloads), missing
+}
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -27,8 +27,6 @@
 	requestQueueSize = 1024
 	// maxBatchRequests is how many requests share one sync at most.
 	maxBatchRequests = 256
-	// pullPageBytes is the approximate size of a page of Pull.
-	pullPageBytes = 512 << 10
 	// expireInterval is how often expired records are removed.
 	expireInterval = 2 * time.Second
 	// memoryShare is the fraction of the process's memory that records may use.
@@ -311,43 +309,6 @@
 	return out, payloads
 }
 
-func (s *Server) pull(in *turnpb.PullRequest, payloads [][]byte) (*turnpb.PullReply, [][]byte) {
-	s.adoptEncodedSet(in.Set)
-	out := &turnpb.PullReply{}
-	out.Status, _, payloads = s.checkVersion(in.CopySet, payloads)
-	if out.Status == turnpb.Status_STATUS_OK && !s.ready.Load() {
-		out.Status = turnpb.Status_STATUS_NOT_READY
-	}
-	if out.Status == turnpb.Status_STATUS_OK {
-		s.fillPull(in, out)
-	}
-	return out, payloads
-}
-
-// fillPull adds the turns that a request names, or else a page, to the reply.
-func (s *Server) fillPull(in *turnpb.PullRequest, out *turnpb.PullReply) {
-	if len(in.Turns) > 0 {
-		records, lookedUp := s.state.turnRecords(in.Turns, pullPageBytes, in.OmitContent)
-		out.Records, out.Cursor, out.Done = records, uint64(lookedUp), lookedUp == len(in.Turns)
-		return
-	}
-	out.Records, out.Cursor, out.Done = s.state.page(in.Cursor, pullPageBytes, in.OmitContent)
-}
-
-// importRecords is applyRecords without the turns that have no content and are
-// not held. It returns their ids.
-func (s *Server) importRecords(records []*turnpb.Record, payloads [][]byte) (_ [][]byte, missing []string) {
-	usable := make([]*turnpb.Record, 0, len(records))
-	for _, record := range records {
-		if t := record.GetTurn(); t != nil && t.ContentOmitted && s.state.turns[t.Id] == nil {
-			missing = append(missing, t.Id)
-			continue
-		}
-		usable = append(usable, record)
-	}
-	return s.applyRecords(usable, payloads), missing
-}
-
 // applyRecords applies records to the state and appends the encoding of the new
 // ones to payloads.
 func (s *Server) applyRecords(records []*turnpb.Record, payloads [][]byte) [][]byte {
