gateway: Order fronts of one size and rank by address again

Change: the address decides among fronts of the same size and rank, as before. Which fronts are listed changes only where a list ends within a rank; there the order of addresses on the deployments is that of the zones.

After: all specs of gateway pass.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -101,8 +101,8 @@
 		rank[f.Address] = size[group{f.Cores, f.Zone}]
 		size[group{f.Cores, f.Zone}]++
 	}
-	slices.SortStableFunc(ordered, func(a, b Front) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rank[a.Address], rank[b.Address]))
+	slices.SortFunc(ordered, func(a, b Front) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rank[a.Address], rank[b.Address]), cmp.Compare(a.Address, b.Address))
 	})
 	return ordered
 }
