soak: Add requests that end the backend servers that run them

Change: the stand-in of the users' platform has backend servers that end under a marked request and start again under another id, half of them without closing their connections. Three clients of each soak run repeat such a request at any front. The check is the users' bound: after the third end and 3 s, three more runs at the most.

--- a/emulator/usersplatform/client.go
+++ b/emulator/usersplatform/client.go
@@ -1,6 +1,7 @@
 package usersplatform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,8 +13,10 @@
 
 // Request is a request that a client sends to a front.
 type Request struct {
-	ID   string
-	Body string
+	ID string
+	// Method is the HTTP method; empty for POST.
+	Method string
+	Body   string
 	// Turn marks a turn of a program, whose response is a stream. Other
 	// requests are plain calls.
 	Turn bool
@@ -31,7 +34,7 @@
 // Send sends a request to the front at the given address, as a client of the
 // platform does, and reads the whole response.
 func Send(ctx context.Context, front, host, path string, request Request) (status int, body string, err error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+path, strings.NewReader(request.Body))
+	r, err := http.NewRequestWithContext(ctx, cmp.Or(request.Method, http.MethodPost), "http://"+front+path, strings.NewReader(request.Body))
 	if err != nil {
 		return 0, "", err
 	}
@@ -119,8 +122,12 @@
 // SiteHost is the HTTP host name of all routes in the stand-in's configuration.
 const SiteHost = "site.example"
 
+// FragileService is the service of the FragileBackends.
+const FragileService = "fragile"
+
 // Configure registers the backend server at the address and writes a
-// configuration that routes the paths /turns/ and /calls/ to its service.
+// configuration that routes the paths /turns/ and /calls/ to its service, and the
+// path /fragile/ to FragileService.
 func (s *Store) Configure(ctx context.Context, b *Backend, address string) error {
 	err := s.Put(ctx, "servers/"+b.ID, map[string]any{
 		"Service": "llm", "Address": address, "Zone": "a", "Slots": 8, "State": "ready",
@@ -130,6 +137,7 @@
 	}
 	return s.Put(ctx, "op/config", json.RawMessage(`{"Version":3,"Routes":[
 		{"Name":"turns","Host":"site.example","PathPrefix":"/turns/","Kind":"streaming","TimeoutMs":5000,"Service":"llm","Attempts":1,"Retain":true,"RetentionS":60},
-		{"Name":"calls","Host":"site.example","PathPrefix":"/calls/","Kind":"unsafe","TimeoutMs":5000,"Service":"llm"}],
-		"Services":[{"Name":"llm","MaxConns":50,"Engine":{"Slots":8,"TokensPerEvent":5}}],"Limits":{"MaxBodyBytes":100000}}`))
+		{"Name":"calls","Host":"site.example","PathPrefix":"/calls/","Kind":"unsafe","TimeoutMs":5000,"Service":"llm"},
+		{"Name":"fragile","Host":"site.example","PathPrefix":"/fragile/","Kind":"safe","TimeoutMs":1500,"Service":"fragile","Attempts":1}],
+		"Services":[{"Name":"llm","MaxConns":50,"Engine":{"Slots":8,"TokensPerEvent":5}},{"Name":"fragile","MaxConns":50}],"Limits":{"MaxBodyBytes":100000}}`))
 }
--- a/soak/roles/deployment.go
+++ b/soak/roles/deployment.go
@@ -52,6 +52,7 @@
 	folder       string
 	store        *usersplatform.Store
 	backend      *usersplatform.Backend
+	fragile      []*usersplatform.FragileBackend
 	servers      []*httptest.Server
 	backendRelay *relay.Relay // from the fronts to the backend server
 	fronts       []*host
@@ -76,6 +77,9 @@
 	if err := d.store.Configure(ctx, d.backend, d.backendRelay.Address()); err != nil {
 		return d, Error.Wrap(err)
 	}
+	for i := range fragileServers {
+		d.fragile = append(d.fragile, usersplatform.NewFragileBackend(fmt.Sprintf("fragile-%d", i), i%2 == 1, d.store))
+	}
 	add := func(role, ip string) (*host, error) {
 		platformRelay, err := relay.Start(platformServer.Listener.Addr().String())
 		if err != nil {
--- a/soak/roles/roles.go
+++ b/soak/roles/roles.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodline.example/duty"
+	"dogwoodline.example/emulator/usersplatform"
 )
 
 // Error is the class of all errors of this package.
@@ -104,6 +105,12 @@
 			random: rand.New(rand.NewPCG(config.Seed, uint64(i)+1))}
 		clients.Go("client", c.run)
 	}
+	for _, c := range crashingClients(config.Seed, d.frontAddresses()) {
+		clients.Go("crashing-client", c.run)
+	}
+	for _, b := range d.fragile {
+		group.Go("fragile-backend", b.Run)
+	}
 	injector := &faultInjector{deployment: d, random: rand.New(rand.NewPCG(config.Seed, 0)), log: config.Log}
 	faults, failure := injector.run(ctx, config.Duration)
 	if failure == nil {
@@ -116,6 +123,11 @@
 	group.Stop()
 	stop() // the folder can be removed only when no process writes to it
 	result := recorder.drain().check(d.backend.Runs())
+	var crashes []usersplatform.End
+	for _, b := range d.fragile {
+		crashes = append(crashes, b.Runs()...)
+	}
+	result.Violations = append(result.Violations, checkCrashes(crashes)...)
 	result.Seed, result.Faults, result.Folder = config.Seed, faults, folder
 	if failure != nil {
 		result.Violations = append(result.Violations, failure.Error())
