gateway: Log interrupted calls that are not counted as crashes

Cause: a crash that was not counted left no line, so the logs could not tell a call without a fingerprint from a backend server that did not seem to have ended.

Change: one line for each interruption that is not counted, with the backend server, whether it still accepts connections and the fingerprint. No decision changes.

--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -55,10 +55,11 @@
 		}
 		// The result is passed on first, so that a retry does not wait for the
 		// check whether the backend server has crashed.
-		if !result.incomplete || !result.serverLost && c.pool.Reachable(ctx, a.backend.Address) {
+		if !result.incomplete {
 			continue
 		}
-		if err := c.messages.Push(ctx, schedulerMessage{crashed: a.job}); err != nil {
+		ended := result.serverLost || !c.pool.Reachable(ctx, a.backend.Address)
+		if err := c.messages.Push(ctx, schedulerMessage{interrupted: &interruption{job: a.job, backend: a.backend, serverEnded: ended}}); err != nil {
 			return err
 		}
 	}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dogwoodline.example/call"
+	"dogwoodline.example/fleet"
 	"dogwoodline.example/turnstore"
 )
 
@@ -66,18 +67,29 @@
 	}
 }
 
-// recordCrash records a crash that this front has detected and reports it to the
-// other fronts. Calls without a fingerprint are skipped.
-func (s *Scheduler) recordCrash(j *job, now time.Time) {
+// interruption is an exchange that broke off while the client waited.
+type interruption struct {
+	job     *job
+	backend fleet.Backend
+	// serverEnded says that the backend server accepts no connections any more.
+	serverEnded bool
+}
+
+// handleInterruption records a crash that this front has detected and reports it
+// to the other fronts. Calls without a fingerprint are skipped.
+func (s *Scheduler) handleInterruption(i interruption, now time.Time) {
+	j := i.job
 	fingerprint := j.request.Fingerprint()
-	if fingerprint == "" {
+	if !i.serverEnded || fingerprint == "" {
+		s.log.Info("gateway: interrupted call not counted as a crash", "request", j.request.ID, "route", j.route.Name,
+			"backend", i.backend.ID, "server_ended", i.serverEnded, "call", fingerprint)
 		return
 	}
 	j.crashes++
 	crash := turnstore.Crash{Call: fingerprint, Attempt: j.request.ID + "/" + strconv.Itoa(j.crashes), Expires: now.Add(crashTTL)}
 	s.crashes.add(crash)
-	s.log.Warn("gateway: backend server ended while it ran a call", "request", j.request.ID, "route", j.route.Name, "call", fingerprint,
-		"crashes", s.crashes.count(fingerprint, now), "told", s.reportCrash(crash))
+	s.log.Warn("gateway: backend server ended while it ran a call", "request", j.request.ID, "route", j.route.Name, "backend", i.backend.ID,
+		"call", fingerprint, "crashes", s.crashes.count(fingerprint, now), "told", s.reportCrash(crash))
 }
 
 // receiveCrashes records the crashes that the turn stores have passed on.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -73,11 +73,10 @@
 
 // schedulerMessage is an input of the scheduler. Exactly one field is set.
 type schedulerMessage struct {
-	job    *job
-	result *attemptResult
-	update *FleetUpdate
-	// crashed is a job whose backend server crashed while it ran the job.
-	crashed *job
+	job         *job
+	result      *attemptResult
+	update      *FleetUpdate
+	interrupted *interruption
 }
 
 // Scheduler chooses the backend server for each call. A single goroutine runs it
@@ -148,8 +147,8 @@
 		s.dispatch(message.job, now)
 	case message.result != nil:
 		s.handleResult(*message.result, now)
-	case message.crashed != nil:
-		s.recordCrash(message.crashed, now)
+	case message.interrupted != nil:
+		s.handleInterruption(*message.interrupted, now)
 	case message.update != nil:
 		s.applyFleetUpdate(*message.update, now)
 		s.publishFleetSize()
