call, gateway: Know a call that ends backend servers again

Cause: a call was known by one hash of method, host, target, program, session and body, and by none without body and program. A request without a body was never counted; one that came again for another program, session or with another query was another call.

Change: a call has four identities, from its path and body to those with query, with program and session, and with the address of the client. Crashes are counted for each, and the one with most decides. So that a wide identity does not hold a path that many clients ask for, an identity that a backend server has answered within a minute is not blamed, and an answer ends its records. Reports carry the identities.

Ruled out: one wider hash of path and body alone, because calls of one client may be harmful on a path that others use well.

--- a/call/call.go
+++ b/call/call.go
@@ -4,10 +4,7 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Request is one attempt of a client at a call. A client that retries sends
@@ -19,6 +16,8 @@
 	// Target is the path and query exactly as the client sent them.
 	Target string
 	Host   string
+	// ClientHost is the network address of the client, without its port.
+	ClientHost string
 	// Header holds the fields that may be forwarded. Hop-by-hop fields and fields
 	// that the system sets itself are removed.
 	Header http.Header
@@ -84,22 +83,6 @@
 	}
 }
 
-// Fingerprint returns a hash that is the same for all attempts of a client at one
-// call, which have the method, host, target, program, session and body in common.
-// It is empty for a call without program and body, because nothing distinguishes
-// it from other calls.
-func (r *Request) Fingerprint() string {
-	if r.Program == "" && len(r.Body) == 0 {
-		return ""
-	}
-	digest := xxhash.New()
-	for _, part := range []string{r.Method, r.Host, r.Target, r.Program, r.Session} {
-		_, _ = digest.WriteString(part + "\x00") // never fails
-	}
-	_, _ = digest.Write(r.Body)
-	return strconv.FormatUint(digest.Sum64(), 16)
-}
-
 // Verdict states what a response, or the lack of one, proves about the execution
 // of a request.
 type Verdict int
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -50,6 +51,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	e := &clientExchange{gateway: g, w: w, r: r, request: g.decode(r, time.Now())}
+	e.request.ClientHost, _, _ = net.SplitHostPort(r.RemoteAddr) // empty if it is not known
 	if e.accept() {
 		e.serve()
 	}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -95,6 +95,7 @@
 	listedFronts      atomic.Int64 // number of fronts that clients are sent to
 	admission         admission
 	crashes           crashRecords
+	answered          answeredCalls
 	reportedCrashes   *ring.Ring[turnstore.Crash] // reported by fronts through the turn stores
 	reportCrash       func(turnstore.Crash) bool
 }
@@ -254,7 +255,9 @@
 			s.log.Info("gateway: attempt ended with its request", "request", j.request.ID, "backend", result.backend.ID,
 				"verdict", result.verdict.String(), "events", j.events, "took_ms", now.Sub(result.started).Milliseconds(),
 				"past_deadline", !now.Before(j.deadline))
+			return
 		}
+		s.recordAnswered(j.request, now)
 		return
 	}
 	j.lastReason = result.reason
--- a/turnstore/crashes.go
+++ b/turnstore/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodline.example/call"
 	"dogwoodline.example/turnstore/turnpb"
 )
 
@@ -12,8 +13,9 @@
 
 // Crash reports that a backend server ended while it ran a call.
 type Crash struct {
-	// Call identifies the call. It is the same for all attempts of a client.
-	Call string
+	// Calls holds the identities of the call, of which further attempts at it have
+	// some or all.
+	Calls []call.Identity
 	// Attempt is the id of the attempt that ran on the backend server.
 	Attempt string
 	// Expires is when stores drop the report.
@@ -59,9 +61,17 @@
 }
 
 func encodeCrash(c Crash) *turnpb.Crash {
-	return &turnpb.Crash{Call: c.Call, Attempt: c.Attempt, ExpiresUnixMs: c.Expires.UnixMilli()}
+	encoded := &turnpb.Crash{Attempt: c.Attempt, ExpiresUnixMs: c.Expires.UnixMilli()}
+	for _, identity := range c.Calls {
+		encoded.Calls = append(encoded.Calls, uint64(identity))
+	}
+	return encoded
 }
 
 func decodeCrash(c *turnpb.Crash) Crash {
-	return Crash{Call: c.Call, Attempt: c.Attempt, Expires: time.UnixMilli(c.ExpiresUnixMs)}
+	decoded := Crash{Attempt: c.Attempt, Expires: time.UnixMilli(c.ExpiresUnixMs)}
+	for _, identity := range c.Calls {
+		decoded.Calls = append(decoded.Calls, call.Identity(identity))
+	}
+	return decoded
 }
