gateway: Notice ends of backend servers by their registrations too

Cause: an end was counted only if the exchange broke off while the client waited and the address refused connections right after. A server that ended in silence, one that accepted connections again, and one whose client had left or whose call had reached its deadline were not counted.

If its server's registration is removed without draining, or returns with another incarnation, or the address refuses connections, the call has met the end of that server; also if the end is known first. A crash is named by the end and no longer by the attempt, so that one end that two fronts notice counts once. A call that has ended a server gets no further try in one attempt while the cause of an interrupted try is open and could be the third.

Ruled out: connecting to a server after each call that reached its deadline or whose client left; it costs connections and does not show a server that is back.

The spec 'has no crashes recorded while its backend servers are alive' looked at a ring that the scheduler empties, so it could not fail; it counts the reports now.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -104,13 +104,13 @@
 }
 
 // Expire removes the backend servers whose return window has passed and returns
-// their ids.
-func (f *Fleet) Expire(now time.Time) []string {
-	var gone []string
+// them.
+func (f *Fleet) Expire(now time.Time) []Backend {
+	var gone []Backend
 	for id, s := range f.byID {
 		if !s.forgetAt.IsZero() && !now.Before(s.forgetAt) {
 			delete(f.byID, id)
-			gone = append(gone, id)
+			gone = append(gone, s.Backend)
 		}
 	}
 	if len(gone) > 0 {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -53,7 +53,7 @@
 		f.Put(backend("b1"))
 		Expect(f.Expire(now.Add(time.Minute))).To(BeEmpty())
 		f.Remove("b1", now, true)
-		Expect(f.Expire(now.Add(2 * time.Second))).To(Equal([]string{"b1"}))
+		Expect(f.Expire(now.Add(2 * time.Second))).To(Equal([]fleet.Backend{backend("b1")}))
 	})
 
 	It("spreads calls over idle backend servers", func() {
--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -54,12 +54,12 @@
 			return err
 		}
 		// The result is passed on first, so that a retry does not wait for the
-		// check whether the backend server has crashed.
+		// check whether the backend server has ended.
 		if !result.incomplete {
 			continue
 		}
-		ended := result.serverLost || !c.pool.Reachable(ctx, a.backend.Address)
-		if err := c.messages.Push(ctx, schedulerMessage{interrupted: &interruption{job: a.job, backend: a.backend, serverEnded: ended}}); err != nil {
+		probe := probedServer{backend: a.backend, requestID: a.job.request.ID, ended: result.serverLost || !c.pool.Reachable(ctx, a.backend.Address)}
+		if err := c.messages.Push(ctx, schedulerMessage{probe: &probe}); err != nil {
 			return err
 		}
 	}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"strconv"
 	"time"
 
 	"dogwoodline.example/call"
@@ -22,17 +21,17 @@
 )
 
 // crashRecords holds the backend server crashes that each call may have caused.
-// It maps an identity of the call and the attempt that ran to the time at which
-// the record expires. Only the scheduler goroutine may use it.
+// It maps an identity of the call and the end of the backend server that ran it to
+// the time at which the record expires. Only the scheduler goroutine may use it.
 type crashRecords map[call.Identity]map[string]time.Time
 
 // add adds a crash to the records of a call's identities.
-func (r crashRecords) add(identities []call.Identity, attempt string, expires time.Time) {
+func (r crashRecords) add(identities []call.Identity, serverEnd string, expires time.Time) {
 	for _, identity := range identities {
 		if r[identity] == nil {
 			r[identity] = map[string]time.Time{}
 		}
-		r[identity][attempt] = expires
+		r[identity][serverEnd] = expires
 	}
 }
 
@@ -69,13 +68,13 @@
 }
 
 func (r crashRecords) expire(now time.Time) {
-	for identity, attempts := range r {
-		for attempt, expires := range attempts {
+	for identity, ends := range r {
+		for end, expires := range ends {
 			if !now.Before(expires) {
-				delete(attempts, attempt)
+				delete(ends, end)
 			}
 		}
-		if len(attempts) == 0 {
+		if len(ends) == 0 {
 			delete(r, identity)
 		}
 	}
@@ -120,29 +119,62 @@
 	return remaining
 }
 
-// interruption is an exchange that broke off while the client waited.
-type interruption struct {
-	job     *job
-	backend fleet.Backend
-	// serverEnded says that the backend server accepts no connections any more.
-	serverEnded bool
+// probedServer is a backend server that a caller tried to connect to after an
+// exchange broke off.
+type probedServer struct {
+	backend   fleet.Backend
+	requestID string // of the call that was interrupted
+	// ended says that the backend server accepts no connections any more.
+	ended bool
 }
 
-// handleInterruption records a crash that this front has detected and reports it
-// to the other fronts.
-func (s *Scheduler) handleInterruption(i interruption, now time.Time) {
-	j := i.job
-	suspects := s.answered.without(j.request.Identities(), now)
-	if !i.serverEnded || len(suspects) == 0 {
-		s.log.Info("gateway: interrupted call not counted as a crash", "request", j.request.ID, "route", j.route.Name,
-			"backend", i.backend.ID, "server_ended", i.serverEnded, "answered_before", len(suspects) == 0)
+// handleProbe records the end of a backend server that accepts no connections.
+func (s *Scheduler) handleProbe(p probedServer, now time.Time) {
+	if p.ended {
+		s.recordEnd(p.backend, "accepts no connections", now)
 		return
 	}
-	j.crashes++
-	crash := turnstore.Crash{Calls: suspects, Attempt: j.request.ID + "/" + strconv.Itoa(j.crashes), Expires: now.Add(crashTTL)}
-	s.crashes.add(crash.Calls, crash.Attempt, crash.Expires)
-	s.log.Warn("gateway: backend server ended while it ran a call", "request", j.request.ID, "route", j.route.Name, "backend", i.backend.ID,
-		"calls", crash.Calls, "crashes", s.crashes.count(crash.Calls, now), "told", s.reportCrash(crash))
+	s.log.Info("gateway: interrupted call not counted as a crash yet, its server accepts connections", "request", p.requestID,
+		"backend", p.backend.ID, "address", p.backend.Address)
+}
+
+// recordInterruption records a call whose response did not arrive completely.
+func (s *Scheduler) recordInterruption(result attemptResult, now time.Time) {
+	j := result.job
+	c := interruptedCall{
+		requestID: j.request.ID, route: j.route.Name, identities: j.request.Identities(), backend: result.backend, sent: result.started, at: now,
+	}
+	if end := s.ends.interrupt(c); end != "" {
+		s.recordCrash(c, end, now)
+	}
+}
+
+// recordEnd records that a backend server has ended, and that the calls which were
+// interrupted there may have caused it.
+func (s *Scheduler) recordEnd(backend fleet.Backend, evidence string, now time.Time) {
+	if known, registered := s.fleet.Get(backend.ID); backend.Draining || registered && known.Draining {
+		return // it was to end
+	}
+	end, calls := s.ends.end(backend, now)
+	s.log.Info("gateway: backend server ended", "backend", backend.ID, "address", backend.Address, "end", end, "evidence", evidence,
+		"interrupted_calls", len(calls))
+	for _, c := range calls {
+		s.recordCrash(c, end, now)
+	}
+}
+
+// recordCrash records that a backend server ended while it ran a call, and reports
+// it to the other fronts.
+func (s *Scheduler) recordCrash(c interruptedCall, end string, now time.Time) {
+	suspects := s.answered.without(c.identities, now)
+	if len(suspects) == 0 {
+		s.log.Info("gateway: interrupted call not counted as a crash, such calls are answered", "request", c.requestID, "route", c.route, "end", end)
+		return
+	}
+	crash := turnstore.Crash{Calls: suspects, ServerEnd: end, Expires: now.Add(crashTTL)}
+	s.crashes.add(crash.Calls, crash.ServerEnd, crash.Expires)
+	s.log.Warn("gateway: backend server ended while it ran a call", "request", c.requestID, "route", c.route, "backend", c.backend.ID,
+		"end", end, "calls", crash.Calls, "crashes", s.crashes.count(crash.Calls, now), "told", s.reportCrash(crash))
 }
 
 // recordAnswered records that a backend server has answered a call, which
@@ -157,9 +189,9 @@
 func (s *Scheduler) receiveCrashes(now time.Time) {
 	for crash, ok := s.reportedCrashes.TryPop(); ok; crash, ok = s.reportedCrashes.TryPop() {
 		suspects := s.answered.without(crash.Calls, now)
-		s.crashes.add(suspects, crash.Attempt, crash.Expires)
+		s.crashes.add(suspects, crash.ServerEnd, crash.Expires)
 		if count := s.crashes.count(suspects, now); count >= maxCrashes {
-			s.log.Info("gateway: call is held", "calls", suspects, "attempt", crash.Attempt, "crashes", count)
+			s.log.Info("gateway: call is held", "calls", suspects, "end", crash.ServerEnd, "crashes", count)
 		}
 	}
 }
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -10,6 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"dogwoodline.example/call"
+	"dogwoodline.example/fleet"
+	"dogwoodline.example/gateway"
 	"dogwoodline.example/route"
 	"dogwoodline.example/turnstore"
 )
@@ -73,6 +77,45 @@
 		Entry("has another query each time", http.MethodPost, func(n int) (string, string) { return fmt.Sprintf("/r/x?page=%d", n), "p" }),
 	)
 
+	// Guards against servers that end in silence, or are back at once, and against
+	// a client that leaves before its server ends: a crash counted only if the
+	// connection broke while the client waited and nobody listened right after
+	// (issue 23).
+	DescribeTable("is counted when the registration shows that its server ended", func(handle http.HandlerFunc, timeout time.Duration, leave bool,
+		change func(fleet.Backend) gateway.FleetUpdate) {
+		s := newFixture(route.Route{Kind: route.Safe, MaxBackendServers: 1, Timeout: timeout}, handle)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		if leave {
+			time.AfterFunc(50*time.Millisecond, cancel)
+		}
+		if reply, err := s.send(ctx, "/r/x"); err == nil {
+			reply.Body.Close()
+		}
+		backend := fleet.Backend{ID: "b0", Service: "svc", Address: s.addresses[0], Slots: 4, AvailabilityZone: "a"}
+		Expect(s.turnStore.reported.Load()).To(BeZero())
+		Expect(s.gateway.UpdateFleet(context.Background(), change(backend))).To(Succeed())
+		Eventually(s.turnStore.reported.Load).Should(BeEquivalentTo(1))
+	},
+		Entry("after a response that broke off", sendAndClose(""), time.Second, false, removed),
+		Entry("after the deadline", http.HandlerFunc(hang), 100*time.Millisecond, false, removed),
+		Entry("after the client has left", http.HandlerFunc(hang), time.Second, true, removed),
+		Entry("and it has started again with its ID", sendAndClose(""), time.Second, false, func(b fleet.Backend) gateway.FleetUpdate {
+			b.Incarnation = 2
+			return gateway.FleetUpdate{Put: &b}
+		}),
+	)
+
+	// Guards against blaming calls for the planned end of a server.
+	It("is not counted when its server was draining", func() {
+		s := newFixture(route.Route{Kind: route.Safe, MaxBackendServers: 1}, sendAndClose(""))
+		s.post("/r/x")
+		backend := fleet.Backend{ID: "b0", Service: "svc", Address: s.addresses[0], Slots: 4, Draining: true}
+		Expect(s.gateway.UpdateFleet(context.Background(), gateway.FleetUpdate{Put: &backend})).To(Succeed())
+		Expect(s.gateway.UpdateFleet(context.Background(), gateway.FleetUpdate{Remove: "b0"})).To(Succeed())
+		Consistently(s.turnStore.reported.Load, "200ms", "20ms").Should(BeZero())
+	})
+
 	// Guards against a path that many clients ask for and that is held for all of
 	// them, because other calls end the backend servers that it runs on.
 	It("is not taken for one that backend servers have answered", func() {
@@ -81,7 +124,7 @@
 		status, _, _ := s.post("/r/x")
 		Expect(status).To(Equal(http.StatusOK))
 		for _, attempt := range []string{"a", "b", "c"} {
-			Expect(s.turnStore.ReportCrash(turnstore.Crash{Calls: identities, Attempt: attempt, Expires: time.Now().Add(time.Minute)})).To(BeTrue())
+			Expect(s.turnStore.ReportCrash(turnstore.Crash{Calls: identities, ServerEnd: attempt, Expires: time.Now().Add(time.Minute)})).To(BeTrue())
 		}
 		Consistently(func() int {
 			status, _, _ := s.post("/r/x")
@@ -93,7 +136,7 @@
 		var s *fixture
 		s = newFixture(route.Route{Kind: route.Safe}, func(w http.ResponseWriter, r *http.Request) { s.ok(w, r) })
 		for _, attempt := range []string{"a", "b", "b", "c"} {
-			Expect(s.turnStore.ReportCrash(turnstore.Crash{Calls: identities, Attempt: attempt, Expires: time.Now().Add(time.Minute)})).To(BeTrue())
+			Expect(s.turnStore.ReportCrash(turnstore.Crash{Calls: identities, ServerEnd: attempt, Expires: time.Now().Add(time.Minute)})).To(BeTrue())
 		}
 		Eventually(func() int {
 			status, _, _ := s.post("/r/x")
@@ -111,6 +154,15 @@
 			status, _, _ := s.post("/r/x")
 			Expect(status).To(Equal(http.StatusBadGateway))
 		}
-		Expect(s.turnStore.crashes.Len()).To(BeZero())
+		Expect(s.turnStore.reported.Load()).To(BeZero())
 	})
 })
+
+// removed is the removal of a registration.
+func removed(b fleet.Backend) gateway.FleetUpdate { return gateway.FleetUpdate{Remove: b.ID} }
+
+// hang answers nothing until its client is gone.
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // net/http notices a closed connection only after the body
+	<-r.Context().Done()
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -84,7 +84,8 @@
 	commit chan turnstore.Result
 	sent   atomic.Int64
 
-	crashes *ring.Ring[turnstore.Crash]
+	crashes  *ring.Ring[turnstore.Crash]
+	reported atomic.Int64 // crashes that the gateway has reported
 }
 
 func (f *fakeTurnStore) Serving() bool { return true }
@@ -102,6 +103,7 @@
 }
 
 func (f *fakeTurnStore) ReportCrash(crash turnstore.Crash) bool {
+	f.reported.Add(1)
 	return f.crashes.TryPush(crash) == nil
 }
 
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -53,7 +53,6 @@
 	resumeAfter  string
 	headSent     bool
 	lastReason   string
-	crashes      int // backend servers that crashed while they ran it; only the scheduler uses it
 }
 
 // certainlyNotRun reports whether the call has certainly not run.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -73,10 +73,10 @@
 
 // schedulerMessage is an input of the scheduler. Exactly one field is set.
 type schedulerMessage struct {
-	job         *job
-	result      *attemptResult
-	update      *FleetUpdate
-	interrupted *interruption
+	job    *job
+	result *attemptResult
+	update *FleetUpdate
+	probe  *probedServer
 }
 
 // Scheduler chooses the backend server for each call. A single goroutine runs it
@@ -96,6 +96,7 @@
 	admission         admission
 	crashes           crashRecords
 	answered          answeredCalls
+	ends              *serverEnds
 	reportedCrashes   *ring.Ring[turnstore.Crash] // reported by fronts through the turn stores
 	reportCrash       func(turnstore.Crash) bool
 }
@@ -104,7 +105,7 @@
 	s := &Scheduler{
 		log: log, messages: ring.New[schedulerMessage](schedulerRingSize), attempts: attempts, fleet: fleet.New(zone),
 		admission: admission{meanCallTokens: map[string]float64{}}, dropConnections: pool.CloseIdle, hasIdleConnection: pool.HasIdle,
-		crashes: crashRecords{}, reportedCrashes: turnStore.Crashes(), reportCrash: turnStore.ReportCrash,
+		crashes: crashRecords{}, ends: newServerEnds(), reportedCrashes: turnStore.Crashes(), reportCrash: turnStore.ReportCrash,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	group.Go("scheduler", s.run)
@@ -131,10 +132,11 @@
 		case <-s.messages.Ready():
 		case <-s.reportedCrashes.Ready():
 		case now := <-ticker.C:
-			for _, id := range s.fleet.Expire(now) {
-				s.log.Info("gateway: backend server did not return", "backend", id)
+			for _, gone := range s.fleet.Expire(now) {
+				s.recordEnd(gone, "did not register again", now)
 			}
 			s.crashes.expire(now)
+			s.ends.expire(now)
 			s.publishFleetSize()
 		case <-ctx.Done():
 			return ctx.Err()
@@ -148,8 +150,8 @@
 		s.dispatch(message.job, now)
 	case message.result != nil:
 		s.handleResult(*message.result, now)
-	case message.interrupted != nil:
-		s.handleInterruption(*message.interrupted, now)
+	case message.probe != nil:
+		s.handleProbe(*message.probe, now)
 	case message.update != nil:
 		s.applyFleetUpdate(*message.update, now)
 		s.publishFleetSize()
@@ -168,6 +170,9 @@
 func (s *Scheduler) applyFleetUpdate(update FleetUpdate, now time.Time) {
 	switch {
 	case update.Put != nil:
+		if known, ok := s.fleet.Get(update.Put.ID); ok && known.Incarnation != update.Put.Incarnation {
+			s.recordEnd(known, "started again", now)
+		}
 		if s.fleet.Put(*update.Put) {
 			s.log.Info("gateway: backend server changed", "backend", update.Put.ID, "service", update.Put.Service,
 				"address", update.Put.Address, "draining", update.Put.Draining, "incarnation", update.Put.Incarnation)
@@ -179,6 +184,9 @@
 			s.log.Info("gateway: backend server gone", "backend", b.ID, "address", b.Address, "kept_for_return", update.StoreWasUnavailable)
 			if !update.StoreWasUnavailable {
 				s.dropConnections(b.Address)
+				if !b.Draining {
+					s.recordEnd(b, "registration removed", now)
+				}
 			}
 		}
 	case update.Present != nil:
@@ -192,7 +200,8 @@
 	if j.ctx.Err() != nil {
 		return // the handler has already ended the request
 	}
-	if crashes := s.crashes.countFor(j.request, now); crashes >= maxCrashes {
+	crashes := s.crashes.countFor(j.request, now)
+	if crashes >= maxCrashes || crashes > 0 && crashes+j.possibleRuns >= maxCrashes { // a run of this job may be a crash that is not known yet
 		s.failJob(j, fmt.Sprintf("this call has ended %d backend servers", crashes), retryAfterCrashes, now)
 		return
 	}
@@ -255,11 +264,17 @@
 			s.log.Info("gateway: attempt ended with its request", "request", j.request.ID, "backend", result.backend.ID,
 				"verdict", result.verdict.String(), "events", j.events, "took_ms", now.Sub(result.started).Milliseconds(),
 				"past_deadline", !now.Before(j.deadline))
+			if result.verdict == call.Unknown {
+				s.recordInterruption(result, now)
+			}
 			return
 		}
 		s.recordAnswered(j.request, now)
 		return
 	}
+	if result.verdict == call.Unknown {
+		s.recordInterruption(result, now)
+	}
 	j.lastReason = result.reason
 	j.exclude = append(j.exclude, result.backend.ID)
 	s.log.Info("gateway: attempt failed", "request", j.request.ID, "backend", result.backend.ID, "verdict", result.verdict.String(),
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -255,12 +255,12 @@
 	It("report a call that ended a backend server to other front servers, once per store", func() {
 		c := newCluster("a", "b", "c", "d")
 		one, two := c.newClient(), c.newClient()
-		Expect(one.ReportCrash(Crash{Calls: []call.Identity{1, 2}, Attempt: "x", Expires: time.Now().Add(time.Minute)})).To(BeTrue())
+		Expect(one.ReportCrash(Crash{Calls: []call.Identity{1, 2}, ServerEnd: "x", Expires: time.Now().Add(time.Minute)})).To(BeTrue())
 		received := 0
 		exchange := func(id string) int {
 			Expect(do(two, Operation{Records: []*turnpb.Record{reserve(id, 1)}, Budget: 100}).Verdict).To(Equal(Stored))
 			for crash, ok := two.Crashes().TryPop(); ok; crash, ok = two.Crashes().TryPop() {
-				Expect(crash.Attempt).To(Equal("x"))
+				Expect(crash.ServerEnd).To(Equal("x"))
 				Expect(crash.Calls).To(Equal([]call.Identity{1, 2}))
 				received++
 			}
--- a/turnstore/crashes.go
+++ b/turnstore/crashes.go
@@ -1,6 +1,7 @@
 package turnstore
 
 import (
+	"fmt"
 	"time"
 
 	"dogwoodline.example/call"
@@ -16,8 +17,9 @@
 	// Calls holds the identities of the call, of which further attempts at it have
 	// some or all.
 	Calls []call.Identity
-	// Attempt is the id of the attempt that ran on the backend server.
-	Attempt string
+	// ServerEnd names the end of a backend server, so that an end that several
+	// fronts notice counts once for a call.
+	ServerEnd string
 	// Expires is when stores drop the report.
 	Expires time.Time
 }
@@ -26,24 +28,24 @@
 // Reports are numbered, so that each front server receives each of them once.
 // The store-writer goroutine owns it.
 type crashes struct {
-	list         []*turnpb.Crash
-	firstNumber  uint64          // number of list[0]
-	seenAttempts map[string]bool // attempts in list
+	list        []*turnpb.Crash
+	firstNumber uint64          // number of list[0]
+	seen        map[string]bool // the keys of those in list
 }
 
-func newCrashes() *crashes { return &crashes{firstNumber: 1, seenAttempts: map[string]bool{}} }
+func newCrashes() *crashes { return &crashes{firstNumber: 1, seen: map[string]bool{}} }
 
-// add drops expired and surplus reports and appends those of attempts that are
-// not in the list.
+// add drops expired and surplus reports and appends those that are not in the
+// list.
 func (c *crashes) add(reported []*turnpb.Crash, now time.Time) {
 	for len(c.list) > 0 && (len(c.list) > maxCrashes || c.list[0].ExpiresUnixMs < now.UnixMilli()) {
-		delete(c.seenAttempts, c.list[0].Attempt)
+		delete(c.seen, crashKey(c.list[0]))
 		c.list = c.list[1:]
 		c.firstNumber++
 	}
 	for _, crash := range reported {
-		if !c.seenAttempts[crash.Attempt] {
-			c.seenAttempts[crash.Attempt] = true
+		if key := crashKey(crash); !c.seen[key] {
+			c.seen[key] = true
 			c.list = append(c.list, crash)
 		}
 	}
@@ -60,8 +62,12 @@
 	return c.list[start-c.firstNumber:], last
 }
 
+// crashKey returns what tells a crash from others: the end of the backend server,
+// and the call, since a server may run several when it ends.
+func crashKey(c *turnpb.Crash) string { return fmt.Sprint(c.ServerEnd, c.Calls) }
+
 func encodeCrash(c Crash) *turnpb.Crash {
-	encoded := &turnpb.Crash{Attempt: c.Attempt, ExpiresUnixMs: c.Expires.UnixMilli()}
+	encoded := &turnpb.Crash{ServerEnd: c.ServerEnd, ExpiresUnixMs: c.Expires.UnixMilli()}
 	for _, identity := range c.Calls {
 		encoded.Calls = append(encoded.Calls, uint64(identity))
 	}
@@ -69,7 +75,7 @@
 }
 
 func decodeCrash(c *turnpb.Crash) Crash {
-	decoded := Crash{Attempt: c.Attempt, Expires: time.UnixMilli(c.ExpiresUnixMs)}
+	decoded := Crash{ServerEnd: c.ServerEnd, Expires: time.UnixMilli(c.ExpiresUnixMs)}
 	for _, identity := range c.Calls {
 		decoded.Calls = append(decoded.Calls, call.Identity(identity))
 	}
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -213,7 +213,7 @@
 func (s *sender) forwardCrashes(crashes []*turnpb.Crash) {
 	for _, crash := range crashes {
 		if s.crashes.TryPush(decodeCrash(crash)) != nil {
-			s.log.Warn("turnstore: crash report dropped, the queue is full", "attempt", crash.Attempt)
+			s.log.Warn("turnstore: crash report dropped, the queue is full", "end", crash.ServerEnd)
 		}
 	}
 }
