turnstore: Keep reports of crashes on the disks of the stores

Cause: stores kept reports in memory only. After a kill or a loss of power of all stores, or the replacement of their disks, a front that had restarted knew nothing of a call that had ended three servers, and counted from zero. A report was sent once, to the members known at that moment, and was lost if their queues were full.

Change: a crash is a fifth kind of record: synced by a majority, sent until it is, replayed at a start, compacted, pulled by stores that join. Stores number the crashes that they pass on anew at each start, and say so with a random number, so that a front which reconnects without a failed request is told those that it does not know.

Ruled out: a key in the platform's metadata store for each crash.

Tests: 'pass on reports of crashes after all of them have restarted' and '... after all their disks were replaced' fail on the code before and pass now; 'keeps a crash until it expires, also when it is compacted or pulled', 'numbers crashes anew after a start'.

--- a/turnstore/client.go
+++ b/turnstore/client.go
@@ -40,6 +40,7 @@
 	tolerated int    // the number of disks that may be lost without losing records
 	commands  *ring.Ring[command]
 	crashes   *ring.Ring[Crash] // reported by the stores
+	toReport  *ring.Ring[Crash] // to be stored
 	senders   [maxMembers]*sender
 	serving   atomic.Bool
 
@@ -58,7 +59,6 @@
 	submit  *submission
 	answer  *answer
 	copySet *copyset.Set
-	crash   *Crash // to report to other front servers
 	// reachabilityChanged means that a sender has lost or regained its member.
 	reachabilityChanged bool
 }
@@ -105,7 +105,8 @@
 	connect func(address string) (grpc.ClientConnInterface, func(), error)) *Client {
 	c := &Client{
 		log: log, zone: zone, tolerated: tolerated, commands: ring.New[command](4 * operationQueueSize), crashes: ring.New[Crash](maxCrashes),
-		set: &copyset.Set{}, slotByDisk: map[string]int{}, pending: map[uint64]*pending{},
+		toReport: ring.New[Crash](maxCrashes),
+		set:      &copyset.Set{}, slotByDisk: map[string]int{}, pending: map[uint64]*pending{},
 		fallbackTimer: time.NewTimer(time.Hour),
 	}
 	c.fallbackTimer.Stop()
@@ -114,6 +115,7 @@
 		group.Go("turn-sender", c.senders[i].run)
 	}
 	group.Go("turn-keeper", c.run)
+	group.Go("crash-reporter", c.runCrashReporter)
 	group.RegisterRingDepth("turn-keeper", "commands", c.commands.Len)
 	return c
 }
@@ -150,16 +152,6 @@
 	return err == nil
 }
 
-// ReportCrash tells other front servers, through the stores, that a call ended a
-// backend server. It reports false if the queue is full.
-func (c *Client) ReportCrash(crash Crash) bool {
-	return c.commands.TryPush(command{crash: &crash}) == nil
-}
-
-// Crashes returns the queue of crashes that front servers have reported,
-// including this one.
-func (c *Client) Crashes() *ring.Ring[Crash] { return c.crashes }
-
 func (c *Client) run(ctx context.Context) error {
 	defer c.fallbackTimer.Stop()
 	for {
@@ -184,23 +176,11 @@
 		c.countAnswer(*cmd.answer)
 	case cmd.copySet != nil:
 		c.adoptCopySet(*cmd.copySet)
-	case cmd.crash != nil:
-		c.broadcastCrash(*cmd.crash)
 	case cmd.reachabilityChanged:
 		c.updateServing()
 	}
 }
 
-// broadcastCrash sends a crash report to all members. The report is a hint, so
-// no answer is awaited.
-func (c *Client) broadcastCrash(crash Crash) {
-	for _, m := range c.set.Members {
-		if slot, ok := c.slotByDisk[m.Disk]; ok {
-			_ = c.senders[slot].queue.TryPush(message{set: c.set, disk: m.Disk, crash: encodeCrash(crash)}) // other members pass it on too
-		}
-	}
-}
-
 // adoptCopySet replaces the copy set by a newer one and assigns each member to
 // a sender.
 func (c *Client) adoptCopySet(set copyset.Set) {
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -130,6 +130,16 @@
 	Expect(c.stores[host].joiner.Updates().TryPush(Update{RegisteredDisks: present})).To(Succeed())
 }
 
+// awaitCrash waits until a client that has just started hears of a server's end.
+func (c *cluster) awaitCrash(serverEnd string) {
+	client := c.newClient()
+	Eventually(func() string {
+		_ = do(client, Operation{Records: []*turnpb.Record{reserve("r", 1)}, Budget: 1 << 20})
+		crash, _ := client.Crashes().TryPop()
+		return crash.ServerEnd
+	}, "8s", "20ms").Should(Equal(serverEnd))
+}
+
 func (c *cluster) set() copyset.Set {
 	item, err := c.kv.Get(context.Background(), copyset.Key)
 	if errors.Is(err, kvstore.ErrNotFound) {
@@ -270,6 +280,44 @@
 		Expect(exchange("r2")).To(Equal(4))
 	})
 
+	// Guards against a call that goes on to end backend servers after all stores
+	// have restarted, at fronts that have restarted too.
+	It("pass on reports of crashes after all of them have restarted", func() {
+		c := newCluster("a", "b", "c", "d")
+		Expect(c.newClient().ReportCrash(Crash{Calls: []call.Identity{1, 2}, ServerEnd: "x", Expires: time.Now().Add(time.Minute)})).To(BeTrue())
+		c.awaitCrash("x")
+		stopped := c.stores
+		c.stores = map[string]*testStore{}
+		for _, s := range stopped {
+			c.stop(s)
+		}
+		for host, s := range stopped {
+			c.start(host, s.folder)
+		}
+		c.awaitCrash("x")
+	})
+
+	// Guards against a call that goes on to end backend servers after the disks of
+	// the stores were replaced one after the other.
+	It("pass on reports of crashes after all their disks were replaced", func() {
+		c := newCluster("a", "b", "c", "d")
+		Expect(c.newClient().ReportCrash(Crash{Calls: []call.Identity{1, 2}, ServerEnd: "x", Expires: time.Now().Add(time.Minute)})).To(BeTrue())
+		c.awaitCrash("x")
+		for _, host := range []string{"a", "b", "c", "d"} {
+			old := c.stores[host]
+			c.start(host+"-new", GinkgoT().TempDir())
+			c.notify(host)
+			Expect(old.joiner.Updates().TryPush(Update{Retire: &RetireOrder{}})).To(Succeed())
+			Eventually(func() bool { _, member := c.set().Find(old.server.Disk()); return member }, "8s", "10ms").Should(BeFalse())
+			c.stop(old)
+			delete(c.stores, host)
+			for other := range c.stores {
+				c.notify(other)
+			}
+		}
+		c.awaitCrash("x")
+	})
+
 	// A store whose copy set needs no change reads the platform store at longer
 	// intervals. Guards against stores that read it several times a second all
 	// day, and against ones that react slowly while a member is missing.
--- a/turnstore/crashes.go
+++ b/turnstore/crashes.go
@@ -2,15 +2,17 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"dogwoodline.example/call"
 	"dogwoodline.example/turnstore/turnpb"
 )
 
-// maxCrashes bounds the crashes that a store keeps for front servers; beyond
-// it, the oldest are dropped.
-const maxCrashes = 1024
+// maxCrashes bounds the crashes that a store keeps; beyond it, the oldest are
+// dropped. A server that ends interrupts some tens of calls, each of which is
+// reported.
+const maxCrashes = 4096
 
 // Crash reports that a backend server ended while it ran a call.
 type Crash struct {
@@ -28,50 +30,73 @@
 // Reports are numbered, so that each front server receives each of them once.
 // The store-writer goroutine owns it.
 type crashes struct {
-	list        []*turnpb.Crash
-	firstNumber uint64          // number of list[0]
-	seen        map[string]bool // the keys of those in list
+	list        []*crashEntry
+	firstNumber uint64                 // number of list[0]
+	byKey       map[string]*crashEntry // those in list
+	numbering   uint64                 // differs after each start
 }
 
-func newCrashes() *crashes { return &crashes{firstNumber: 1, seen: map[string]bool{}} }
+type crashEntry struct {
+	crash   *turnpb.Crash
+	segment uint64 // the newest log segment that has it
+}
+
+func newCrashes() *crashes {
+	return &crashes{firstNumber: 1, byKey: map[string]*crashEntry{}, numbering: rand.Uint64()}
+}
+
+// add adds a report and returns whether it is new.
+func (c *crashes) add(crash *turnpb.Crash, segment uint64) bool {
+	key := crashKey(crash)
+	if c.byKey[key] != nil {
+		return false
+	}
+	entry := &crashEntry{crash: crash, segment: segment}
+	c.byKey[key] = entry
+	c.list = append(c.list, entry)
+	return true
+}
 
-// add drops expired and surplus reports and appends those that are not in the
-// list.
-func (c *crashes) add(reported []*turnpb.Crash, now time.Time) {
-	for len(c.list) > 0 && (len(c.list) > maxCrashes || c.list[0].ExpiresUnixMs < now.UnixMilli()) {
-		delete(c.seen, crashKey(c.list[0]))
+// expire drops expired and surplus reports and returns their number.
+func (c *crashes) expire(now time.Time) int {
+	dropped := 0
+	for len(c.list) > 0 && (len(c.list) > maxCrashes || c.list[0].crash.ExpiresUnixMs < now.UnixMilli()) {
+		delete(c.byKey, crashKey(c.list[0].crash))
 		c.list = c.list[1:]
 		c.firstNumber++
+		dropped++
 	}
-	for _, crash := range reported {
-		if key := crashKey(crash); !c.seen[key] {
-			c.seen[key] = true
-			c.list = append(c.list, crash)
-		}
-	}
+	return dropped
 }
 
 // after returns the reports whose number is above the given one, and the number
-// of the newest report.
-func (c *crashes) after(number uint64) ([]*turnpb.Crash, uint64) {
+// of the newest report. A number of another numbering counts as 0.
+func (c *crashes) after(number, numbering uint64) ([]*turnpb.Crash, uint64) {
+	if numbering != c.numbering {
+		number = 0
+	}
 	last := c.firstNumber + uint64(len(c.list)) - 1
-	if number >= last {
-		return nil, last
+	var reports []*turnpb.Crash
+	for next := max(number+1, c.firstNumber); next <= last; next++ {
+		reports = append(reports, c.list[next-c.firstNumber].crash)
 	}
-	start := max(number+1, c.firstNumber)
-	return c.list[start-c.firstNumber:], last
+	return reports, last
 }
 
 // crashKey returns what tells a crash from others: the end of the backend server,
 // and the call, since a server may run several when it ends.
 func crashKey(c *turnpb.Crash) string { return fmt.Sprint(c.ServerEnd, c.Calls) }
 
-func encodeCrash(c Crash) *turnpb.Crash {
+func encodeCrash(c Crash) *turnpb.Record {
 	encoded := &turnpb.Crash{ServerEnd: c.ServerEnd, ExpiresUnixMs: c.Expires.UnixMilli()}
 	for _, identity := range c.Calls {
 		encoded.Calls = append(encoded.Calls, uint64(identity))
 	}
-	return encoded
+	return crashRecord(encoded)
+}
+
+func crashRecord(c *turnpb.Crash) *turnpb.Record {
+	return &turnpb.Record{Kind: &turnpb.Record_Crash{Crash: c}}
 }
 
 func decodeCrash(c *turnpb.Crash) Crash {
--- a/turnstore/recipients.go
+++ b/turnstore/recipients.go
@@ -20,7 +20,8 @@
 
 // selectMembers splits the members into those that receive an operation at
 // once and those that receive it only if the first do not suffice. A
-// conversation goes to all members, so that each availability zone has a copy.
+// conversation goes to all members, so that each availability zone has a copy, and
+// so does a crash, which each member passes on.
 // The short records of a budget go to a majority and a spare member, which
 // differ from program to program. Members that are joining receive every
 // record, because what they pull may lack it.
@@ -28,7 +29,7 @@
 	program := ""
 	for _, record := range op.Records {
 		switch {
-		case record.GetTurn() != nil:
+		case record.GetTurn() != nil, record.GetCrash() != nil:
 			return c.set.Members, nil
 		case record.GetReservation() != nil:
 			program = record.GetReservation().Program
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -16,12 +16,11 @@
 
 // message is the part of one operation that is sent to one member.
 type message struct {
-	id      uint64 // of the pending operation; 0 for a crash report
+	id      uint64 // of the pending operation
 	set     *copyset.Set
 	disk    string
 	records []*turnpb.Record
 	chain   string // id of a turn whose conversation is wanted, or empty
-	crash   *turnpb.Crash
 }
 
 // sender makes the Exchange requests to one member, in its own goroutine.
@@ -40,7 +39,8 @@
 	connAddress string // the address that conn leads to
 	closeConn   func()
 	sentVersion uint64 // the last copy set version sent on this connection
-	lastCrash   uint64 // the number of the last crash received on this connection
+	lastCrash   uint64 // the number of the last crash received from the member
+	numbering   uint64 // the numbering of crashes that lastCrash belongs to
 }
 
 func newSender(slot int, log *slog.Logger, connect func(string) (grpc.ClientConnInterface, func(), error),
@@ -119,12 +119,12 @@
 		reply, err = s.call(ctx, s.encode(batch))
 	}
 	if err == nil {
-		s.sentVersion, s.lastCrash = batch[0].set.Version, reply.LastCrash
-		s.forwardCrashes(reply.Crashes)
+		s.sentVersion = batch[0].set.Version
+		s.forwardCrashes(reply)
 	} else {
 		// The next answer may come from a process that has restarted. It does not
-		// serve before it knows the copy set, and it counts crashes anew.
-		s.sentVersion, s.lastCrash = 0, 0
+		// serve before it knows the copy set.
+		s.sentVersion = 0
 	}
 	if err := s.updateReachability(ctx, err); err != nil {
 		return err
@@ -156,7 +156,7 @@
 // member has received that version on this connection.
 func (s *sender) encode(batch []message) *turnpb.ExchangeRequest {
 	set := batch[0].set
-	request := &turnpb.ExchangeRequest{CopySet: set.Version, CrashesAfter: s.lastCrash}
+	request := &turnpb.ExchangeRequest{CopySet: set.Version, CrashesAfter: s.lastCrash, CrashNumbering: s.numbering}
 	if s.sentVersion != set.Version {
 		request.Set = encodeVersionedSet(*set)
 	}
@@ -165,9 +165,6 @@
 		if m.chain != "" {
 			request.Chains = append(request.Chains, m.chain)
 		}
-		if m.crash != nil {
-			request.Crashes = append(request.Crashes, m.crash)
-		}
 	}
 	return request
 }
@@ -206,12 +203,13 @@
 	if s.closeConn != nil {
 		s.closeConn()
 	}
-	s.conn, s.closeConn, s.connAddress, s.sentVersion, s.lastCrash = nil, nil, "", 0, 0
+	s.conn, s.closeConn, s.connAddress, s.sentVersion = nil, nil, "", 0
 }
 
 // forwardCrashes passes the crash reports of a reply to the client's queue.
-func (s *sender) forwardCrashes(crashes []*turnpb.Crash) {
-	for _, crash := range crashes {
+func (s *sender) forwardCrashes(reply *turnpb.ExchangeReply) {
+	s.lastCrash, s.numbering = reply.LastCrash, reply.CrashNumbering
+	for _, crash := range reply.Crashes {
 		if s.crashes.TryPush(decodeCrash(crash)) != nil {
 			s.log.Warn("turnstore: crash report dropped, the queue is full", "end", crash.ServerEnd)
 		}
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -45,7 +45,6 @@
 	requests *ring.Ring[request]
 	turnLog  *turnlog.Log
 	state    *state
-	crashes  *crashes
 	// unwritten holds encoded records that are in the state but whose write
 	// failed. No request counts as stored until they are written.
 	unwritten  [][]byte
@@ -81,7 +80,7 @@
 // the store-writer goroutine in group.
 func NewServer(group *duty.Group, log *slog.Logger, folder string, memoryBytes int64) (*Server, error) {
 	s := &Server{
-		log: log, requests: ring.New[request](requestQueueSize), state: newState(), crashes: newCrashes(),
+		log: log, requests: ring.New[request](requestQueueSize), state: newState(),
 		maxBytes: int64(memoryShare * float64(memoryBytes)), batchTimer: group.Timer("store-writer"),
 	}
 	replayed := 0
@@ -277,26 +276,33 @@
 	return turnpb.Status_STATUS_OK, nil, payloads
 }
 
-// exchange applies a request. If the disk has refused writes for long, it takes
-// no further records, so that those in memory stay bounded.
+// exchange applies a request and answers it. Crashes are passed on even if the
+// records are not taken.
 func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte, diskRefuses bool) (*turnpb.ExchangeReply, [][]byte) {
 	s.adoptEncodedSet(in.Set)
 	out := &turnpb.ExchangeReply{}
-	s.crashes.add(in.Crashes, time.Now())
-	out.Crashes, out.LastCrash = s.crashes.after(in.CrashesAfter)
 	out.Status, out.Set, payloads = s.checkVersion(in.CopySet, payloads)
-	if out.Status != turnpb.Status_STATUS_OK {
-		return out, payloads
+	if out.Status == turnpb.Status_STATUS_OK {
+		payloads = s.applyExchange(in, out, payloads, diskRefuses)
 	}
+	out.Crashes, out.LastCrash = s.state.crashes.after(in.CrashesAfter, in.CrashNumbering)
+	out.CrashNumbering = s.state.crashes.numbering
+	return out, payloads
+}
+
+// applyExchange applies the records of a request under a current copy set and adds
+// what it asks for to the reply. If the disk has refused writes for long, it takes
+// no further records, so that those in memory stay bounded.
+func (s *Server) applyExchange(in *turnpb.ExchangeRequest, out *turnpb.ExchangeReply, payloads [][]byte, diskRefuses bool) [][]byte {
 	if len(in.Records) > 0 && (s.state.bytes > s.maxBytes || diskRefuses) {
 		s.log.Error("turnstore: records refused, limit reached", "bytes", s.state.bytes, "limit", s.maxBytes, "disk_refuses", diskRefuses)
 		out.Status = turnpb.Status_STATUS_FAILED
-		return out, payloads
+		return payloads
 	}
 	payloads = s.applyRecords(in.Records, payloads)
 	if !s.ready.Load() {
 		out.Status = turnpb.Status_STATUS_NOT_READY
-		return out, payloads
+		return payloads
 	}
 	for _, record := range in.Records {
 		if r := record.GetReservation(); r != nil {
@@ -306,7 +312,7 @@
 	for _, id := range in.Chains {
 		out.Chains = append(out.Chains, s.state.chain(id))
 	}
-	return out, payloads
+	return payloads
 }
 
 // applyRecords applies records to the state and appends the encoding of the new
--- a/turnstore/state.go
+++ b/turnstore/state.go
@@ -1,10 +1,11 @@
 // Package turnstore implements the turn store, which keeps conversations and
 // budgets on a disk, and the client with which front servers reach it.
 //
-// A record is one of four kinds: a turn of a conversation; a reservation, the
+// A record is one of five kinds: a turn of a conversation; a reservation, the
 // most tokens of a program's budget that an attempt may generate; a settlement,
-// the tokens that were handed out for that attempt; or a fence, the lowest copy
-// set version that the store accepts.
+// the tokens that were handed out for that attempt; a fence, the lowest copy set
+// version that the store accepts; or a crash, the end of a backend server while it
+// ran a call.
 //
 // The state of a store is a set of records, to which records are only added
 // until they expire: a turn never changes, and a settlement replaces its
@@ -47,17 +48,18 @@
 type state struct {
 	programs    map[string]*ledger
 	turns       map[string]*turn
+	crashes     *crashes
 	applied     []recordRef // in the order of arrival, for stores that pull
 	firstCursor uint64      // the cursor of applied[0]
 	fence       uint64      // the lowest copy set version that is accepted
 	bytes       int64       // the memory that records take
 }
 
-// recordRef names an applied record: program and attempt, or turn.
-type recordRef struct{ program, attempt, turn string }
+// recordRef names an applied record: program and attempt, or turn, or crash.
+type recordRef struct{ program, attempt, turn, crash string }
 
 func newState() *state {
-	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}}
+	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}, crashes: newCrashes()}
 }
 
 // apply adds a record that will be written to the given segment if it is new,
@@ -77,6 +79,12 @@
 			s.fence = kind.Fence.Version
 			return true
 		}
+	case *turnpb.Record_Crash:
+		if s.crashes.add(kind.Crash, segment) {
+			s.bytes += recordOverhead
+			s.applied = append(s.applied, recordRef{crash: crashKey(kind.Crash)})
+			return true
+		}
 	}
 	return false
 }
@@ -131,6 +139,11 @@
 // moveTo records that all live records up to the end of the given segment have
 // been written again to the current one.
 func (s *state) moveTo(current, segment uint64) {
+	for _, entry := range s.crashes.list {
+		if entry.segment <= segment {
+			entry.segment = current
+		}
+	}
 	for _, t := range s.turns {
 		if t.segment <= segment {
 			t.segment = current
@@ -183,6 +196,12 @@
 		}
 		return nil
 	}
+	if r.crash != "" {
+		if entry := s.crashes.byKey[r.crash]; entry != nil {
+			return crashRecord(entry.crash)
+		}
+		return nil
+	}
 	l := s.programs[r.program]
 	if l == nil {
 		return nil
@@ -259,6 +278,7 @@
 // expire removes the records that have expired by now.
 func (s *state) expire(now time.Time) {
 	limit := now.UnixMilli()
+	s.bytes -= recordOverhead * int64(s.crashes.expire(now))
 	for id, t := range s.turns {
 		if t.expires < limit {
 			s.bytes -= int64(len(t.record.Content)) + recordOverhead
@@ -294,6 +314,11 @@
 			}
 		}
 	}
+	for _, entry := range s.crashes.list {
+		if entry.segment <= segment {
+			records = append(records, crashRecord(entry.crash))
+		}
+	}
 	if s.fence > 0 {
 		records = append(records, &turnpb.Record{Kind: &turnpb.Record_Fence{Fence: &turnpb.Fence{Version: s.fence}}})
 	}
--- a/turnstore/state_test.go
+++ b/turnstore/state_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dogwoodline.example/call"
 	"dogwoodline.example/turnstore/turnpb"
 )
 
@@ -93,4 +94,39 @@
 		}
 		Expect(seen).To(HaveLen(5))
 	})
+
+	// Guards against crashes that are lost when a segment is removed or another
+	// store pulls, or that stay for ever.
+	It("keeps a crash until it expires, also when it is compacted or pulled", func() {
+		s := newState()
+		crash := encodeCrash(Crash{Calls: []call.Identity{1, 2}, ServerEnd: "b/1/1", Expires: time.Now().Add(time.Minute)})
+		Expect(s.apply(crash, 1)).To(BeTrue())
+		Expect(s.apply(crash, 5)).To(BeFalse(), "it is known")
+		Expect(s.liveThrough(1)).To(HaveLen(1))
+		s.moveTo(6, 1)
+		Expect(s.liveThrough(5)).To(BeEmpty())
+		records, _, done := s.page(0, 1<<20, true)
+		Expect(done).To(BeTrue())
+		Expect(records).To(HaveLen(1))
+		Expect(records[0].GetCrash().Calls).To(Equal([]uint64{1, 2}))
+		s.expire(time.Now().Add(2 * time.Minute))
+		Expect(s.liveThrough(9)).To(BeEmpty())
+		Expect(s.bytes).To(BeZero())
+	})
+
+	// Guards against crashes that a front never hears of, because the numbers that
+	// it knows are those of a store that has since restarted.
+	It("numbers crashes anew after a start", func() {
+		s, restarted := newState(), newState()
+		for _, end := range []string{"a", "b", "c"} {
+			s.apply(encodeCrash(Crash{Calls: []call.Identity{1}, ServerEnd: end, Expires: time.Now().Add(time.Minute)}), 1)
+			restarted.apply(encodeCrash(Crash{Calls: []call.Identity{1}, ServerEnd: end, Expires: time.Now().Add(time.Minute)}), 1)
+		}
+		reports, last := s.crashes.after(0, 0)
+		Expect(reports).To(HaveLen(3))
+		reports, _ = s.crashes.after(last, s.crashes.numbering)
+		Expect(reports).To(BeEmpty())
+		reports, _ = restarted.crashes.after(last, s.crashes.numbering)
+		Expect(reports).To(HaveLen(3))
+	})
 })
