turnstore: Ask stores for crashes when a front has no turns

Cause: a front heard of crashes only in answers to its own operations. One without turns, and one that had just started, sent a call on that other fronts held.

Change: a member that was sent nothing for two seconds is asked for crashes, and each one right after it is assigned. That is one small request to each store in two seconds at an idle front, and none more at a busy one.

--- a/turnstore/client.go
+++ b/turnstore/client.go
@@ -29,6 +29,9 @@
 	// probeInterval is how often a sender probes a member that it cannot reach.
 	// Without a connection the call fails in this process, so a probe is cheap.
 	probeInterval = 100 * time.Millisecond
+	// maxNewsAge is how long a member may be sent nothing before it is asked for
+	// crashes. All front servers must know of a crash within three seconds.
+	maxNewsAge = 2 * time.Second
 )
 
 // Client is the client that a front server uses to reach the turn stores. One
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -280,6 +280,23 @@
 		Expect(exchange("r2")).To(Equal(4))
 	})
 
+	// Guards against a front that sends calls to backend servers which others know
+	// to end them, because it has no turns and hears of crashes only with these.
+	It("tell a front server without turns of crashes within three seconds, and at its start", func() {
+		c := newCluster("a", "b", "c")
+		idle := c.newClient()
+		heard := func(client *Client) func() string {
+			return func() string {
+				crash, _ := client.Crashes().TryPop()
+				return crash.ServerEnd
+			}
+		}
+		Consistently(heard(idle), "300ms").Should(BeEmpty())
+		Expect(c.newClient().ReportCrash(Crash{Calls: []call.Identity{1, 2}, ServerEnd: "x", Expires: time.Now().Add(time.Minute)})).To(BeTrue())
+		Eventually(heard(idle), "3s", "10ms").Should(Equal("x"))
+		Eventually(heard(c.newClient()), "500ms", "10ms").Should(Equal("x"))
+	})
+
 	// Guards against a call that goes on to end backend servers after all stores
 	// have restarted, at fronts that have restarted too.
 	It("pass on reports of crashes after all of them have restarted", func() {
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -38,9 +38,10 @@
 	conn        turnpb.TurnStoreClient
 	connAddress string // the address that conn leads to
 	closeConn   func()
-	sentVersion uint64 // the last copy set version sent on this connection
-	lastCrash   uint64 // the number of the last crash received from the member
-	numbering   uint64 // the numbering of crashes that lastCrash belongs to
+	sentVersion uint64    // the last copy set version sent on this connection
+	asked       time.Time // when the member was last asked for crashes
+	lastCrash   uint64    // the number of the last crash received from the member
+	numbering   uint64    // the numbering of crashes that lastCrash belongs to
 }
 
 func newSender(slot int, log *slog.Logger, connect func(string) (grpc.ClientConnInterface, func(), error),
@@ -81,7 +82,8 @@
 }
 
 // waitOrProbe waits for messages. It probes a member that cannot be reached, so
-// that its return is noticed even when no messages are sent to it.
+// that its return is noticed even when no messages are sent to it, and asks one
+// that was sent no message for a while for crashes.
 func (s *sender) waitOrProbe(ctx context.Context, probe <-chan time.Time) error {
 	select {
 	case <-s.queue.Ready():
@@ -90,12 +92,15 @@
 		return ctx.Err()
 	case <-probe:
 	}
-	if !s.failing.Load() || *s.address.Load() == "" {
+	if *s.address.Load() == "" || !s.failing.Load() && time.Since(s.asked) < maxNewsAge {
 		return nil
 	}
 	err := s.ensureConnected()
 	if err == nil {
-		_, err = s.call(ctx, &turnpb.ExchangeRequest{})
+		var reply *turnpb.ExchangeReply
+		if reply, err = s.call(ctx, &turnpb.ExchangeRequest{CrashesAfter: s.lastCrash, CrashNumbering: s.numbering}); err == nil {
+			s.forwardCrashes(reply)
+		}
 	}
 	return s.updateReachability(ctx, err)
 }
@@ -208,7 +213,7 @@
 
 // forwardCrashes passes the crash reports of a reply to the client's queue.
 func (s *sender) forwardCrashes(reply *turnpb.ExchangeReply) {
-	s.lastCrash, s.numbering = reply.LastCrash, reply.CrashNumbering
+	s.lastCrash, s.numbering, s.asked = reply.LastCrash, reply.CrashNumbering, time.Now()
 	for _, crash := range reply.Crashes {
 		if s.crashes.TryPush(decodeCrash(crash)) != nil {
 			s.log.Warn("turnstore: crash report dropped, the queue is full", "end", crash.ServerEnd)
