gateway: Remember crashes of calls for an hour

Cause: a crash counted for one minute. A client that came back after that ended three more servers, and so on.

Change: a crash counts for an hour. Identities with one crash are dropped above 16,384 identities, so that servers that end for other reasons do not fill the memory of a front.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -12,9 +12,12 @@
 	// maxCrashes is the number of backend server crashes, counted over all
 	// fronts, after which a call is refused.
 	maxCrashes = 3
-	// crashTTL is how long a crash counts. A client that repeats such a call
-	// does so while its program runs.
-	crashTTL = time.Minute
+	// crashTTL is how long a crash counts. It leaves an operator the time to find
+	// the client that repeats the call.
+	crashTTL = time.Hour
+	// maxCrashIdentities bounds the identities with records. Beyond it, those with
+	// one crash are dropped: most of their calls only ran beside a harmful one.
+	maxCrashIdentities = 16384
 	// retryAfterCrashes is the Retry-After of a call that is refused because of
 	// crashes. Clients shorten it to a fraction of the time they have left.
 	retryAfterCrashes = 5 * time.Second
@@ -67,6 +70,7 @@
 	}
 }
 
+// expire removes expired and surplus records.
 func (r crashRecords) expire(now time.Time) {
 	for identity, ends := range r {
 		for end, expires := range ends {
@@ -74,7 +78,7 @@
 				delete(ends, end)
 			}
 		}
-		if len(ends) == 0 {
+		if len(ends) == 0 || len(ends) == 1 && len(r) > maxCrashIdentities {
 			delete(r, identity)
 		}
 	}
