upstream, gateway: Tell a server that is cut off from one that has ended

What callers would see: a front without a path to the backend servers held calls that had met three of them, and the others held these calls too, for as long as crashes count.

Cause: after a broken exchange any failed connect counted as the end of the server, also one that nothing answered.

Change: only a refused or reset connect shows an end. Retries of resumable streams are decided as before.

Open: a link that refuses connections while its server lives still looks like an end.

--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -58,7 +58,10 @@
 		if !result.incomplete {
 			continue
 		}
-		probe := probedServer{backend: a.backend, requestID: a.job.request.ID, ended: result.serverLost || !c.pool.Reachable(ctx, a.backend.Address)}
+		probe := probedServer{backend: a.backend, requestID: a.job.request.ID, found: result.found}
+		if !a.job.route.Resumable { // else it was probed before the result
+			probe.found = c.pool.Probe(ctx, a.backend.Address)
+		}
 		if err := c.messages.Push(ctx, schedulerMessage{probe: &probe}); err != nil {
 			return err
 		}
@@ -114,7 +117,8 @@
 // result decides whether another backend server may resume the stream.
 func (c *callWorker) detectLostServer(result *attemptResult, a attempt) {
 	if result.verdict == call.Unknown && !result.done && a.job.route.Resumable {
-		result.serverLost = !c.pool.Reachable(a.job.ctx, a.backend.Address)
+		result.found = c.pool.Probe(a.job.ctx, a.backend.Address)
+		result.serverLost = result.found != upstream.Accepting
 	}
 }
 
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -6,6 +6,7 @@
 	"dogwoodline.example/call"
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/turnstore"
+	"dogwoodline.example/upstream"
 )
 
 const (
@@ -128,18 +129,18 @@
 type probedServer struct {
 	backend   fleet.Backend
 	requestID string // of the call that was interrupted
-	// ended says that the backend server accepts no connections any more.
-	ended bool
+	found     upstream.Reachability
 }
 
-// handleProbe records the end of a backend server that accepts no connections.
+// handleProbe records the end of a backend server that refuses connections. One
+// that is silent may only be cut off from this front: its registration will tell.
 func (s *Scheduler) handleProbe(p probedServer, now time.Time) {
-	if p.ended {
-		s.recordEnd(p.backend, "accepts no connections", now)
+	if p.found == upstream.Refusing {
+		s.recordEnd(p.backend, "refuses connections", now)
 		return
 	}
-	s.log.Info("gateway: interrupted call not counted as a crash yet, its server accepts connections", "request", p.requestID,
-		"backend", p.backend.ID, "address", p.backend.Address)
+	s.log.Info("gateway: interrupted call not counted as a crash yet", "request", p.requestID,
+		"backend", p.backend.ID, "address", p.backend.Address, "server", p.found.String())
 }
 
 // recordInterruption records a call whose response did not arrive completely.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -66,6 +66,9 @@
 	// attempt then does not count towards the number of backend servers that may
 	// run the call.
 	serverLost bool
+	// found says how the backend server of an interrupted call on a resumable route
+	// was found right after.
+	found upstream.Reachability
 	// incomplete says that the exchange ended without a complete response although
 	// the client was waiting; the backend server may have crashed.
 	incomplete bool
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"dogwoodline.example/duty"
@@ -176,15 +178,40 @@
 	}
 }
 
-// Reachable reports whether a connection to the address can be opened. The
-// connection is kept as an idle one.
-func (p *Pool) Reachable(ctx context.Context, address string) bool {
+// Reachability says what became of an attempt to connect to a backend server.
+type Reachability int
+
+const (
+	// Accepting means that a connection was opened.
+	Accepting Reachability = iota
+	// Refusing means that nobody listens at the address: the backend server has
+	// ended, or its host has been told to refuse connections.
+	Refusing
+	// Silent means that nothing came back: the host is down, or there is no path to
+	// it from here. The backend server may be running.
+	Silent
+)
+
+// String returns the name of the value for logs.
+func (r Reachability) String() string { return [...]string{"accepting", "refusing", "silent"}[r] }
+
+// Probe tries to connect to the address. A connection that it opens is kept as an
+// idle one.
+func (p *Pool) Probe(ctx context.Context, address string) Reachability {
 	c, err := p.connect(ctx, address)
 	if err != nil {
-		return false
+		return reachability(err)
 	}
 	p.putIdle(c)
-	return true
+	return Accepting
+}
+
+// reachability returns what the error of a failed connect says.
+func reachability(err error) Reachability {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		return Refusing
+	}
+	return Silent
 }
 
 // HasIdle reports whether a connection to the address is open and idle.
