--- a/soak/roles/roles_test.go
+++ b/soak/roles/roles_test.go
@@ -34,9 +34,8 @@
 		//
 		// With seed 1006 and three stores a disk is lost while the third store
 		// joins. In about half of the runs no turn was answered any more, which is
-		// a violation now. Its links to the only backend server refuse connections
-		// for a while; a call that met this three times counts as one that ends
-		// backend servers and is held for a minute, so few turns are answered.
+		// a violation now. Its links to the only backend server are cut for a
+		// while, so few turns are answered.
 		for _, run := range []struct {
 			seed          uint64
 			stores        int
