platform, gateway: Log the limits that backend servers name

Change: the adapter decodes the header into calls per second; call workers pass it to the scheduler as soon as the head of a response is there; the scheduler logs each change. A response without it ends the limit if its call was sent after the limit was named. No decision changes yet.

--- a/call/call.go
+++ b/call/call.go
@@ -128,6 +128,10 @@
 	// ContentEncoded reports that the body has a content encoding, so that its
 	// bytes are not those that the backend server produced.
 	ContentEncoded bool
+	// RateLimited reports that the backend server names a limit, and RateLimit is the
+	// number of calls per second that it takes from all fronts together.
+	RateLimited bool
+	RateLimit   float64
 	// IdleTimeout is how long the backend server keeps an idle connection open; 0 if
 	// it did not say.
 	IdleTimeout time.Duration
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,6 +43,7 @@
 	fullUntil    time.Time // end of the pause after it refused a call
 	latency      latencyStats
 	failures     failureStats
+	limit        rateLimit
 	forgetAt     time.Time // end of the return window; zero while it is registered
 }
 
@@ -73,6 +74,7 @@
 		known.Incarnation != b.Incarnation || !known.forgetAt.IsZero()
 	if known.Incarnation != b.Incarnation {
 		known.latency, known.failures, known.suspectUntil, known.fullUntil = latencyStats{}, failureStats{}, time.Time{}, time.Time{}
+		known.limit = rateLimit{}
 	}
 	known.Backend, known.forgetAt = b, time.Time{}
 	f.reindex()
--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -47,7 +47,7 @@
 		if err != nil {
 			return err
 		}
-		result := c.attempt(a)
+		result := c.attempt(ctx, a)
 		result.attempt = a
 		result.report.BackendID = a.backend.ID
 		if err := c.messages.Push(ctx, schedulerMessage{result: &result}); err != nil {
@@ -70,7 +70,7 @@
 
 // attempt sends the call to the chosen backend server and forwards the response
 // to the handler.
-func (c *callWorker) attempt(a attempt) attemptResult {
+func (c *callWorker) attempt(ctx context.Context, a attempt) attemptResult {
 	j := a.job
 	left := time.Until(j.deadline)
 	if left <= 0 || j.ctx.Err() != nil {
@@ -100,6 +100,7 @@
 		return result
 	}
 	defer exchange.Close()
+	c.passStatement(ctx, a, exchange.Response)
 	j.answer.begin(exchange.Abort)
 	result := c.forward(j, exchange)
 	if j.answer.end(result.verdict == call.Answered) && result.verdict != call.Answered {
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -51,6 +51,7 @@
 	job     *job
 	backend fleet.Backend
 	started time.Time
+	limited bool // the backend server had named a limit when it was chosen
 }
 
 // attemptResult is the outcome of an attempt.
@@ -80,6 +81,7 @@
 	result *attemptResult
 	update *FleetUpdate
 	probe  *probedServer
+	said   *fleet.Statement
 }
 
 // Scheduler chooses the backend server for each call. A single goroutine runs it
@@ -155,6 +157,8 @@
 		s.handleResult(*message.result, now)
 	case message.probe != nil:
 		s.handleProbe(*message.probe, now)
+	case message.said != nil:
+		s.noteStatement(*message.said, now)
 	case message.update != nil:
 		s.applyFleetUpdate(*message.update, now)
 		s.publishFleetSize()
@@ -228,7 +232,7 @@
 		s.failJob(j, "no backend server is left for this call", retryAfterFull, now)
 		return
 	}
-	if err := s.attempts.TryPush(attempt{job: j, backend: backend, started: now}); err != nil {
+	if err := s.attempts.TryPush(attempt{job: j, backend: backend, started: now, limited: s.fleet.Limit(backend.ID) > 0}); err != nil {
 		s.failJob(j, "all callers are busy", retryAfterFull, now)
 		return
 	}
