fleet, gateway: Keep to the limits that backend servers name

Cause: nothing read the limit. It holds for all fronts together, and a front knows only what it sends itself.

Change: the fronts that clients are sent to are known to all of them; a hash of the server selects from them two more than the limit has whole calls per second, and these share it equally and may save up one call each. In four seconds that is at most the limit, one call for each of them, and two of fronts that have no share: one of these sends a call in four seconds, in turns, to see whether the limit still applies. A server without calls left is not chosen. If all that may take a call are without, it waits in the scheduler: first programs under way, whose work so far would be lost, then by priority and arrival. A call whose turn would come after half of its time (a tenth if it starts a program) is refused at once, with the time of its turn as Retry-After.

Ruled out: an equal share for each front, since the saved calls of 30 fronts together are above a small limit; messages between fronts for each call, or counts through the stores, since they must work while links and stores are down.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,6 +52,8 @@
 	byID      map[string]*backendState
 	byService map[string][]*backendState // without draining ones
 	zone      string                     // availability zone of the front
+	self      string                     // address of the front
+	fronts    []string                   // addresses of the fronts that clients are sent to
 }
 
 // New returns an empty fleet for a front in an availability zone.
@@ -183,13 +185,13 @@
 
 // Choose returns the backend server with the lowest cost for a call and the
 // number of this front's calls that run there. It reports false if no backend
-// server may get the call.
+// server may get the call, or all that may have taken what their limits allow.
 func (f *Fleet) Choose(request Request, now time.Time) (Backend, int, bool) {
 	var best *backendState
 	var bestCost float64
 	first, second := f.preferred(request)
 	for _, s := range f.byService[request.Service] {
-		if excluded(request.Exclude, s.ID) {
+		if excluded(request.Exclude, s.ID) || s.limit.wait(now) > 0 {
 			continue
 		}
 		cost := f.cost(s, request, now)
@@ -303,9 +305,10 @@
 }
 
 // CallStarted records that a call is sent to a backend server.
-func (f *Fleet) CallStarted(id string) {
+func (f *Fleet) CallStarted(id string, now time.Time) {
 	if s := f.byID[id]; s != nil {
 		s.running++
+		s.limit.take(now)
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -62,7 +62,7 @@
 			b, running, ok := f.Choose(request, now)
 			Expect(ok).To(BeTrue())
 			Expect(running).To(BeZero())
-			f.CallStarted(b.ID)
+			f.CallStarted(b.ID, now)
 		}
 	})
 
@@ -73,7 +73,7 @@
 		again, _, _ := f.Choose(sticky, now)
 		Expect(again.ID).To(Equal(first.ID))
 		for range 3 {
-			f.CallStarted(first.ID)
+			f.CallStarted(first.ID, now)
 		}
 		other, _, _ := f.Choose(sticky, now)
 		Expect(other.ID).NotTo(Equal(first.ID))
@@ -95,7 +95,7 @@
 			Expect(same.ID).To(Equal(preferred.ID))
 			load := func(f *fleet.Fleet, count int) {
 				for range count {
-					f.CallStarted(preferred.ID)
+					f.CallStarted(preferred.ID, now)
 				}
 			}
 			load(frontA, 2)
@@ -122,14 +122,14 @@
 			b, _, _ := f.Choose(connected, now)
 			Expect(b.ID).To(Equal("b3"))
 		}
-		f.CallStarted("b3")
+		f.CallStarted("b3", now)
 		b, _, _ := f.Choose(connected, now)
 		Expect(b.ID).NotTo(Equal("b3"))
 	})
 
 	It("avoids a backend server that could not be reached, while others are left", func() {
 		f := newFleet(2)
-		f.CallStarted("b0")
+		f.CallStarted("b0", now)
 		f.CallEnded(fleet.CallResult{BackendID: "b0", Unreachable: true}, now)
 		for draw := range uint64(20) {
 			b, _, _ := f.Choose(fleet.Request{Service: "s", TieBreak: draw << 58}, now)
@@ -149,14 +149,14 @@
 					duration = 500 * time.Millisecond
 				}
 				id := fmt.Sprintf("b%d", i)
-				f.CallStarted(id)
+				f.CallStarted(id, now)
 				f.CallEnded(fleet.CallResult{BackendID: id, Duration: duration, Comparable: true}, now)
 			}
 		}
 		counts := map[string]int{}
 		for draw := range uint64(24) {
 			b, _, _ := f.Choose(fleet.Request{Service: "s", TieBreak: draw * 0x9e3779b97f4a7c15}, now)
-			f.CallStarted(b.ID)
+			f.CallStarted(b.ID, now)
 			counts[b.ID]++
 		}
 		Expect(counts["b0"]).To(BeNumerically("<", 4))
@@ -225,7 +225,7 @@
 		zones := map[string]int{}
 		for range 18 {
 			b, _, _ := f.Choose(request, now)
-			f.CallStarted(b.ID)
+			f.CallStarted(b.ID, now)
 			zones[b.AvailabilityZone]++
 		}
 		Expect(zones["a"]).To(BeNumerically(">", zones["b"]))
@@ -238,12 +238,12 @@
 	It("avoids an idle backend server that fails every call, and tries it again later", func() {
 		f := newFleet(3)
 		for range 4 {
-			f.CallStarted("b0")
+			f.CallStarted("b0", now)
 			f.CallEnded(fleet.CallResult{BackendID: "b0", Failed: true}, now)
 		}
 		for range 3 {
-			f.CallStarted("b1")
-			f.CallStarted("b2")
+			f.CallStarted("b1", now)
+			f.CallStarted("b2", now)
 		}
 		b, _, _ := f.Choose(request, now)
 		Expect(b.ID).NotTo(Equal("b0"))
@@ -254,10 +254,10 @@
 	It("prefers a somewhat busier backend server to one that fails half of its calls", func() {
 		f := newFleet(2)
 		for i := range 12 {
-			f.CallStarted("b0")
+			f.CallStarted("b0", now)
 			f.CallEnded(fleet.CallResult{BackendID: "b0", Failed: i%2 == 0, Duration: time.Millisecond}, now)
 		}
-		f.CallStarted("b1")
+		f.CallStarted("b1", now)
 		b, _, _ := f.Choose(request, now)
 		Expect(b.ID).To(Equal("b1"))
 	})
@@ -269,7 +269,7 @@
 		for range 12 {
 			f.CallEnded(fleet.CallResult{BackendID: "b0", Duration: time.Millisecond}, now)
 		}
-		f.CallStarted("b1")
+		f.CallStarted("b1", now)
 		b, _, _ := f.Choose(request, now)
 		Expect(b.ID).To(Equal("b0"))
 	})
@@ -277,7 +277,7 @@
 	It("discards its observations of a backend server that restarts under the same id", func() {
 		f := newFleet(2)
 		f.CallEnded(fleet.CallResult{BackendID: "b0", Unreachable: true}, now)
-		f.CallStarted("b1")
+		f.CallStarted("b1", now)
 		again := backend("b0")
 		again.Incarnation = 5
 		f.Put(again)
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -21,7 +21,7 @@
 		}
 		for range running {
 			b, _, _ := f.Choose(fleet.Request{Service: "llm"}, now)
-			f.CallStarted(b.ID)
+			f.CallStarted(b.ID, time.Now())
 		}
 		return f
 	}
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/ring"
 )
 
 var _ = Describe("The list of fronts", func() {
@@ -39,8 +42,8 @@
 	// Guards against clients that know no front outside their availability zone
 	// when all fronts of that zone fail together.
 	It("starts with the client's availability zone and continues with the others", func() {
-		g := &Gateway{settings: Settings{MaxAddresses: 8}, scheduler: &Scheduler{}}
-		g.SetFronts([]Front{{Address: "1", Zone: "a"}, {Address: "2", Zone: "a"}, {Address: "3", Zone: "b"}})
+		g := &Gateway{settings: Settings{MaxAddresses: 8}, scheduler: &Scheduler{messages: ring.New[schedulerMessage](1)}}
+		Expect(g.SetFronts(context.Background(), []Front{{Address: "1", Zone: "a"}, {Address: "2", Zone: "a"}, {Address: "3", Zone: "b"}})).To(Succeed())
 		all, _ := g.Addresses("b")
 		Expect(all).To(HaveLen(3))
 		Expect(all[0]).To(Equal("3"))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,7 +70,7 @@
 	g.answerBudget = newAnswerBudget(cmp.Or(settings.AnswerBytes, defaultAnswerBytes))
 	g.pool = upstream.NewPool(group, codec)
 	attempts := ring.New[attempt](settings.CallWorkers)
-	g.scheduler = newScheduler(group, log, settings.Zone, attempts, g.pool, turnStore)
+	g.scheduler = newScheduler(group, log, settings.Address, settings.Zone, attempts, g.pool, turnStore)
 	for range settings.CallWorkers {
 		c := &callWorker{attempts: attempts, messages: g.scheduler.messages, pool: g.pool, codec: codec}
 		group.Go("caller", c.run)
@@ -114,9 +114,13 @@
 }
 
 // SetFronts replaces the list of known fronts.
-func (g *Gateway) SetFronts(fronts []Front) {
+func (g *Gateway) SetFronts(ctx context.Context, fronts []Front) error {
 	g.fronts.Store(&fronts)
-	g.scheduler.listedFronts.Store(int64(len(selectFronts(fronts, g.scheduler.slots()))))
+	listed := []string{}
+	for _, front := range selectFronts(fronts, g.scheduler.slots()) {
+		listed = append(listed, front.Address)
+	}
+	return g.scheduler.messages.Push(ctx, schedulerMessage{listed: &listed})
 }
 
 // Drain starts a planned stop: the front is no longer ready, and further
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -44,6 +44,7 @@
 	signatureHeader = "Test-Signature"
 	refusedHeader   = "Test-Not-Run"
 	resumeHeader    = "Test-After"
+	limitHeader     = "Test-Limit"
 )
 
 type codec struct{}
@@ -61,7 +62,9 @@
 func (codec) Decode(reply *http.Response) call.Response {
 	header := reply.Header.Clone()
 	header.Del("Content-Length")
+	limit, err := strconv.ParseFloat(reply.Header.Get(limitHeader), 64)
 	return call.Response{
+		RateLimited: err == nil, RateLimit: limit,
 		Status: reply.StatusCode, Header: header, RequestID: reply.Header.Get(idHeader), Signed: reply.Header.Get(signatureHeader) != "",
 		NotRun: reply.Header.Get(refusedHeader) != "", Close: reply.Close,
 	}
@@ -144,7 +147,7 @@
 		}))
 		DeferCleanup(server.Close)
 		s.addresses = append(s.addresses, server.Listener.Addr().String())
-		backend := fleet.Backend{ID: fmt.Sprintf("b%d", i), Service: "svc", Address: server.Listener.Addr().String(), Slots: 4, AvailabilityZone: "a"}
+		backend := s.backend(i)
 		Expect(s.gateway.UpdateFleet(context.Background(), gateway.FleetUpdate{Put: &backend})).To(Succeed())
 	}
 	r.Name, r.Host, r.Prefix = "r", "example", "/r/"
@@ -162,6 +165,11 @@
 	return s
 }
 
+// backend returns the registration of a backend server.
+func (s *fixture) backend(i int) fleet.Backend {
+	return fleet.Backend{ID: fmt.Sprintf("b%d", i), Service: "svc", Address: s.addresses[i], Slots: 4, AvailabilityZone: "a"}
+}
+
 func (s *fixture) send(ctx context.Context, path string, header ...string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, "POST", s.front.URL+path, strings.NewReader("input"))
 	Expect(err).NotTo(HaveOccurred())
@@ -511,7 +519,7 @@
 
 	It("lists ready fronts, those of the client's zone first, and not itself while it drains", func() {
 		s := newFixture(route.Route{Kind: route.Safe}, refuse)
-		s.gateway.SetFronts([]gateway.Front{{Address: "far", Zone: "b"}, {Address: "self", Zone: "a"}, {Address: "near", Zone: "c"}})
+		Expect(s.gateway.SetFronts(context.Background(), []gateway.Front{{Address: "far", Zone: "b"}, {Address: "self", Zone: "a"}, {Address: "near", Zone: "c"}})).To(Succeed())
 		Eventually(s.gateway.Ready).Should(BeTrue())
 		addresses, ttl := s.gateway.Addresses("c")
 		Expect(addresses).To(Equal([]string{"near", "far", "self"}))
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -53,6 +53,7 @@
 	resumeAfter  string
 	headSent     bool
 	lastReason   string
+	waits        bool // it has been let wait for the limits of the backend servers
 }
 
 // certainlyNotRun reports whether the call has certainly not run.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -82,12 +82,15 @@
 	update *FleetUpdate
 	probe  *probedServer
 	said   *fleet.Statement
+	// listed holds the addresses of the fronts that clients are sent to.
+	listed *[]string
 }
 
 // Scheduler chooses the backend server for each call. A single goroutine runs it
 // and owns the fleet.
 type Scheduler struct {
 	log             *slog.Logger
+	self            string // address of this front
 	messages        *ring.Ring[schedulerMessage]
 	attempts        *ring.Ring[attempt]
 	fleet           *fleet.Fleet
@@ -97,7 +100,8 @@
 	hasIdleConnection func(address string) bool
 	backendCount      atomic.Int64
 	slotCount         atomic.Int64
-	listedFronts      atomic.Int64 // number of fronts that clients are sent to
+	listedFronts      atomic.Pointer[[]string] // addresses of the fronts that clients are sent to
+	waiting           waitingCalls
 	admission         admission
 	crashes           crashRecords
 	answered          answeredCalls
@@ -106,15 +110,17 @@
 	reportCrash       func(turnstore.Crash) bool
 }
 
-func newScheduler(group *duty.Group, log *slog.Logger, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool, turnStore TurnStore) *Scheduler {
+func newScheduler(group *duty.Group, log *slog.Logger, self, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool, turnStore TurnStore) *Scheduler {
 	s := &Scheduler{
-		log: log, messages: ring.New[schedulerMessage](schedulerRingSize), attempts: attempts, fleet: fleet.New(zone),
+		log: log, self: self, waiting: newWaitingCalls(), messages: ring.New[schedulerMessage](schedulerRingSize), attempts: attempts, fleet: fleet.New(zone),
 		admission: admission{meanCallTokens: map[string]float64{}}, dropConnections: pool.CloseIdle, hasIdleConnection: pool.HasIdle,
 		crashes: crashRecords{}, ends: newServerEnds(), reportedCrashes: turnStore.Crashes(), reportCrash: turnStore.ReportCrash,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	s.listedFronts.Store(&[]string{})
 	group.Go("scheduler", s.run)
 	group.RegisterRingDepth("scheduler", "items", s.messages.Len)
+	group.RegisterGauge("dogwoodline_calls_waiting", func() int { return int(s.waiting.count.Load()) })
 	group.RegisterGauge("dogwoodline_backend_servers", func() int { return int(s.backendCount.Load()) })
 	return s
 }
@@ -128,14 +134,17 @@
 func (s *Scheduler) run(ctx context.Context) error {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
+	defer s.waiting.due.Stop()
 	for {
 		for message, ok := s.messages.TryPop(); ok; message, ok = s.messages.TryPop() {
 			s.handle(message, time.Now())
 		}
 		s.receiveCrashes(time.Now())
+		s.placeWaiting(time.Now())
 		select {
 		case <-s.messages.Ready():
 		case <-s.reportedCrashes.Ready():
+		case <-s.waiting.due.C:
 		case now := <-ticker.C:
 			for _, gone := range s.fleet.Expire(now) {
 				s.recordEnd(gone, "did not register again", now)
@@ -159,6 +168,9 @@
 		s.handleProbe(*message.probe, now)
 	case message.said != nil:
 		s.noteStatement(*message.said, now)
+	case message.listed != nil:
+		s.listedFronts.Store(message.listed)
+		s.fleet.SetFronts(s.self, *message.listed, now)
 	case message.update != nil:
 		s.applyFleetUpdate(*message.update, now)
 		s.publishFleetSize()
@@ -214,12 +226,18 @@
 	}
 	if j.service.Engine != nil && j.tries == 0 {
 		s.admission.observe(j.service.Name, j.request.UnsharedTokens())
-		utilization := s.admission.utilization(s.fleet, j.service, int(s.listedFronts.Load()))
+		utilization := s.admission.utilization(s.fleet, j.service, len(*s.listedFronts.Load()))
 		if j.startsProgram && !admits(utilization, j.route.Priority) {
 			s.failJob(j, fmt.Sprintf("model servers are full (%.2f), programs under way go first", utilization), retryAfterNotAdmitted, now)
 			return
 		}
 	}
+	s.place(j, now)
+}
+
+// place chooses a backend server for a job that may be sent. The job waits, or
+// fails, if none may get it now.
+func (s *Scheduler) place(j *job, now time.Time) {
 	request := fleet.Request{Service: j.service.Name, Exclude: j.exclude, TieBreak: s.random.Uint64()}
 	if j.service.Engine == nil { // for model servers, cached prompts matter more than an open connection
 		request.Connected = s.hasIdleConnection
@@ -229,14 +247,15 @@
 	}
 	backend, running, ok := s.fleet.Choose(request, now)
 	if !ok {
-		s.failJob(j, "no backend server is left for this call", retryAfterFull, now)
+		s.await(j, request, now)
 		return
 	}
-	if err := s.attempts.TryPush(attempt{job: j, backend: backend, started: now, limited: s.fleet.Limit(backend.ID) > 0}); err != nil {
+	limit, _ := s.fleet.Limit(backend.ID)
+	if err := s.attempts.TryPush(attempt{job: j, backend: backend, started: now, limited: limit > 0}); err != nil {
 		s.failJob(j, "all callers are busy", retryAfterFull, now)
 		return
 	}
-	s.fleet.CallStarted(backend.ID)
+	s.fleet.CallStarted(backend.ID, now)
 	j.tries++
 	s.log.Info("gateway: call offered", "request", j.request.ID, "route", j.route.Name, "backend", backend.ID,
 		"running", running, "slots", backend.Slots, "try", j.tries, "waited_ms", now.Sub(j.request.Arrived).Milliseconds(),
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -24,6 +24,8 @@
 // noteStatement takes note of what a backend server says of itself.
 func (s *Scheduler) noteStatement(said fleet.Statement, now time.Time) {
 	if s.fleet.Heard(said, now) {
-		s.log.Info("gateway: limit of backend server changed", "backend", said.BackendID, "per_second", s.fleet.Limit(said.BackendID))
+		limit, share := s.fleet.Limit(said.BackendID)
+		s.log.Info("gateway: limit of backend server changed", "backend", said.BackendID, "per_second", limit, "own_share", share,
+			"fronts", len(*s.listedFronts.Load()))
 	}
 }
--- /dev/null
+++ b/gateway/waiting.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"dogwoodline.example/fleet"
+)
+
+const (
+	// startPatience is the part of a call's time that it may wait if it starts a
+	// program. Waiting longer makes the program late, and those under way too.
+	startPatience = 0.1
+	// patience is the part of their time that other calls may wait. The rest is
+	// left for the call itself. A client that is refused waits as long, and
+	// does not keep its place.
+	patience = 0.5
+	// keptPatience is how many times as long a call may wait that was let wait
+	// before more urgent ones came.
+	keptPatience = 1.4
+	// minRetryAfterLimit is the shortest Retry-After of a call that is refused
+	// because of limits.
+	minRetryAfterLimit = 100 * time.Millisecond
+	// noLimitTimer is the setting of a timer that is not needed now.
+	noLimitTimer = time.Hour
+)
+
+// waitingCalls holds the calls that wait until the limits of the backend servers
+// of their service let another call through, by service, the most urgent first.
+// Only the scheduler goroutine may use it, except for count.
+type waitingCalls struct {
+	byService map[string][]*job
+	due       *time.Timer // fires when the next call may be sent
+	count     *atomic.Int64
+}
+
+func newWaitingCalls() waitingCalls {
+	return waitingCalls{byService: map[string][]*job{}, due: time.NewTimer(noLimitTimer), count: &atomic.Int64{}}
+}
+
+// compareUrgency orders jobs: first those of programs under way, whose work so far
+// would be lost, then by the priority of their routes, then by their arrival.
+func compareUrgency(a, b *job) int {
+	switch {
+	case a.startsProgram != b.startsProgram:
+		if b.startsProgram {
+			return -1
+		}
+		return 1
+	case a.route.Priority != b.route.Priority:
+		return a.route.Priority - b.route.Priority
+	}
+	return a.request.Arrived.Compare(b.request.Arrived)
+}
+
+// maxWait returns how long a job may still wait.
+func (j *job) maxWait(now time.Time) time.Duration {
+	part := patience
+	if j.startsProgram {
+		part = startPatience
+	}
+	if j.waits {
+		part *= keptPatience
+	}
+	return time.Duration(part*float64(j.deadline.Sub(j.request.Arrived))) - now.Sub(j.request.Arrived)
+}
+
+// await lets a job wait for which no backend server may be chosen now. It fails the
+// job if none is left, and those jobs that would wait for too long.
+func (s *Scheduler) await(j *job, request fleet.Request, now time.Time) {
+	if _, left := s.fleet.LimitWait(request, now); !left {
+		s.failJob(j, "no backend server is left for this call", retryAfterFull, now)
+		return
+	}
+	list := s.waiting.byService[j.service.Name]
+	at, _ := slices.BinarySearchFunc(list, j, compareUrgency)
+	s.waiting.byService[j.service.Name] = slices.Insert(list, at, j)
+	s.refuseLate(j.service.Name, now)
+}
+
+// refuseLate refuses the waiting jobs of a service whose turn will come too late
+// for them.
+func (s *Scheduler) refuseLate(service string, now time.Time) {
+	rate, allLimited := s.fleet.LimitedRate(service)
+	var kept []*job
+	for _, j := range s.waiting.byService[service] {
+		wait, left := s.fleet.LimitWait(fleet.Request{Service: service, Exclude: j.exclude}, now)
+		switch {
+		case j.ctx.Err() != nil:
+			continue // the handler has already ended the request
+		case !left:
+			s.failJob(j, "no backend server is left for this call", retryAfterFull, now)
+			continue
+		case allLimited && rate > 0:
+			wait += time.Duration(float64(len(kept)) / rate * float64(time.Second))
+		case allLimited && len(kept) > 0:
+			s.failJob(j, "this front has no share of the limits of the backend servers", retryAfterFull, now)
+			continue
+		}
+		if wait > j.maxWait(now) {
+			s.failJob(j, fmt.Sprintf("the limits of the backend servers let it through in %d ms, %d calls go before it", wait.Milliseconds(), len(kept)),
+				max(wait, minRetryAfterLimit), now)
+			continue
+		}
+		if !j.waits {
+			s.log.Info("gateway: call waits for the limits of the backend servers", "request", j.request.ID, "route", j.route.Name,
+				"expected_ms", wait.Milliseconds(), "before_it", len(kept), "starts_program", j.startsProgram, "rate", rate, "all_limited", allLimited)
+		}
+		j.waits = true
+		kept = append(kept, j)
+	}
+	s.setWaiting(service, kept)
+}
+
+// placeWaiting sends the waiting jobs for which a backend server may be chosen now,
+// the most urgent first.
+func (s *Scheduler) placeWaiting(now time.Time) {
+	if len(s.waiting.byService) == 0 {
+		return
+	}
+	next := noLimitTimer
+	for _, service := range slices.Collect(maps.Keys(s.waiting.byService)) {
+		list := s.waiting.byService[service]
+		s.setWaiting(service, nil)
+		for _, j := range list {
+			if j.ctx.Err() == nil { // else the handler has already ended the request
+				s.place(j, now)
+			}
+		}
+		for _, j := range s.waiting.byService[service] {
+			wait, _ := s.fleet.LimitWait(fleet.Request{Service: service, Exclude: j.exclude}, now)
+			next = min(next, wait)
+		}
+	}
+	s.waiting.due.Reset(next)
+}
+
+// setWaiting replaces the waiting jobs of a service.
+func (s *Scheduler) setWaiting(service string, list []*job) {
+	if len(list) == 0 {
+		delete(s.waiting.byService, service)
+	} else {
+		s.waiting.byService[service] = list
+	}
+	count := 0
+	for _, jobs := range s.waiting.byService {
+		count += len(jobs)
+	}
+	s.waiting.count.Store(int64(count))
+}
--- a/role/front.go
+++ b/role/front.go
@@ -60,8 +60,8 @@
 		}),
 		backendsSubscription(g),
 		copySetSubscription(p.log, func(ctx context.Context, set copyset.Set) { _ = turnStores.SetCopySet(ctx, set) }),
-		membersSubscription(p.log, func(_ context.Context, members map[string]membership.Member) {
-			g.SetFronts(activeFronts(members))
+		membersSubscription(p.log, func(ctx context.Context, members map[string]membership.Member) {
+			_ = g.SetFronts(ctx, activeFronts(members)) // fails only when the process stops
 			reader.SetFeeds(feedAddresses(members, p.host))
 		}),
 	}})
