fleet, gateway: Keep conversations together while servers name limits

Cause: the servers without limits were overloaded by prompts read again. They counted as slow against the median of the nearly idle ones with limits, so calls moved between them; a call whose server had no calls left went anywhere; programs started as long as slots were free.

Change: the median latency and the capacity for new programs leave servers with limits out while others are there. The second choice of a conversation is a server without a limit, and takes the place of the first while that has no calls left. A server with a limit costs as much as 0.3 of its slots. While a service has limits and the first events of its calls take longer than their objective, no program starts there; one is refused at once instead of failing at its deadline.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -144,9 +144,14 @@
 // backend servers, and the number of calls that these can run at once: for each
 // server its slots or callsInMemory, whichever is less. callsInMemory is the
 // number of calls that fit into the memory of one server, or 0 if that is
-// unknown.
+// unknown. Servers that have named a limit count only if all have: their slots are
+// not to be filled.
 func (f *Fleet) Occupancy(service string, callsInMemory float64) (running int, capacity float64) {
+	unlimited := f.hasUnlimited(service)
 	for _, s := range f.byService[service] {
+		if unlimited && s.limit.perSecond > 0 {
+			continue
+		}
 		running += s.running
 		if callsInMemory > 0 {
 			capacity += min(float64(s.Slots), callsInMemory)
@@ -190,6 +195,9 @@
 	var best *backendState
 	var bestCost float64
 	first, second := f.preferred(request)
+	if second != nil && first.limit.wait(now) > 0 {
+		first, second = second, nil // so that these calls stay together too
+	}
 	for _, s := range f.byService[request.Service] {
 		if excluded(request.Exclude, s.ID) || s.limit.wait(now) > 0 {
 			continue
@@ -244,6 +252,9 @@
 	// an idle connection must be less busy to be chosen: opening a connection
 	// takes a slot for a moment.
 	connectCost = 0.15
+	// limitedCost is the fraction of its slots by which a backend server that has
+	// named a limit must be less busy to be chosen: it is in need.
+	limitedCost = 0.3
 	// suspectCost and fullCost keep a backend server from being chosen while any
 	// other is left.
 	suspectCost = 100
@@ -265,6 +276,9 @@
 	if request.Connected != nil && !request.Connected(s.Address) {
 		cost += connectCost
 	}
+	if s.limit.perSecond > 0 {
+		cost += limitedCost
+	}
 	if now.Before(s.suspectUntil) {
 		cost += suspectCost
 	}
@@ -277,17 +291,23 @@
 // preferred returns the first and the second choice for the affinity of a call.
 // They are selected by rendezvous hashing over the ids, so that all fronts
 // prefer the same servers: the first one has handled the earlier calls, and the
-// second one takes the calls that exceed its capacity. Both are nil for a call
-// without affinity.
+// second one takes the calls that exceed its capacity. The second is one without a
+// limit if there is any, because it has to take all of these calls. Both are nil for
+// a call without affinity.
 func (f *Fleet) preferred(request Request) (first, second *backendState) {
 	if request.Affinity == "" {
 		return nil, nil
 	}
+	unlimited := f.hasUnlimited(request.Service)
 	var firstRank, secondRank uint64
 	for _, s := range f.byService[request.Service] {
 		switch rank := xxhash.Sum64String(request.Affinity + "\x00" + s.ID); {
 		case first == nil || rank > firstRank:
-			first, second, firstRank, secondRank = s, first, rank, firstRank
+			if first != nil && !(unlimited && first.limit.perSecond > 0) {
+				second, secondRank = first, firstRank
+			}
+			first, firstRank = s, rank
+		case unlimited && s.limit.perSecond > 0: // no second choice
 		case second == nil || rank > secondRank:
 			second, secondRank = s, rank
 		}
--- a/fleet/latency.go
+++ b/fleet/latency.go
@@ -53,10 +53,16 @@
 }
 
 // medianLatency returns the median of the average latencies of a service's
-// backend servers in ms, or 0 if there is no observation.
+// backend servers in ms, or 0 if there is no observation. Servers that have named
+// a limit get few calls; they count only if all have, or the others would all be
+// slow by comparison.
 func (f *Fleet) medianLatency(service string) float64 {
+	unlimited := f.hasUnlimited(service)
 	var averages []float64
 	for _, s := range f.byService[service] {
+		if unlimited && s.limit.perSecond > 0 {
+			continue
+		}
 		if !s.latency.observedAt.IsZero() {
 			averages = append(averages, s.latency.average)
 		}
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// extraSenders is how many more fronts than a limit has whole calls per second
-	// share it. Fewer shares mean less delay between the calls of each front, but
-	// calls of different fronts may come at the same moment.
-	extraSenders = 2
+	// sendersPerCall and extraSenders give the number of fronts that may share a
+	// limit: each may have saved a call, and these may come at the same moment. The
+	// users allow half of the limit and five calls more in four seconds.
+	sendersPerCall = 1.5
+	extraSenders   = 4
+	// probingSenders is how many of them leave their place to the calls of fronts
+	// that only probe, if there are such fronts.
+	probingSenders = 2
 	// limitBurst is the number of calls that a front may save up.
 	limitBurst = 1
 	// probePeriod is the time in which one of the fronts that have no share sends
@@ -111,7 +115,12 @@
 			before++
 		}
 	}
-	senders := min(max(1, len(f.fronts)), extraSenders+int(min(s.limit.perSecond, math.MaxInt32)))
+	senders := extraSenders + int(min(sendersPerCall*s.limit.perSecond, math.MaxInt32))
+	if len(f.fronts) <= senders {
+		senders = max(1, len(f.fronts))
+	} else {
+		senders -= probingSenders
+	}
 	if (listed || len(f.fronts) == 0) && before < senders {
 		s.limit.share = s.limit.perSecond / float64(senders)
 		return
@@ -189,12 +198,32 @@
 // all of whose backend servers have named limits. It reports false if one of them
 // has named none.
 func (f *Fleet) LimitedRate(service string) (float64, bool) {
+	if f.hasUnlimited(service) {
+		return 0, false
+	}
 	sum := 0.0
 	for _, s := range f.byService[service] {
-		if s.limit.perSecond == 0 {
-			return 0, false
-		}
 		sum += s.limit.share
 	}
 	return sum, len(f.byService[service]) > 0
 }
+
+// hasUnlimited reports whether a backend server of a service has named no limit.
+func (f *Fleet) hasUnlimited(service string) bool {
+	for _, s := range f.byService[service] {
+		if s.limit.perSecond == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// HasLimited reports whether a backend server of a service has named a limit.
+func (f *Fleet) HasLimited(service string) bool {
+	for _, s := range f.byService[service] {
+		if s.limit.perSecond > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/fleet/ratelimit_test.go
+++ b/fleet/ratelimit_test.go
@@ -199,4 +199,54 @@
 		limit, _ := f.Limit("b0")
 		Expect(limit).To(BeZero())
 	})
+
+	// Under the users' capped day, six of nine model servers name limits. Guards
+	// against conversations that move from server to server, each of which has to
+	// process their prompts again.
+	It("leave the calls of a conversation that find no place at its server to one other server", func() {
+		f := newFleet(9)
+		f.SetFronts("self", []string{"self"}, start)
+		for i := range 6 {
+			f.Heard(fleet.Statement{BackendID: fmt.Sprintf("b%d", i), Sent: start, Limited: true, CallsPerSecond: 1}, start)
+		}
+		random := rand.New(rand.NewPCG(1, 2))
+		for conversation := range 20 {
+			seen := map[string]bool{}
+			for range 50 {
+				b, _, ok := f.Choose(fleet.Request{Service: "s", Affinity: fmt.Sprint("c", conversation), TieBreak: random.Uint64()}, start)
+				Expect(ok).To(BeTrue())
+				seen[b.ID] = true
+				f.CallStarted(b.ID, start)
+				f.CallEnded(fleet.CallResult{BackendID: b.ID, Duration: time.Duration(100+random.IntN(300)) * time.Millisecond, Comparable: true}, start)
+			}
+			Expect(seen).To(HaveLen(1))
+		}
+	})
+
+	// Guards against servers without limits that all count as slow, because the ones
+	// with limits have little to do, so that each call moves away from its server.
+	It("do not make the servers that take the rest look slow", func() {
+		f := newFleet(9)
+		f.SetFronts("self", []string{"self"}, start)
+		for i := range 9 {
+			id, took := fmt.Sprintf("b%d", i), time.Second
+			if i < 6 {
+				f.Heard(fleet.Statement{BackendID: id, Sent: start, Limited: true, CallsPerSecond: 1}, start)
+				took = 100 * time.Millisecond
+			}
+			for range 20 {
+				f.CallStarted(id, start)
+				f.CallEnded(fleet.CallResult{BackendID: id, Duration: took, Comparable: true}, start)
+			}
+		}
+		later := start.Add(time.Second) // the limits let calls through
+		counts := map[bool]int{}
+		for i := range 100 {
+			b, _, ok := f.Choose(fleet.Request{Service: "s", Affinity: fmt.Sprint("c", i), TieBreak: uint64(i)}, later)
+			Expect(ok).To(BeTrue())
+			limit, _ := f.Limit(b.ID)
+			counts[limit > 0]++
+		}
+		Expect(counts[false]).To(BeNumerically(">", 20), "a third of the conversations belong there")
+	})
 })
--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -103,6 +103,9 @@
 	c.passStatement(ctx, a, exchange.Response)
 	j.answer.begin(exchange.Abort)
 	result := c.forward(j, exchange)
+	if !j.firstEvent.IsZero() && j.firstEvent.After(sent) {
+		result.firstEvent = j.firstEvent.Sub(sent)
+	}
 	if j.answer.end(result.verdict == call.Answered) && result.verdict != call.Answered {
 		result.reason = errAnswerBytes.Error()
 	}
@@ -188,6 +191,9 @@
 		if j.parts.Push(j.ctx, responsePart{event: event.raw}) != nil {
 			return attemptResult{verdict: call.Unknown, done: true}
 		}
+		if j.events == 0 {
+			j.firstEvent = time.Now()
+		}
 		j.events++
 		if event.id != "" {
 			j.resumeAfter = event.id
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -50,6 +50,7 @@
 	possibleRuns int // attempts in which a backend server may have run it
 	lostRuns     int // of those, the ones whose backend server crashed or became unreachable
 	events       int
+	firstEvent   time.Time // when the first event arrived
 	resumeAfter  string
 	headSent     bool
 	lastReason   string
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -70,6 +70,8 @@
 	// found says how the backend server of an interrupted call on a resumable route
 	// was found right after.
 	found upstream.Reachability
+	// firstEvent is how long the first event of a stream took; 0 if none came.
+	firstEvent time.Duration
 	// incomplete says that the exchange ended without a complete response although
 	// the client was waiting; the backend server may have crashed.
 	incomplete bool
@@ -103,6 +105,7 @@
 	listedFronts      atomic.Pointer[[]string] // addresses of the fronts that clients are sent to
 	waiting           waitingCalls
 	admission         admission
+	lateness          lateness
 	crashes           crashRecords
 	answered          answeredCalls
 	ends              *serverEnds
@@ -113,7 +116,7 @@
 func newScheduler(group *duty.Group, log *slog.Logger, self, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool, turnStore TurnStore) *Scheduler {
 	s := &Scheduler{
 		log: log, self: self, waiting: newWaitingCalls(), messages: ring.New[schedulerMessage](schedulerRingSize), attempts: attempts, fleet: fleet.New(zone),
-		admission: admission{meanCallTokens: map[string]float64{}}, dropConnections: pool.CloseIdle, hasIdleConnection: pool.HasIdle,
+		admission: admission{meanCallTokens: map[string]float64{}}, lateness: lateness{}, dropConnections: pool.CloseIdle, hasIdleConnection: pool.HasIdle,
 		crashes: crashRecords{}, ends: newServerEnds(), reportedCrashes: turnStore.Crashes(), reportCrash: turnStore.ReportCrash,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -231,6 +234,14 @@
 			s.failJob(j, fmt.Sprintf("model servers are full (%.2f), programs under way go first", utilization), retryAfterNotAdmitted, now)
 			return
 		}
+		// Slots do not tell how much more the servers without limits can take of what
+		// the others do not.
+		late, refuse := s.lateness.tooLate(j.service.Name, j.route.Priority, now)
+		if j.startsProgram && refuse && s.fleet.HasLimited(j.service.Name) {
+			s.failJob(j, fmt.Sprintf("backend servers name limits and first events take %.2f times their objective, programs under way go first", late),
+				retryAfterNotAdmitted, now)
+			return
+		}
 	}
 	s.place(j, now)
 }
@@ -285,6 +296,7 @@
 func (s *Scheduler) handleResult(result attemptResult, now time.Time) {
 	s.fleet.CallEnded(result.report, now)
 	j := result.job
+	s.lateness.observe(j.service.Name, result.firstEvent, j.route.LatencyObjective, now)
 	if result.done {
 		if result.verdict != call.Answered {
 			s.log.Info("gateway: attempt ended with its request", "request", j.request.ID, "backend", result.backend.ID,
