fleet, gateway: Send nothing more to a server that says it is leaving

Cause: only the registration was looked at, which a front that is cut off does not hear, and which can be older or come back after an outage.

Change: call workers pass it on with the head of the response, and the server leaves the choice of this front for good. Its registration changes nothing; another incarnation with its ID is another server. Its end is a planned one.

Tests: 'gives no calls to a backend server that said that it is leaving, until it starts again' (fleet) and 'sends no further call to a backend server that says that it is leaving' (gateway; in an answer, in a refusal, at the head of a stream that goes on) fail without the change in the choice of servers.

--- a/call/call.go
+++ b/call/call.go
@@ -132,6 +132,8 @@
 	// number of calls per second that it takes from all fronts together.
 	RateLimited bool
 	RateLimit   float64
+	// Leaving reports that the backend server is about to stop.
+	Leaving bool
 	// IdleTimeout is how long the backend server keeps an idle connection open; 0 if
 	// it did not say.
 	IdleTimeout time.Duration
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,15 +50,16 @@
 // Fleet is the set of backend servers. It is not safe for concurrent use.
 type Fleet struct {
 	byID      map[string]*backendState
-	byService map[string][]*backendState // without draining ones
+	byService map[string][]*backendState // without draining and leaving ones
 	zone      string                     // availability zone of the front
+	leaving   map[string]leavingServer   // by ID, also of servers that are not registered
 	self      string                     // address of the front
 	fronts    []string                   // addresses of the fronts that clients are sent to
 }
 
 // New returns an empty fleet for a front in an availability zone.
 func New(zone string) *Fleet {
-	return &Fleet{byID: map[string]*backendState{}, byService: map[string][]*backendState{}, zone: zone}
+	return &Fleet{byID: map[string]*backendState{}, byService: map[string][]*backendState{}, leaving: map[string]leavingServer{}, zone: zone}
 }
 
 // Put adds or replaces a registration. It reports whether the registration is
@@ -110,6 +111,7 @@
 // Expire removes the backend servers whose return window has passed and returns
 // them.
 func (f *Fleet) Expire(now time.Time) []Backend {
+	f.forgetLeaving(now)
 	var gone []Backend
 	for id, s := range f.byID {
 		if !s.forgetAt.IsZero() && !now.Before(s.forgetAt) {
@@ -123,11 +125,11 @@
 	return gone
 }
 
-// reindex rebuilds byService.
+// reindex rebuilds byService, which has the backend servers that get calls.
 func (f *Fleet) reindex() {
 	f.byService = map[string][]*backendState{}
 	for _, s := range f.byID {
-		if !s.Draining {
+		if !s.Draining && !f.saidLeaving(s.Backend) {
 			f.byService[s.Service] = append(f.byService[s.Service], s)
 		}
 	}
@@ -382,11 +384,14 @@
 	}
 }
 
-// Get returns the registration of a backend server.
+// Get returns the registration of a backend server. One that said that it is
+// leaving counts as draining.
 func (f *Fleet) Get(id string) (Backend, bool) {
 	s := f.byID[id]
 	if s == nil {
 		return Backend{}, false
 	}
-	return s.Backend, true
+	b := s.Backend
+	b.Draining = b.Draining || f.saidLeaving(b)
+	return b, true
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -43,6 +43,33 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against calls to a server that has said that it is leaving, because its
+	// registration is older or returns after an outage of the platform's store.
+	It("gives no calls to a backend server that said that it is leaving, until it starts again", func() {
+		f := newFleet(1)
+		chosen := func() bool {
+			_, _, ok := f.Choose(request, now)
+			return ok
+		}
+		said := fleet.Statement{BackendID: "b0", Sent: now, Leaving: true}
+		Expect(f.Heard(said, now).Leaving).To(BeTrue())
+		Expect(f.Heard(said, now).Leaving).To(BeFalse(), "it is known")
+		Expect(chosen()).To(BeFalse())
+		f.Put(backend("b0"))
+		Expect(chosen()).To(BeFalse())
+		f.Heard(fleet.Statement{BackendID: "b0", Sent: now}, now)
+		Expect(chosen()).To(BeFalse(), "an answer from before")
+		f.Remove("b0", now, false)
+		f.Put(backend("b0"))
+		Expect(chosen()).To(BeFalse())
+		leaving, _ := f.Get("b0")
+		Expect(leaving.Draining).To(BeTrue())
+		again := backend("b0")
+		again.Incarnation = 2
+		f.Put(again)
+		Expect(chosen()).To(BeTrue())
+	})
+
 	It("removes a registration at once, but after the return window if the platform's store has just returned", func() {
 		f := newFleet(2)
 		f.Remove("b0", now, false)
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -28,17 +28,6 @@
 	minLimit = 0.25
 )
 
-// Statement is what a backend server says of itself in a response.
-type Statement struct {
-	BackendID string
-	// Sent is when the call that it answers was sent.
-	Sent time.Time
-	// Limited says that the server names the number of calls per second that it
-	// takes from all fronts together, which is CallsPerSecond.
-	Limited        bool
-	CallsPerSecond float64
-}
-
 // rateLimit is the limit that a backend server has named and what this front may
 // send of it.
 //
@@ -66,13 +55,9 @@
 	}
 }
 
-// Heard takes note of what a backend server says in a response. It reports whether
-// that is new.
-func (f *Fleet) Heard(said Statement, now time.Time) bool {
-	s := f.byID[said.BackendID]
-	if s == nil {
-		return false
-	}
+// hear takes note of the limit that a statement names, or that it names none. It
+// reports whether that is new.
+func (f *Fleet) hear(s *backendState, said Statement, now time.Time) bool {
 	known := s.limit.perSecond
 	switch {
 	case said.Limited:
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -45,6 +45,7 @@
 	refusedHeader   = "Test-Not-Run"
 	resumeHeader    = "Test-After"
 	limitHeader     = "Test-Limit"
+	leavingHeader   = "Test-Leaving"
 )
 
 type codec struct{}
@@ -64,7 +65,7 @@
 	header.Del("Content-Length")
 	limit, err := strconv.ParseFloat(reply.Header.Get(limitHeader), 64)
 	return call.Response{
-		RateLimited: err == nil, RateLimit: limit,
+		RateLimited: err == nil, RateLimit: limit, Leaving: reply.Header.Get(leavingHeader) == "1",
 		Status: reply.StatusCode, Header: header, RequestID: reply.Header.Get(idHeader), Signed: reply.Header.Get(signatureHeader) != "",
 		NotRun: reply.Header.Get(refusedHeader) != "", Close: reply.Close,
 	}
@@ -331,6 +332,44 @@
 		Expect(time.Since(start)).To(BeNumerically("<", 650*time.Millisecond))
 	})
 
+	// Guards against calls that a server gets after it has said in an answer that it
+	// is leaving, in a refusal or at the head of a stream that goes on.
+	DescribeTable("sends no further call to a backend server that says that it is leaving", func(kind route.Kind, leave http.HandlerFunc) {
+		var left, stayed atomic.Int64
+		s := newFixture(route.Route{Kind: kind}, func(w http.ResponseWriter, r *http.Request) {
+			left.Add(1)
+			w.Header().Set(leavingHeader, "1")
+			leave(w, r)
+		}, func(w http.ResponseWriter, r *http.Request) {
+			stayed.Add(1)
+			if kind == route.Streaming {
+				events("x")(w, r)
+			}
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for left.Load() == 0 {
+			reply, err := s.send(ctx, "/r/x")
+			Expect(err).NotTo(HaveOccurred())
+			defer reply.Body.Close()
+		}
+		time.Sleep(50 * time.Millisecond) // for the head of the response to be passed on
+		stayed.Store(0)
+		for range 20 {
+			status, _, _ := s.post("/r/x")
+			Expect(status).To(Equal(http.StatusOK))
+		}
+		Expect(left.Load()).To(BeEquivalentTo(1))
+		Expect(stayed.Load()).To(BeEquivalentTo(20))
+	},
+		Entry("in an answer", route.Unsafe, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})),
+		Entry("in a refusal", route.Unsafe, http.HandlerFunc(refuse)),
+		Entry("at the head of a stream that goes on", route.Streaming, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			events("a")(w, r)
+			<-r.Context().Done()
+		})),
+	)
+
 	It("tells the backend server within half a second that the client has left", func() {
 		left := make(chan struct{})
 		s := newFixture(route.Route{Kind: route.Streaming}, func(_ http.ResponseWriter, r *http.Request) {
