gateway: Do not take an empty rest of a lost stream for its end

Looked for here with a table of next answers: an error with a body or as a stream, another content type, a head alone, an incomplete event, a refusal, no signature and bytes that are no answer never reached the client. But a stream without length and chunks that ended at once was taken for the empty rest, so that the client saw a complete stream whose last events were missing.

Change: after resuming, an empty stream is the rest only if it marks its own end; otherwise the call may be resumed elsewhere, and the client's stream is broken off if not.

--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -172,9 +172,15 @@
 // forwardStream forwards events as they arrive.
 func (c *callWorker) forwardStream(j *job, exchange *upstream.Exchange) attemptResult {
 	events := newEventReader(exchange, j.answer.grow)
+	received := 0
+	resumedHere := j.headSent
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && events.incompleteBytes() == 0 {
+			// The rest of a stream may be empty, but so is one that was lost at once.
+			if resumedHere && received == 0 && !exchange.Framed() {
+				return attemptResult{verdict: call.Unknown, reason: "stream ended at once after resuming", incomplete: true}
+			}
 			// A stream that is resumed after its last event has no events.
 			if !forwardHead(j, exchange) {
 				return attemptResult{verdict: call.Unknown, done: true}
@@ -185,6 +191,7 @@
 		if err != nil {
 			return attemptResult{verdict: call.Unknown, reason: "stream broken off: " + err.Error(), done: j.ctx.Err() != nil, incomplete: j.ctx.Err() == nil}
 		}
+		received++
 		if !forwardHead(j, exchange) {
 			return attemptResult{verdict: call.Unknown, done: true}
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -252,6 +252,10 @@
 	return count, err
 }
 
+// Framed reports whether the response marks its own end, by a length or by chunks.
+// The end of any other may also be that of a connection that was lost.
+func (e *Exchange) Framed() bool { return e.conn.framed }
+
 // Abort ends the connection, so that reading the body fails. Unlike the other
 // methods it may be called by any goroutine, but not after Close.
 func (e *Exchange) Abort() { _ = e.conn.Close() } // fails only if the connection is closed already
