gateway: Pass on no events of a resumed stream a second time

Change: the first event of a resumed stream must have a higher id than the last one, if both are numbers. Otherwise the stream does not go on there: it may be resumed elsewhere, and the client's stream is broken off if not.

--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -173,7 +173,7 @@
 func (c *callWorker) forwardStream(j *job, exchange *upstream.Exchange) attemptResult {
 	events := newEventReader(exchange, j.answer.grow)
 	received := 0
-	resumedHere := j.headSent
+	resumedHere, resumed := j.headSent, j.resumeAfter != ""
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && events.incompleteBytes() == 0 {
@@ -191,6 +191,9 @@
 		if err != nil {
 			return attemptResult{verdict: call.Unknown, reason: "stream broken off: " + err.Error(), done: j.ctx.Err() != nil, incomplete: j.ctx.Err() == nil}
 		}
+		if resumed && received == 0 && !follows(event.id, j.resumeAfter) {
+			return attemptResult{verdict: call.Unknown, reason: "stream does not go on after event " + j.resumeAfter}
+		}
 		received++
 		if !forwardHead(j, exchange) {
 			return attemptResult{verdict: call.Unknown, done: true}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 
 	"github.com/zeebo/errs"
 )
@@ -74,6 +75,15 @@
 	}
 }
 
+// follows reports whether an event of a resumed stream may come after the event
+// with the given id. The ids of a stream increase; ids that are no numbers, or
+// missing, cannot be compared.
+func follows(id, after string) bool {
+	number, err := strconv.ParseInt(id, 10, 64)
+	last, afterErr := strconv.ParseInt(after, 10, 64)
+	return err != nil || afterErr != nil || number > last
+}
+
 // eventData returns the values of an event's data fields, joined by newlines.
 func eventData(raw []byte) []byte {
 	var data []byte
