gateway: Do not touch a job after it was given to a call worker

The line could have a later id; nothing else depended on it.

Change: the line's values are taken before the push.

--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -262,15 +262,16 @@
 		return
 	}
 	limit, _ := s.fleet.Limit(backend.ID)
+	// From the push on, the job belongs to the call worker.
+	j.tries++
+	offered := []any{"request", j.request.ID, "route", j.route.Name, "backend", backend.ID, "running", running, "slots", backend.Slots, "try", j.tries,
+		"waited_ms", now.Sub(j.request.Arrived).Milliseconds(), "choices", s.fleet.Size(j.service.Name), "resume_after", j.resumeAfter}
 	if err := s.attempts.TryPush(attempt{job: j, backend: backend, started: now, limited: limit > 0}); err != nil {
 		s.failJob(j, "all callers are busy", retryAfterFull, now)
 		return
 	}
 	s.fleet.CallStarted(backend.ID, now)
-	j.tries++
-	s.log.Info("gateway: call offered", "request", j.request.ID, "route", j.route.Name, "backend", backend.ID,
-		"running", running, "slots", backend.Slots, "try", j.tries, "waited_ms", now.Sub(j.request.Arrived).Milliseconds(),
-		"choices", s.fleet.Size(j.service.Name), "resume_after", j.resumeAfter)
+	s.log.Info("gateway: call offered", offered...)
 }
 
 // failJob ends a job without a complete response and tells the handler whether
