gateway: Send clients of a front without a share of limits elsewhere

Cause: if all servers of a service name limits, a front that has no share of any let a call wait for its turn to probe, or refused it with that time as Retry-After, up to minutes where many fronts share small limits. Clients come back at any front, most of which may send the call.

Change: such a front refuses at once with the Retry-After of a full queue. It still sends a call when its turn to probe has come.

Test: 'are refused at once, to come back soon, by a front that has no share of the limit'; before, the call was refused with its turn to probe as Retry-After.

--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -94,11 +94,11 @@
 		case !left:
 			s.failJob(j, "no backend server is left for this call", retryAfterFull, now)
 			continue
-		case allLimited && rate > 0:
-			wait += time.Duration(float64(len(kept)) / rate * float64(time.Second))
-		case allLimited && len(kept) > 0:
-			s.failJob(j, "this front has no share of the limits of the backend servers", retryAfterFull, now)
+		case allLimited && rate == 0:
+			s.failJob(j, "this front has no share of the limits of the backend servers", retryAfterFull, now) // others have
 			continue
+		case allLimited:
+			wait += time.Duration(float64(len(kept)) / rate * float64(time.Second))
 		}
 		if wait > j.maxWait(now) {
 			s.failJob(j, fmt.Sprintf("the limits of the backend servers let it through in %d ms, %d calls go before it", wait.Milliseconds(), len(kept)),
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -104,6 +104,28 @@
 		}
 	})
 
+	// Guards against clients that are sent away for as long as a front waits until it
+	// may probe, although other fronts may send their calls.
+	It("are refused at once, to come back soon, by a front that has no share of the limit", func() {
+		s := newFixture(route.Route{Kind: route.Unsafe, Timeout: 4 * time.Second}, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(limitHeader, "0.3")
+			fmt.Fprint(w, "done")
+		})
+		fronts := []gateway.Front{{Address: "self", Zone: "a", Cores: 1}}
+		for i := range 30 {
+			fronts = append(fronts, gateway.Front{Address: fmt.Sprint("front-", i), Zone: "a", Cores: 1})
+		}
+		Expect(s.gateway.SetFronts(context.Background(), fronts)).To(Succeed())
+		status, _, _ := s.post("/r/first")
+		Expect(status).To(Equal(http.StatusOK))
+		began := time.Now()
+		status, body, header := s.post("/r/x")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(body).To(ContainSubstring("no share"))
+		Expect(header.Get("Retry-After")).To(Equal("0.1"))
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	})
+
 	// Guards against calls that wait on although a server takes them.
 	It("are sent at once when the limit ends or another server is there", func() {
 		s, _, _ := limited(route.Route{Kind: route.Unsafe, Timeout: 4 * time.Second})
