gateway: Notice servers that are missing from a list as ended

Cause: a front that lists all registrations anew, after its feed or the history of the platform's store was lost, removed the servers that are missing without counting their ends, and kept their idle connections.

Change: they are removed like those whose removal is told.

Test: entry 'missing from a list of all' fails on the code before and passes now. 'is not counted when its server was draining' has an entry for a call that is interrupted after the removal.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,28 +84,33 @@
 	return changed
 }
 
-// Remove removes a registration. If the platform's store has just returned from
-// an outage, the backend server stays in use for the return window.
-func (f *Fleet) Remove(id string, now time.Time, storeWasUnavailable bool) {
+// Remove removes a registration and reports whether the backend server is out of
+// use. If the platform's store has just returned from an outage, it stays in use
+// for the return window.
+func (f *Fleet) Remove(id string, now time.Time, storeWasUnavailable bool) bool {
 	known := f.byID[id]
 	if known == nil || !known.forgetAt.IsZero() {
-		return
+		return false
 	}
 	if storeWasUnavailable {
 		known.forgetAt = now.Add(returnWindow)
-		return
+		return false
 	}
 	delete(f.byID, id)
 	f.reindex()
+	return true
 }
 
-// RetainOnly removes all registrations whose ids are not in present.
-func (f *Fleet) RetainOnly(present map[string]bool, now time.Time, storeWasUnavailable bool) {
+// Missing returns the ids of the registered backend servers that are not in
+// present.
+func (f *Fleet) Missing(present map[string]bool) []string {
+	var missing []string
 	for id := range f.byID {
 		if !present[id] {
-			f.Remove(id, now, storeWasUnavailable)
+			missing = append(missing, id)
 		}
 	}
+	return missing
 }
 
 // Expire removes the backend servers whose return window has passed and returns
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -100,21 +100,37 @@
 		Entry("after a response that broke off", sendAndClose(""), time.Second, false, removed),
 		Entry("after the deadline", http.HandlerFunc(hang), 100*time.Millisecond, false, removed),
 		Entry("after the client has left", http.HandlerFunc(hang), time.Second, true, removed),
+		Entry("missing from a list of all", sendAndClose(""), time.Second, false, func(fleet.Backend) gateway.FleetUpdate {
+			return gateway.FleetUpdate{Present: map[string]bool{}}
+		}),
 		Entry("and it has started again with its ID", sendAndClose(""), time.Second, false, func(b fleet.Backend) gateway.FleetUpdate {
 			b.Incarnation = 2
 			return gateway.FleetUpdate{Put: &b}
 		}),
 	)
 
-	// Guards against blaming calls for the planned end of a server.
-	It("is not counted when its server was draining", func() {
-		s := newFixture(route.Route{Kind: route.Safe, MaxBackendServers: 1}, sendAndClose(""))
-		s.post("/r/x")
-		backend := fleet.Backend{ID: "b0", Service: "svc", Address: s.addresses[0], Slots: 4, Draining: true}
-		Expect(s.gateway.UpdateFleet(context.Background(), gateway.FleetUpdate{Put: &backend})).To(Succeed())
-		Expect(s.gateway.UpdateFleet(context.Background(), gateway.FleetUpdate{Remove: "b0"})).To(Succeed())
+	// Guards against blaming calls for the planned end of a server, before or after
+	// its registration is removed.
+	DescribeTable("is not counted when its server was draining", func(handle http.HandlerFunc, timeout time.Duration) {
+		s := newFixture(route.Route{Kind: route.Safe, MaxBackendServers: 1, Timeout: timeout}, handle)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			if reply, err := s.send(context.Background(), "/r/x"); err == nil {
+				reply.Body.Close()
+			}
+		}()
+		time.Sleep(50 * time.Millisecond)
+		draining := s.backend(0)
+		draining.Draining = true
+		Expect(s.gateway.UpdateFleet(context.Background(), gateway.FleetUpdate{Put: &draining})).To(Succeed())
+		Expect(s.gateway.UpdateFleet(context.Background(), removed(draining))).To(Succeed())
+		Eventually(ended, "2s").Should(BeClosed())
 		Consistently(s.turnStore.reported.Load, "200ms", "20ms").Should(BeZero())
-	})
+	},
+		Entry("and had broken it off before", sendAndClose(""), time.Second),
+		Entry("and has it until its deadline", http.HandlerFunc(hang), 300*time.Millisecond),
+	)
 
 	// Guards against a path that many clients ask for and that is held for all of
 	// them, because other calls end the backend servers that it runs on.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -200,19 +200,26 @@
 				"address", update.Put.Address, "draining", update.Put.Draining, "incarnation", update.Put.Incarnation)
 		}
 	case update.Remove != "":
-		b, known := s.fleet.Get(update.Remove)
-		s.fleet.Remove(update.Remove, now, update.StoreWasUnavailable)
-		if known {
-			s.log.Info("gateway: backend server gone", "backend", b.ID, "address", b.Address, "kept_for_return", update.StoreWasUnavailable)
-			if !update.StoreWasUnavailable {
-				s.dropConnections(b.Address)
-				if !b.Draining {
-					s.recordEnd(b, "registration removed", now)
-				}
-			}
-		}
+		s.removeBackend(update.Remove, update.StoreWasUnavailable, now)
 	case update.Present != nil:
-		s.fleet.RetainOnly(update.Present, now, update.StoreWasUnavailable)
+		for _, id := range s.fleet.Missing(update.Present) {
+			s.removeBackend(id, update.StoreWasUnavailable, now)
+		}
+	}
+}
+
+// removeBackend removes a registration. A backend server that was not draining has
+// ended.
+func (s *Scheduler) removeBackend(id string, storeWasUnavailable bool, now time.Time) {
+	b, known := s.fleet.Get(id)
+	if !known {
+		return
+	}
+	gone := s.fleet.Remove(id, now, storeWasUnavailable)
+	s.log.Info("gateway: backend server gone", "backend", b.ID, "address", b.Address, "kept_for_return", !gone)
+	if gone {
+		s.dropConnections(b.Address)
+		s.recordEnd(b, "registration removed", now)
 	}
 }
 
