gateway: Count one end of a server once, however it is seen

Cause: an end that was noticed by a refused connect got another name when the registration lapsed some seconds later, so that a call which met it twice, at two fronts or in two attempts, could count two ends and be held after two servers.

Change: only refused connects with time between them are different ends of one incarnation; a registration that is gone or replaced concerns the last end that is known. A planned end is not recorded at all, so that calls interrupted after it are not blamed.

Test: 'have one name for each end' has the lapse after a refusal; on the code before it is a third name.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -136,7 +136,10 @@
 // that is silent may only be cut off from this front: its registration will tell.
 func (s *Scheduler) handleProbe(p probedServer, now time.Time) {
 	if p.found == upstream.Refusing {
-		s.recordEnd(p.backend, "refuses connections", now)
+		if !s.endPlanned(p.backend) {
+			end, calls := s.ends.refused(p.backend, now)
+			s.blame(p.backend, end, calls, "refuses connections", now)
+		}
 		return
 	}
 	s.log.Info("gateway: interrupted call not counted as a crash yet", "request", p.requestID,
@@ -154,13 +157,24 @@
 	}
 }
 
-// recordEnd records that a backend server has ended, and that the calls which were
-// interrupted there may have caused it.
+// recordEnd records that the registration of a backend server is gone or has been
+// replaced.
 func (s *Scheduler) recordEnd(backend fleet.Backend, evidence string, now time.Time) {
-	if known, registered := s.fleet.Get(backend.ID); backend.Draining || registered && known.Draining {
-		return // it was to end
+	if !s.endPlanned(backend) {
+		end, calls := s.ends.unregistered(backend, now)
+		s.blame(backend, end, calls, evidence, now)
 	}
-	end, calls := s.ends.end(backend, now)
+}
+
+// endPlanned reports whether a backend server was to end.
+func (s *Scheduler) endPlanned(backend fleet.Backend) bool {
+	known, registered := s.fleet.Get(backend.ID)
+	return backend.Draining || registered && known.Draining
+}
+
+// blame counts the end of a backend server for the calls that were interrupted
+// there.
+func (s *Scheduler) blame(backend fleet.Backend, end string, calls []interruptedCall, evidence string, now time.Time) {
 	s.log.Info("gateway: backend server ended", "backend", backend.ID, "address", backend.Address, "end", end, "evidence", evidence,
 		"interrupted_calls", len(calls))
 	for _, c := range calls {
--- a/gateway/serverends.go
+++ b/gateway/serverends.go
@@ -68,15 +68,24 @@
 	return ""
 }
 
-// end records that a backend server has ended. It returns the name of that end and
-// the calls that it may have ended under.
-func (e *serverEnds) end(backend fleet.Backend, now time.Time) (string, []interruptedCall) {
+// refused records that a backend server refuses connections. It returns the name of
+// its end and the calls that it may have ended under. Refusals with some time
+// between them are different ends of a server whose registration is old.
+func (e *serverEnds) refused(backend fleet.Backend, now time.Time) (string, []interruptedCall) {
 	known, ended := e.noticed[backend.ID]
-	switch {
-	case !ended || known.incarnation != backend.Incarnation:
-		known = noticedEnd{incarnation: backend.Incarnation, count: 1, at: now}
-	case now.Sub(known.at) >= minRestartTime:
+	if ended && known.incarnation == backend.Incarnation && now.Sub(known.at) >= minRestartTime {
 		known.count, known.at = known.count+1, now
+		e.noticed[backend.ID] = known
+	}
+	return e.unregistered(backend, now)
+}
+
+// unregistered is refused for a server whose registration is gone or has been
+// replaced, which concerns the last end that is known.
+func (e *serverEnds) unregistered(backend fleet.Backend, now time.Time) (string, []interruptedCall) {
+	known, ended := e.noticed[backend.ID]
+	if !ended || known.incarnation != backend.Incarnation {
+		known = noticedEnd{incarnation: backend.Incarnation, count: 1, at: now}
 	}
 	e.noticed[backend.ID] = known
 	var blamed, others []interruptedCall
--- a/gateway/serverends_test.go
+++ b/gateway/serverends_test.go
@@ -22,10 +22,10 @@
 	It("concern calls that are interrupted before or soon after the end is known", func() {
 		e := newServerEnds()
 		Expect(e.interrupt(at(0, time.Second))).To(BeEmpty())
-		_, calls := e.end(server, after(2*time.Second))
+		_, calls := e.refused(server, after(2*time.Second))
 		Expect(calls).To(HaveLen(1))
 		Expect(e.interrupt(at(time.Second, 3*time.Second))).NotTo(BeEmpty())
-		_, calls = e.end(server, after(2*time.Second))
+		_, calls = e.refused(server, after(2*time.Second))
 		Expect(calls).To(BeEmpty(), "each call is returned once")
 	})
 
@@ -37,24 +37,26 @@
 		Expect(e.interrupt(other)).To(BeEmpty())
 		Expect(e.interrupt(at(0, time.Second))).To(BeEmpty())
 		e.expire(after(time.Second + interruptionWindow + 1))
-		_, calls := e.end(server, after(10*time.Second))
+		_, calls := e.refused(server, after(10*time.Second))
 		Expect(calls).To(BeEmpty())
 		Expect(e.interrupt(at(10*time.Second+50*time.Millisecond, 10*time.Second+51*time.Millisecond))).To(BeEmpty())
-		_, calls = e.end(server, after(11*time.Second))
+		_, calls = e.refused(server, after(11*time.Second))
 		Expect(calls).To(BeEmpty())
 	})
 
 	// Guards against counting one end twice, or two ends of a server once.
 	It("have one name for each end", func() {
 		e := newServerEnds()
-		first, _ := e.end(server, after(0))
-		again, _ := e.end(server, after(10*time.Millisecond))
+		first, _ := e.refused(server, after(0))
+		again, _ := e.refused(server, after(10*time.Millisecond))
 		Expect(again).To(Equal(first))
-		second, _ := e.end(server, after(2*time.Second))
+		second, _ := e.refused(server, after(2*time.Second))
 		Expect(second).NotTo(Equal(first))
+		removed, _ := e.unregistered(server, after(6*time.Second))
+		Expect(removed).To(Equal(second), "the registration lapses later")
 		restarted := server
 		restarted.Incarnation = 8
-		third, _ := e.end(restarted, after(2*time.Second))
+		third, _ := e.refused(restarted, after(7*time.Second))
 		Expect(third).NotTo(BeElementOf(first, second))
 	})
 })
