--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -60,7 +60,7 @@
 		Entry("a head without a stream", sendAndClose(eventStreamHead[:len(eventStreamHead)-2])),
 		Entry("an end at once", sendAndClose(eventStreamHead)),
 		Entry("an incomplete event", sendAndClose(eventStreamHead+"id: 2\ndata: n")),
-		Entry("the events from the start", http.HandlerFunc(events("a", "b"))),
+		Entry("the events from the start", events("a", "b")),
 		Entry("a refusal", http.HandlerFunc(refuse)),
 		Entry("an unsigned stream", sendAndClose(strings.Replace(eventStreamHead, "Test-Signature: s\r\n", "", 1)+"id: 2\ndata: no\n\n")),
 		Entry("bytes that are no answer", sendAndClose("id: 2\ndata: no\n\n")),
--- a/gateway/serverends_test.go
+++ b/gateway/serverends_test.go
@@ -11,7 +11,7 @@
 
 var _ = Describe("The ends of backend servers", func() {
 	start := time.Unix(1_000_000, 0)
-	after := func(d time.Duration) time.Time { return start.Add(d) }
+	after := start.Add
 	server := fleet.Backend{ID: "b", Incarnation: 7}
 	at := func(sent, interrupted time.Duration) interruptedCall {
 		return interruptedCall{requestID: "r", backend: server, sent: after(sent), at: after(interrupted)}
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -130,14 +130,17 @@
 	Expect(c.stores[host].joiner.Updates().TryPush(Update{RegisteredDisks: present})).To(Succeed())
 }
 
-// awaitCrash waits until a client that has just started hears of a server's end.
-func (c *cluster) awaitCrash(serverEnd string) {
+// reported is the crash that a spec reports.
+var reported = Crash{Calls: []call.Identity{1, 2}, ServerEnd: "x", Expires: time.Now().Add(time.Hour)}
+
+// awaitCrash waits until a client that has just started hears of the crash.
+func (c *cluster) awaitCrash() {
 	client := c.newClient()
 	Eventually(func() string {
 		_ = do(client, Operation{Records: []*turnpb.Record{reserve("r", 1)}, Budget: 1 << 20})
 		crash, _ := client.Crashes().TryPop()
 		return crash.ServerEnd
-	}, "8s", "20ms").Should(Equal(serverEnd))
+	}, "8s", "20ms").Should(Equal(reported.ServerEnd))
 }
 
 func (c *cluster) set() copyset.Set {
@@ -265,7 +268,7 @@
 	It("report a call that ended a backend server to other front servers, once per store", func() {
 		c := newCluster("a", "b", "c", "d")
 		one, two := c.newClient(), c.newClient()
-		Expect(one.ReportCrash(Crash{Calls: []call.Identity{1, 2}, ServerEnd: "x", Expires: time.Now().Add(time.Minute)})).To(BeTrue())
+		Expect(one.ReportCrash(reported)).To(BeTrue())
 		received := 0
 		exchange := func(id string) int {
 			Expect(do(two, Operation{Records: []*turnpb.Record{reserve(id, 1)}, Budget: 100}).Verdict).To(Equal(Stored))
@@ -292,7 +295,7 @@
 			}
 		}
 		Consistently(heard(idle), "300ms").Should(BeEmpty())
-		Expect(c.newClient().ReportCrash(Crash{Calls: []call.Identity{1, 2}, ServerEnd: "x", Expires: time.Now().Add(time.Minute)})).To(BeTrue())
+		Expect(c.newClient().ReportCrash(reported)).To(BeTrue())
 		Eventually(heard(idle), "3s", "10ms").Should(Equal("x"))
 		Eventually(heard(c.newClient()), "500ms", "10ms").Should(Equal("x"))
 	})
@@ -301,8 +304,8 @@
 	// have restarted, at fronts that have restarted too.
 	It("pass on reports of crashes after all of them have restarted", func() {
 		c := newCluster("a", "b", "c", "d")
-		Expect(c.newClient().ReportCrash(Crash{Calls: []call.Identity{1, 2}, ServerEnd: "x", Expires: time.Now().Add(time.Minute)})).To(BeTrue())
-		c.awaitCrash("x")
+		Expect(c.newClient().ReportCrash(reported)).To(BeTrue())
+		c.awaitCrash()
 		stopped := c.stores
 		c.stores = map[string]*testStore{}
 		for _, s := range stopped {
@@ -311,15 +314,15 @@
 		for host, s := range stopped {
 			c.start(host, s.folder)
 		}
-		c.awaitCrash("x")
+		c.awaitCrash()
 	})
 
 	// Guards against a call that goes on to end backend servers after the disks of
 	// the stores were replaced one after the other.
 	It("pass on reports of crashes after all their disks were replaced", func() {
 		c := newCluster("a", "b", "c", "d")
-		Expect(c.newClient().ReportCrash(Crash{Calls: []call.Identity{1, 2}, ServerEnd: "x", Expires: time.Now().Add(time.Minute)})).To(BeTrue())
-		c.awaitCrash("x")
+		Expect(c.newClient().ReportCrash(reported)).To(BeTrue())
+		c.awaitCrash()
 		for _, host := range []string{"a", "b", "c", "d"} {
 			old := c.stores[host]
 			c.start(host+"-new", GinkgoT().TempDir())
@@ -332,7 +335,7 @@
 				c.notify(other)
 			}
 		}
-		c.awaitCrash("x")
+		c.awaitCrash()
 	})
 
 	// A store whose copy set needs no change reads the platform store at longer
