--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -140,44 +140,6 @@
 	}
 }
 
-// Size returns the number of backend servers of a service that are not
-// draining.
-func (f *Fleet) Size(service string) int { return len(f.byService[service]) }
-
-// BackendCount returns the number of backend servers, including draining ones.
-func (f *Fleet) BackendCount() int { return len(f.byID) }
-
-// Occupancy returns the number of this front's calls that run at a service's
-// backend servers, and the number of calls that these can run at once: for each
-// server its slots or callsInMemory, whichever is less. callsInMemory is the
-// number of calls that fit into the memory of one server, or 0 if that is
-// unknown. Servers that have named a limit count only if all have: their slots are
-// not to be filled.
-func (f *Fleet) Occupancy(service string, callsInMemory float64) (running int, capacity float64) {
-	unlimited := f.hasUnlimited(service)
-	for _, s := range f.byService[service] {
-		if unlimited && s.limit.perSecond > 0 {
-			continue
-		}
-		running += s.running
-		if callsInMemory > 0 {
-			capacity += min(float64(s.Slots), callsInMemory)
-		} else {
-			capacity += float64(s.Slots)
-		}
-	}
-	return running, capacity
-}
-
-// TotalSlots returns the number of calls that all backend servers can run at once.
-func (f *Fleet) TotalSlots() int {
-	sum := 0
-	for _, s := range f.byID {
-		sum += s.Slots
-	}
-	return sum
-}
-
 // Request describes the call that a backend server is chosen for.
 type Request struct {
 	Service string
