--- a/cmd/dogwoodline/soak.go
+++ b/cmd/dogwoodline/soak.go
@@ -24,12 +24,13 @@
 	Stores   int           `default:"4" help:"Number of store processes, 3 to 64."`
 	Programs int           `default:"6" help:"Number of concurrent programs."`
 	Net      int           `default:"64" help:"Second octet of the loopback addresses, 1 to 250. Concurrent runs need different values."`
+	Limit    float64       `default:"0" help:"Requests per second that the backend server says it takes from all fronts together; 0 for none."`
 	Binary   string        `help:"Binary of the processes. Default: this binary."`
 }
 
 // Run fails if any of the runs finds violations.
 func (s soakCommand) Run(c *console) error {
-	if s.Fronts < 1 || s.Fronts > 200 || s.Stores < 3 || s.Stores > 64 || s.Net < 1 || s.Net > 250 || s.Seeds < 1 || s.Programs < 1 {
+	if s.Fronts < 1 || s.Fronts > 200 || s.Stores < 3 || s.Stores > 64 || s.Net < 1 || s.Net > 250 || s.Seeds < 1 || s.Programs < 1 || s.Limit < 0 {
 		return errs.Combine(errUsage, errs.New("a flag is out of range, see --help"))
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -49,7 +50,7 @@
 	for i := range s.Seeds {
 		result, err := roles.Run(ctx, roles.Config{
 			Binary: binary, Fronts: s.Fronts, Stores: s.Stores, Programs: s.Programs, Duration: s.Duration,
-			Seed: s.From + uint64(i), SecondOctet: s.Net, Log: newLogger(c.stderr, settings.Default().Log),
+			Seed: s.From + uint64(i), SecondOctet: s.Net, Limit: s.Limit, Log: newLogger(c.stderr, settings.Default().Log),
 		})
 		if err != nil {
 			return err
--- a/emulator/usersplatform/backend.go
+++ b/emulator/usersplatform/backend.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -12,6 +13,7 @@
 type Run struct {
 	RequestID string
 	Body      string
+	At        time.Time
 }
 
 // Backend is a backend server that answers requests of streaming routes with a
@@ -25,6 +27,15 @@
 	mu            sync.Mutex
 	runs          []Run
 	eventInterval time.Duration // between the events of a stream
+	limit         float64       // that it names; 0 for none
+}
+
+// SetLimit sets the number of requests per second that the server says it takes
+// from all fronts together; 0 for none.
+func (b *Backend) SetLimit(perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = perSecond
 }
 
 // SetPause sets the time between the events of a stream.
@@ -56,9 +67,12 @@
 		return // the client disconnected
 	}
 	b.mu.Lock()
-	b.runs = append(b.runs, Run{RequestID: id, Body: string(body)})
-	pause := b.eventInterval
+	b.runs = append(b.runs, Run{RequestID: id, Body: string(body), At: time.Now()})
+	pause, limit := b.eventInterval, b.limit
 	b.mu.Unlock()
+	if limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	w.Header().Set("X-Response-Seal", "seal-"+id)
 	if r.Header.Get("X-Token-Count") == "" {
 		_, _ = fmt.Fprint(w, "done ", id) // the client may have disconnected
--- a/soak/roles/roles.go
+++ b/soak/roles/roles.go
@@ -38,7 +38,10 @@
 	// SecondOctet is the second octet of the loopback addresses of the hosts. Runs at
 	// the same time need different values. 0 stands for 64.
 	SecondOctet int
-	Log         *slog.Logger
+	// Limit is the number of requests per second that the backend server says it
+	// takes from all fronts together; 0 for none.
+	Limit float64
+	Log   *slog.Logger
 }
 
 const (
@@ -97,6 +100,7 @@
 		return Result{Folder: folder}, err
 	}
 	group := duty.NewGroup(ctx, config.Log, metrics.NewSet())
+	d.backend.SetLimit(config.Limit)
 	recorder := newRecorder()
 	group.Go("recorder", recorder.run)
 	clients := duty.NewGroup(ctx, config.Log, metrics.NewSet())
@@ -122,7 +126,9 @@
 	clients.Stop()
 	group.Stop()
 	stop() // the folder can be removed only when no process writes to it
-	result := recorder.drain().check(d.backend.Runs())
+	runs := d.backend.Runs()
+	result := recorder.drain().check(runs)
+	result.Violations = append(result.Violations, checkLimit(runs, config.Limit)...)
 	var crashes []usersplatform.End
 	for _, b := range d.fragile {
 		crashes = append(crashes, b.Runs()...)
--- a/soak/roles/roles_test.go
+++ b/soak/roles/roles_test.go
@@ -19,10 +19,15 @@
 	RunSpecs(t, "soak roles")
 }
 
+// limitedRate is a limit of the backend server, in requests per second, that is far
+// below what the clients send.
+const limitedRate = 8
+
 var _ = Describe("Fronts and stores", func() {
 	// Guards against lost conversations, budgets that are spent twice, requests
-	// that run twice or although they were refused, and answers to another
-	// request, while processes and links fail.
+	// that run twice or although they were refused, answers to another request,
+	// requests that go on to end backend servers, and more requests than a backend
+	// server says it takes, while processes and links fail.
 	It("keep their guarantees under faults", func(ctx context.Context) {
 		binary := filepath.Join(GinkgoT().TempDir(), "dogwoodline")
 		out, err := exec.Command("go", "build", "-buildvcs=false", "-o", binary, "../../cmd/dogwoodline").CombinedOutput()
@@ -40,9 +45,10 @@
 			seed          uint64
 			stores        int
 			answeredAbove int
-		}{{1, 4, 50}, {8, 4, 50}, {1006, 3, 0}, {1006, 3, 0}} {
+			limit         float64
+		}{{1, 4, 50, 0}, {8, 4, 50, 0}, {1006, 3, 0, 0}, {1006, 3, 0, 0}, {2, 4, 10, limitedRate}} {
 			result, err := roles.Run(ctx, roles.Config{
-				Binary: binary, Fronts: 2, Stores: run.stores, Programs: 6, Duration: 10 * time.Second, Seed: run.seed, SecondOctet: 70,
+				Binary: binary, Fronts: 2, Stores: run.stores, Programs: 6, Duration: 10 * time.Second, Seed: run.seed, SecondOctet: 70, Limit: run.limit,
 				Log: slog.New(slog.NewTextHandler(GinkgoWriter, nil)),
 			})
 			Expect(err).NotTo(HaveOccurred())
