fleet, gateway: Let fronts that are not listed probe limits in turn too

What operators would see: where only some fronts are listed (nine of 71 on the large deployments), clients that keep an old list still come to the others.

Change: the scheduler knows the fronts that are not listed too.

Where all fronts are listed nothing changes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,7 +54,8 @@
 	zone      string                     // availability zone of the front
 	leaving   map[string]leavingServer   // by ID, also of servers that are not registered
 	self      string                     // address of the front
-	fronts    []string                   // addresses of the fronts that clients are sent to
+	listed    []string                   // addresses of the fronts that clients are sent to
+	unlisted  []string                   // addresses of the other fronts
 }
 
 // New returns an empty fleet for a front in an availability zone.
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -46,10 +46,11 @@
 	probed      int64 // number of the period in which it probed last
 }
 
-// SetFronts sets the addresses of the fronts that clients are sent to, and of this
-// one.
-func (f *Fleet) SetFronts(self string, fronts []string, now time.Time) {
-	f.self, f.fronts = self, fronts
+// SetFronts sets the address of this front and those of all fronts: the ones that
+// clients are sent to, which share limits, and the others, which may still have
+// clients.
+func (f *Fleet) SetFronts(self string, listed, unlisted []string, now time.Time) {
+	f.self, f.listed, f.unlisted = self, listed, unlisted
 	for _, s := range f.byID {
 		f.divide(s, now)
 	}
@@ -91,28 +92,40 @@
 		return
 	}
 	s.limit.refill(now)
-	before, listed := 0, false
-	own := senderRank(s.ID, f.self)
-	for _, front := range f.fronts {
-		if front == f.self {
-			listed = true
-		} else if senderRank(s.ID, front) > own {
-			before++
-		}
-	}
 	senders := extraSenders + int(min(sendersPerCall*s.limit.perSecond, math.MaxInt32))
-	if len(f.fronts) <= senders {
-		senders = max(1, len(f.fronts))
+	if all := len(f.listed) + len(f.unlisted); all <= senders {
+		senders = max(1, len(f.listed))
 	} else {
 		senders -= probingSenders
 	}
-	if (listed || len(f.fronts) == 0) && before < senders {
-		s.limit.share = s.limit.perSecond / float64(senders)
+	place, listed := f.place(s.ID, f.listed)
+	if (listed || len(f.listed) == 0) && place < senders {
+		s.limit.share = s.limit.perSecond / float64(min(senders, max(1, len(f.listed))))
 		return
 	}
+	if !listed {
+		place, _ = f.place(s.ID, f.unlisted)
+		place += len(f.listed)
+	}
+	// The fronts that only probe do so one after the other.
+	senders = min(senders, len(f.listed))
 	s.limit.share = 0
-	s.limit.turns = int64(max(1, len(f.fronts)-senders))
-	s.limit.turn = int64(max(0, before-senders)) % s.limit.turns
+	s.limit.turns = int64(max(1, len(f.listed)+len(f.unlisted)-senders))
+	s.limit.turn = int64(place-senders) % s.limit.turns
+}
+
+// place returns how many of the fronts come before this one for a backend server,
+// and whether this one is among them.
+func (f *Fleet) place(backend string, fronts []string) (before int, present bool) {
+	own := senderRank(backend, f.self)
+	for _, front := range fronts {
+		if front == f.self {
+			present = true
+		} else if senderRank(backend, front) > own {
+			before++
+		}
+	}
+	return before, present
 }
 
 // senderRank orders the fronts for a backend server.
--- a/fleet/ratelimit_test.go
+++ b/fleet/ratelimit_test.go
@@ -41,10 +41,11 @@
 	return l
 }
 
-// list tells each front which fronts clients are sent to.
-func (l *limitedServers) list(addresses []string, now time.Time) {
+// list tells each front which fronts clients are sent to. The others may still have
+// clients.
+func (l *limitedServers) list(listed []string, now time.Time) {
 	for i, f := range l.fronts {
-		f.SetFronts(l.addresses[i], addresses, now)
+		f.SetFronts(l.addresses[i], listed, l.addresses[len(listed):], now)
 	}
 }
 
@@ -116,6 +117,23 @@
 		Entry("70 fronts and a limit below one", 70, 10, 0.5),
 	)
 
+	// Clients keep an old list of fronts for a while. Guards against many fronts that
+	// clients are not sent to, and that all ask at the same time whether a limit still
+	// applies.
+	DescribeTable("hold when calls also come through fronts that are not listed", func(fronts, listed int, limit float64) {
+		l := newLimitedServers(fronts, 5, limit, start)
+		l.list(l.addresses[:listed], start)
+		for step := range 60_000 {
+			l.offer(l.random.IntN(fronts), start.Add(time.Duration(step)*time.Millisecond))
+		}
+		Expect(l.most()).To(BeNumerically("<=", l.allowed()))
+	},
+		Entry("nine of 71", 71, 9, 2.0),
+		Entry("nine of 71, a limit below one", 71, 9, 0.5),
+		Entry("six of seven", 7, 6, 1.0),
+		Entry("none that is known", 1, 0, 2.0),
+	)
+
 	// Guards against servers that stand idle although they would take calls, because
 	// each front keeps to a part of a limit that nobody else uses.
 	DescribeTable("are used when calls come through all fronts", func(fronts, servers int, limit float64) {
@@ -148,7 +166,7 @@
 						list = append(list, address)
 					}
 				}
-				l.fronts[step/1500%7].SetFronts(l.addresses[step/1500%7], list, now)
+				l.fronts[step/1500%7].SetFronts(l.addresses[step/1500%7], list, nil, now)
 			}
 			l.offer(l.random.IntN(7), now)
 		}
@@ -182,7 +200,7 @@
 
 	It("do not keep calls from servers without one, and are forgotten when a server starts again", func() {
 		f := newFleet(2)
-		f.SetFronts("self", []string{"self"}, start)
+		f.SetFronts("self", []string{"self"}, nil, start)
 		f.Heard(fleet.Statement{BackendID: "b0", Sent: start, Limited: true, CallsPerSecond: 1}, start)
 		for range 10 {
 			b, _, ok := f.Choose(fleet.Request{Service: "s"}, start)
@@ -205,7 +223,7 @@
 	// process their prompts again.
 	It("leave the calls of a conversation that find no place at its server to one other server", func() {
 		f := newFleet(9)
-		f.SetFronts("self", []string{"self"}, start)
+		f.SetFronts("self", []string{"self"}, nil, start)
 		for i := range 6 {
 			f.Heard(fleet.Statement{BackendID: fmt.Sprintf("b%d", i), Sent: start, Limited: true, CallsPerSecond: 1}, start)
 		}
@@ -227,7 +245,7 @@
 	// with limits have little to do, so that each call moves away from its server.
 	It("do not make the servers that take the rest look slow", func() {
 		f := newFleet(9)
-		f.SetFronts("self", []string{"self"}, start)
+		f.SetFronts("self", []string{"self"}, nil, start)
 		for i := range 9 {
 			id, took := fmt.Sprintf("b%d", i), time.Second
 			if i < 6 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,11 +116,18 @@
 // SetFronts replaces the list of known fronts.
 func (g *Gateway) SetFronts(ctx context.Context, fronts []Front) error {
 	g.fronts.Store(&fronts)
-	listed := []string{}
+	known := knownFronts{}
+	listed := map[string]bool{}
 	for _, front := range selectFronts(fronts, g.scheduler.slots()) {
-		listed = append(listed, front.Address)
+		listed[front.Address] = true
+		known.listed = append(known.listed, front.Address)
 	}
-	return g.scheduler.messages.Push(ctx, schedulerMessage{listed: &listed})
+	for _, front := range fronts {
+		if !listed[front.Address] {
+			known.unlisted = append(known.unlisted, front.Address)
+		}
+	}
+	return g.scheduler.messages.Push(ctx, schedulerMessage{fronts: &known})
 }
 
 // Drain starts a planned stop: the front is no longer ready, and further
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -84,10 +84,13 @@
 	update *FleetUpdate
 	probe  *probedServer
 	said   *fleet.Statement
-	// listed holds the addresses of the fronts that clients are sent to.
-	listed *[]string
+	fronts *knownFronts
 }
 
+// knownFronts holds the addresses of the fronts that clients are sent to, and of
+// the others.
+type knownFronts struct{ listed, unlisted []string }
+
 // Scheduler chooses the backend server for each call. A single goroutine runs it
 // and owns the fleet.
 type Scheduler struct {
@@ -102,7 +105,7 @@
 	hasIdleConnection func(address string) bool
 	backendCount      atomic.Int64
 	slotCount         atomic.Int64
-	listedFronts      atomic.Pointer[[]string] // addresses of the fronts that clients are sent to
+	listedFronts      atomic.Int64 // number of fronts that clients are sent to
 	waiting           waitingCalls
 	admission         admission
 	lateness          lateness
@@ -120,7 +123,6 @@
 		crashes: crashRecords{}, ends: newServerEnds(), reportedCrashes: turnStore.Crashes(), reportCrash: turnStore.ReportCrash,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	s.listedFronts.Store(&[]string{})
 	group.Go("scheduler", s.run)
 	group.RegisterRingDepth("scheduler", "items", s.messages.Len)
 	group.RegisterGauge("dogwoodline_calls_waiting", func() int { return int(s.waiting.count.Load()) })
@@ -171,9 +173,9 @@
 		s.handleProbe(*message.probe, now)
 	case message.said != nil:
 		s.noteStatement(*message.said, now)
-	case message.listed != nil:
-		s.listedFronts.Store(message.listed)
-		s.fleet.SetFronts(s.self, *message.listed, now)
+	case message.fronts != nil:
+		s.listedFronts.Store(int64(len(message.fronts.listed)))
+		s.fleet.SetFronts(s.self, message.fronts.listed, message.fronts.unlisted, now)
 	case message.update != nil:
 		s.applyFleetUpdate(*message.update, now)
 		s.publishFleetSize()
@@ -236,7 +238,7 @@
 	}
 	if j.service.Engine != nil && j.tries == 0 {
 		s.admission.observe(j.service.Name, j.request.UnsharedTokens())
-		utilization := s.admission.utilization(s.fleet, j.service, len(*s.listedFronts.Load()))
+		utilization := s.admission.utilization(s.fleet, j.service, int(s.listedFronts.Load()))
 		if j.startsProgram && !admits(utilization, j.route.Priority) {
 			s.failJob(j, fmt.Sprintf("model servers are full (%.2f), programs under way go first", utilization), retryAfterNotAdmitted, now)
 			return
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -27,7 +27,7 @@
 	if heard.Limit {
 		limit, share := s.fleet.Limit(said.BackendID)
 		s.log.Info("gateway: limit of backend server changed", "backend", said.BackendID, "per_second", limit, "own_share", share,
-			"fronts", len(*s.listedFronts.Load()))
+			"fronts", s.listedFronts.Load())
 	}
 	if heard.Leaving {
 		leaving, _ := s.fleet.Get(said.BackendID)
