membership, fencedlog: Date renewals and commits from when they were sent

A repeat of a call was answered that its program does not exist, by node-3 in the moment in which it woke from a freeze; node-1 had taken over its shards 2.6 s before and had started that program.

Both were dated when their answers were read. A process that is frozen while one is under way reads an old answer when it wakes, and takes it for new.

Change: both are dated when they were sent.

Tests: 'state when a renewal was sent, not when its answer was read' (membership) and 'states when a commit was begun, not when its answer was read' (fencedlog) fail on the code before and pass now.

--- a/fencedlog/commit.go
+++ b/fencedlog/commit.go
@@ -61,13 +61,14 @@
 	}
 	w.headBuffer = appendHead(w.headBuffer[:0], next)
 	w.beginSwap(len(batch), next)
+	sent := w.clock.Now()
 	if err := w.swap(ctx, w.headBuffer, next.commit); err != nil {
 		return err
 	}
 	w.endWrite()
 	w.head = next
 	w.nextState.Commits++
-	w.nextState.LastCommit = w.clock.Now()
+	w.nextState.LastCommit = sent
 	return nil
 }
 
--- a/fencedlog/journal_test.go
+++ b/fencedlog/journal_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,6 +218,21 @@
 		Eventually(func() time.Time { return w.State().FailingSince }).Should(BeZero())
 	})
 
+	// Guards against a process that was suspended while a commit was under way and
+	// then takes its journal for its own, because it reads the old answer now.
+	It("states when a commit was begun, not when its answer was read", func(ctx SpecContext) {
+		fake := clockwork.NewFakeClock()
+		began := fake.Now()
+		store := &suspendingStore{Store: memstore.New(fake), clock: fake}
+		w := fencedlog.NewWriter(store, fake, discardLog, "a1", fencedlog.Settings{})
+		Expect(w.Open(ctx)).To(Succeed())
+		go w.Run(ctx)
+		store.suspend.Store(true)
+		Expect(w.Appends().Push(ctx, fencedlog.Append{Tag: 1, Records: []fencedlog.Record{record("p", 1)}})).To(Succeed())
+		Eventually(func() time.Time { return w.State().LastCommit }).Should(Equal(began))
+		Expect(fake.Now()).To(BeTemporally(">=", began.Add(suspension)))
+	})
+
 	It("commits at once when idle, then one group for each write that the budget allows", func(ctx SpecContext) {
 		fake := clockwork.NewFakeClock()
 		store := memstore.New(fake)
@@ -397,3 +413,21 @@
 		Expect(records).To(BeEmpty())
 	})
 })
+
+// suspension is the time for which a suspendingStore suspends the process.
+const suspension = time.Minute
+
+// suspendingStore suspends the process between a put that is done and its answer.
+type suspendingStore struct {
+	kvstore.Store
+	clock   *clockwork.FakeClock
+	suspend atomic.Bool
+}
+
+func (s *suspendingStore) Put(ctx context.Context, key string, value []byte, v kvstore.Version, l kvstore.LeaseID) (kvstore.Version, error) {
+	version, err := s.Store.Put(ctx, key, value, v, l)
+	if s.suspend.Load() {
+		s.clock.Advance(suspension)
+	}
+	return version, err
+}
--- a/fencedlog/writer.go
+++ b/fencedlog/writer.go
@@ -123,7 +123,8 @@
 
 // State is a snapshot of a Writer.
 type State struct {
-	// LastCommit is the time of the last successful commit.
+	// LastCommit is the time at which the last successful commit was begun. Its
+	// answer may have been read much later.
 	LastCommit time.Time
 	// FailingSince is the time of the first failure since the last store call
 	// that was answered, or zero if the last call was answered.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -201,6 +201,20 @@
 		Eventually(env.incarnations).Should(Equal([]string{"a1"}))
 	})
 
+	// Guards against a node that was suspended while its renewal was under way. It
+	// read the old answer when it woke, took its lease for renewed just now, and
+	// answered for programs that another node had taken over and started.
+	It("state when a renewal was sent, not when its answer was read", func(ctx SpecContext) {
+		clock := clockwork.NewFakeClock()
+		began := clock.Now()
+		store := &suspendingStore{Store: memstore.New(clock), clock: clock}
+		s := membership.NewSession(store, clock, discardLog, membership.Member{ID: "a", Incarnation: "a-1"}, ttl, notFenced)
+		go s.Run(ctx)
+		Eventually(func() bool { return s.State().Registered }).Should(BeTrue())
+		Expect(s.State().LastRenewal).To(Equal(began))
+		Expect(clock.Now()).To(BeTemporally(">=", began.Add(ttl)))
+	})
+
 	It("register an incarnation again after its lease lapsed, unless it is fenced or superseded", func(ctx SpecContext) {
 		env := newTestEnv(ctx)
 		var sealed atomic.Bool
@@ -374,3 +388,15 @@
 		Expect(second).To(BeNil())
 	})
 })
+
+// suspendingStore suspends the process between a grant that is done and its answer.
+type suspendingStore struct {
+	kvstore.Store
+	clock *clockwork.FakeClock
+}
+
+func (s *suspendingStore) Grant(ctx context.Context, leaseTTL time.Duration) (kvstore.LeaseID, error) {
+	id, err := s.Store.Grant(ctx, 2*leaseTTL)
+	s.clock.Advance(leaseTTL)
+	return id, err
+}
--- a/membership/session.go
+++ b/membership/session.go
@@ -38,8 +38,9 @@
 // SessionState is a snapshot of the state of a Session.
 type SessionState struct {
 	Registered bool
-	// LastRenewal is the time of the last successful renewal or registration;
-	// zero if there was none.
+	// LastRenewal is the time at which the last successful renewal or registration
+	// was sent; zero if there was none. The answer may have been read much later,
+	// by a process that was suspended meanwhile.
 	LastRenewal time.Time
 	// LapsedAt is the time when the member last learned that its lease had
 	// lapsed; zero if it never did. Other nodes may have begun to take over its
@@ -149,6 +150,7 @@
 func (s *Session) renewOrRegister(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, sessionCallTimeout)
 	defer cancel()
+	sent := s.clock.Now()
 	err := kvstore.ErrLeaseLost
 	if s.lease != 0 {
 		err = s.store.Renew(ctx, s.lease)
@@ -162,7 +164,7 @@
 		err = s.register(ctx)
 	}
 	if err == nil {
-		s.setRegistered(true)
+		s.setRegistered(true, sent)
 	}
 	return err
 }
@@ -203,7 +205,7 @@
 
 // leave revokes the lease, which deletes the member record.
 func (s *Session) leave(ctx context.Context) error {
-	s.setRegistered(false)
+	s.setRegistered(false, time.Time{})
 	if s.lease == 0 {
 		return nil
 	}
@@ -227,12 +229,13 @@
 	s.state.Store(&next)
 }
 
-// setRegistered updates the state after a successful attempt or a leave.
-func (s *Session) setRegistered(registered bool) {
+// setRegistered updates the state after a successful attempt, which was sent at
+// the given time, or a leave.
+func (s *Session) setRegistered(registered bool, sent time.Time) {
 	next := s.State()
 	next.Registered = registered
 	if registered {
-		next.LastRenewal = s.clock.Now()
+		next.LastRenewal = sent
 	}
 	s.state.Store(&next)
 }
