platform, gateway: Decode and log software versions and the attempt of a stream

No log line said which software version a backend server has, or which stream a client takes up, so the hypotheses of docs/incidents/2026-12-05-order.md could not be told apart.

Change: the version of a registration and the attempt that a client names are decoded and logged with each call offered and each changed registration. Nothing decides by the version yet.

--- a/call/call.go
+++ b/call/call.go
@@ -39,6 +39,10 @@
 	// LastEventID is the id of the last event that the client received; empty for
 	// a stream from its start.
 	LastEventID string
+	// ResumedAttempt is the ID of the attempt that brought the first event of the
+	// stream that the client takes up after LastEventID; empty if the client names
+	// none.
+	ResumedAttempt string
 	// AffinityKey identifies the object that the request concerns, so that it can
 	// be sent to a backend server that handled the object before.
 	AffinityKey string
--- a/emulator/usersplatform/client.go
+++ b/emulator/usersplatform/client.go
@@ -130,7 +130,7 @@
 // path /fragile/ to FragileService.
 func (s *Store) Configure(ctx context.Context, b *Backend, address string) error {
 	err := s.Put(ctx, "servers/"+b.ID, map[string]any{
-		"Service": "llm", "Address": address, "Zone": "a", "Slots": 8, "State": "ready",
+		"Service": "llm", "Version": "v1", "Address": address, "Zone": "a", "Slots": 8, "State": "ready",
 	})
 	if err != nil {
 		return err
--- a/emulator/usersplatform/fragile.go
+++ b/emulator/usersplatform/fragile.go
@@ -89,7 +89,7 @@
 	defer stop()
 	defer close(down)
 	if err := b.store.Put(ctx, "servers/"+id, map[string]any{
-		"Service": FragileService, "Address": listener.Addr().String(), "Zone": "a", "Slots": 8, "State": "ready", "born": time.Now().UnixMilli(),
+		"Service": FragileService, "Version": "v1", "Address": listener.Addr().String(), "Zone": "a", "Slots": 8, "State": "ready", "born": time.Now().UnixMilli(),
 	}); err != nil {
 		return err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,9 @@
 	Address          string
 	AvailabilityZone string
 	Slots            int
+	// SoftwareVersion is the version of the server's software. Servers of several
+	// versions may serve side by side.
+	SoftwareVersion string
 	// Draining backend servers get no new calls.
 	Draining bool
 	// Incarnation is the Unix time of the server's start in milliseconds; 0 if
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -199,7 +199,7 @@
 		}
 		if s.fleet.Put(*update.Put) {
 			s.log.Info("gateway: backend server changed", "backend", update.Put.ID, "service", update.Put.Service,
-				"address", update.Put.Address, "draining", update.Put.Draining, "incarnation", update.Put.Incarnation)
+				"address", update.Put.Address, "draining", update.Put.Draining, "incarnation", update.Put.Incarnation, "software", update.Put.SoftwareVersion)
 		}
 	case update.Remove != "":
 		s.removeBackend(update.Remove, update.StoreWasUnavailable, now)
@@ -274,7 +274,8 @@
 	// From the push on, the job belongs to the call worker.
 	j.tries++
 	offered := []any{"request", j.request.ID, "route", j.route.Name, "backend", backend.ID, "running", running, "slots", backend.Slots, "try", j.tries,
-		"waited_ms", now.Sub(j.request.Arrived).Milliseconds(), "choices", s.fleet.Size(j.service.Name), "resume_after", j.resumeAfter}
+		"waited_ms", now.Sub(j.request.Arrived).Milliseconds(), "choices", s.fleet.Size(j.service.Name), "resume_after", j.resumeAfter,
+		"resumed_attempt", j.request.ResumedAttempt, "software", backend.SoftwareVersion}
 	if err := s.attempts.TryPush(attempt{job: j, backend: backend, started: now, limited: limit > 0}); err != nil {
 		s.failJob(j, "all callers are busy", retryAfterFull, now)
 		return
