--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -46,6 +46,7 @@
 	resumeHeader    = "Test-After"
 	limitHeader     = "Test-Limit"
 	leavingHeader   = "Test-Leaving"
+	resumesHeader   = "Test-Resumes"
 )
 
 type codec struct{}
@@ -78,6 +79,7 @@
 		ID: header.Get(idHeader), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Arrived: arrived,
 		Program: header.Get("Test-Program"), PreviousTurn: header.Get("Test-Previous"), MaxOutputTokens: 50,
 	}
+	request.LastEventID, request.ResumedAttempt = header.Get(resumeHeader), header.Get(resumesHeader)
 	request.TokenBudget, _ = strconv.Atoi(header.Get("Test-Budget"))
 	return request
 }
@@ -129,6 +131,9 @@
 	runs      atomic.Int64
 
 	addresses []string // of the backend servers
+	versions  []string // of the backend servers' software; empty for one version
+	zones     []string // of the backend servers; empty for that of the front
+	route     route.Route
 }
 
 func newFixture(r route.Route, backends ...http.HandlerFunc) *fixture {
@@ -140,10 +145,7 @@
 func newFixtureWith(log *slog.Logger, settings gateway.Settings, r route.Route, backends ...http.HandlerFunc) *fixture {
 	s := &fixture{turnStore: &fakeTurnStore{begin: turnstore.Result{Verdict: turnstore.Stored}, commit: make(chan turnstore.Result, 8),
 		crashes: ring.New[turnstore.Crash](8)}}
-	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	settings.Address, settings.Zone, settings.AddressTTL, settings.MaxAddresses = "self", "a", time.Second, 8
-	s.gateway = gateway.New(group, log, metrics.NewSet(), settings, decode, codec{}, s.turnStore)
-	for i, handle := range backends {
+	for _, handle := range backends {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(idHeader, r.Header.Get(idHeader))
 			w.Header().Set(signatureHeader, "s")
@@ -151,27 +153,64 @@
 		}))
 		DeferCleanup(server.Close)
 		s.addresses = append(s.addresses, server.Listener.Addr().String())
-		backend := s.backend(i)
-		Expect(s.gateway.UpdateFleet(context.Background(), gateway.FleetUpdate{Put: &backend})).To(Succeed())
 	}
 	r.Name, r.Host, r.Prefix = "r", "example", "/r/"
-	r.Shares = []route.Share{{Service: "svc", Weight: 1}}
+	if r.Shares == nil {
+		r.Shares = []route.Share{{Service: "svc", Weight: 1}}
+	}
 	if r.Timeout == 0 {
 		r.Timeout = 5 * time.Second
 	}
-	s.gateway.SetTable(route.NewTable(1, []route.Route{r}, []route.Service{{Name: "svc"}}, route.Limits{MaxBodyBytes: 1 << 20}))
-	s.front = httptest.NewServer(s.gateway)
+	s.route = r
+	s.startGateway(log, settings)
+	return s
+}
+
+// startGateway starts a gateway that knows the backend servers and the route.
+func (s *fixture) startGateway(log *slog.Logger, settings gateway.Settings) {
+	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
+	settings.Address, settings.Zone, settings.AddressTTL, settings.MaxAddresses = "self", "a", time.Second, 8
+	s.gateway = gateway.New(group, log, metrics.NewSet(), settings, decode, codec{}, s.turnStore)
+	for i := range s.addresses {
+		s.register(i)
+	}
+	var services []route.Service
+	for _, share := range s.route.Shares {
+		services = append(services, route.Service{Name: share.Service})
+	}
+	s.gateway.SetTable(route.NewTable(1, []route.Route{s.route}, services, route.Limits{MaxBodyBytes: 1 << 20}))
+	front := httptest.NewServer(s.gateway)
+	s.front = front
 	DeferCleanup(func() {
-		s.front.CloseClientConnections()
-		s.front.Close()
+		front.CloseClientConnections()
+		front.Close()
 		group.Stop()
 	})
-	return s
+}
+
+// restartOn replaces the gateway by one that shares the turn stores of another
+// fixture.
+func (s *fixture) restartOn(other *fixture) {
+	s.turnStore = other.turnStore
+	s.startGateway(slog.New(slog.DiscardHandler), gateway.Settings{CallWorkers: 8})
+}
+
+// register registers a backend server, or replaces its registration.
+func (s *fixture) register(i int) {
+	backend := s.backend(i)
+	Expect(s.gateway.UpdateFleet(context.Background(), gateway.FleetUpdate{Put: &backend})).To(Succeed())
 }
 
 // backend returns the registration of a backend server.
 func (s *fixture) backend(i int) fleet.Backend {
-	return fleet.Backend{ID: fmt.Sprintf("b%d", i), Service: "svc", Address: s.addresses[i], Slots: 4, AvailabilityZone: "a"}
+	b := fleet.Backend{ID: fmt.Sprintf("b%d", i), Service: "svc", Address: s.addresses[i], Slots: 4, AvailabilityZone: "a", SoftwareVersion: "v1"}
+	if i < len(s.versions) {
+		b.SoftwareVersion = s.versions[i]
+	}
+	if i < len(s.zones) {
+		b.AvailabilityZone = s.zones[i]
+	}
+	return b
 }
 
 func (s *fixture) send(ctx context.Context, path string, header ...string) (*http.Response, error) {
