gateway, turnstore, fleet: Let streams go on only at the software version that began them

Cause: the choice of a backend server for the rest of a stream knew neither the version that began it nor, at a front that did not begin it, the stream. The fact was known to one front only, and lost with it. The class of fault: what one process knows and another needs was not shared.

A front stores the service and software version of a stream when it sends the call, while the backend server reads the prompt, and forwards the first event once the fact is stored. An attempt that another version answers after a refusal stores a higher version of the fact. A client's request to take a stream up reads it in the message that reserves the budget. The rest of a stream then gets a server of that service and version only: before affinity, within the limits, and also on a route that is divided between services, whose choice by the attempt's id sent half of the take-ups elsewhere. A stream that is not known, or whose version has gone, is refused at once as not run.

Ruled out: a fact about a service (only one version has served since ...): it costs nothing in calm, but a front whose list lags would be wrong in the moment in which versions begin to mix. Reading the version from the answer: none is sent.

One message more a resumable stream to each of the stores that reserve its budget.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -154,6 +154,9 @@
 	// Exclude lists the ids of backend servers that must not get this call
 	// again.
 	Exclude []string
+	// SoftwareVersion is the only software version that may serve the call; empty if
+	// any may.
+	SoftwareVersion string
 	// Connected reports whether an idle connection to an address is open. It is
 	// nil if that shall not influence the choice.
 	Connected func(address string) bool
@@ -172,7 +175,7 @@
 		first, second = second, nil // so that these calls stay together too
 	}
 	for _, s := range f.byService[request.Service] {
-		if excluded(request.Exclude, s.ID) || s.limit.wait(now) > 0 {
+		if excluded(request.Exclude, s.ID) || !request.versionFits(s) || s.limit.wait(now) > 0 {
 			continue
 		}
 		cost := f.cost(s, request, now)
@@ -274,6 +277,9 @@
 	unlimited := f.hasUnlimited(request.Service)
 	var firstRank, secondRank uint64
 	for _, s := range f.byService[request.Service] {
+		if !request.versionFits(s) {
+			continue // else the calls of a conversation would not stay together
+		}
 		switch rank := xxhash.Sum64String(request.Affinity + "\x00" + s.ID); {
 		case first == nil || rank > firstRank:
 			if first != nil && !(unlimited && first.limit.perSecond > 0) {
@@ -288,6 +294,12 @@
 	return first, second
 }
 
+// versionFits reports whether the software version of a backend server may serve
+// the call.
+func (r Request) versionFits(s *backendState) bool {
+	return r.SoftwareVersion == "" || r.SoftwareVersion == s.SoftwareVersion
+}
+
 func excluded(list []string, id string) bool {
 	for _, one := range list {
 		if one == id {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -83,6 +83,33 @@
 		Expect(f.Expire(now.Add(2 * time.Second))).To(Equal([]fleet.Backend{backend("b1")}))
 	})
 
+	// Guards against the rest of a stream that goes to the preferred server of its
+	// conversation although that has another software version, or beyond the limit
+	// that a server of its version names (ORDER, issue 26).
+	It("gives the rest of a stream to a server of its software version, within the limits, whatever server is preferred", func() {
+		f := newFleet(8)
+		own := backend("b3")
+		own.SoftwareVersion, own.AvailabilityZone = "v2", "c"
+		f.Put(own)
+		rest := fleet.Request{Service: "s", SoftwareVersion: "v2"}
+		for i := range 50 {
+			rest.Affinity = fmt.Sprint("conversation-", i)
+			b, _, ok := f.Choose(rest, now)
+			Expect(ok).To(BeTrue())
+			Expect(b.ID).To(Equal("b3"))
+		}
+		f.Heard(fleet.Statement{BackendID: "b3", Sent: now, Limited: true, CallsPerSecond: 1}, now)
+		f.CallStarted("b3", now)
+		_, _, ok := f.Choose(rest, now)
+		Expect(ok).To(BeFalse(), "the others have another version")
+		wait, left := f.LimitWait(rest, now)
+		Expect(left).To(BeTrue())
+		Expect(wait).To(BeNumerically(">", 0))
+		rest.SoftwareVersion = "v3"
+		_, left = f.LimitWait(rest, now)
+		Expect(left).To(BeFalse(), "no server has this version")
+	})
+
 	It("spreads calls over idle backend servers", func() {
 		f := newFleet(5)
 		for range 5 {
--- a/fleet/ratelimit.go
+++ b/fleet/ratelimit.go
@@ -182,7 +182,7 @@
 func (f *Fleet) LimitWait(request Request, now time.Time) (time.Duration, bool) {
 	shortest, found := time.Duration(0), false
 	for _, s := range f.byService[request.Service] {
-		if excluded(request.Exclude, s.ID) {
+		if excluded(request.Exclude, s.ID) || !request.versionFits(s) {
 			continue
 		}
 		if wait := s.limit.wait(now); !found || wait < shortest {
--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"strings"
 	"time"
@@ -39,6 +40,9 @@
 	messages *ring.Ring[schedulerMessage] // to the scheduler
 	pool     *upstream.Pool
 	codec    Codec
+
+	turnStore TurnStore
+	log       *slog.Logger
 }
 
 func (c *callWorker) run(ctx context.Context) error {
@@ -87,6 +91,7 @@
 		ID: j.request.ID, Address: a.backend.Address, Service: a.backend.Service, Method: j.request.Method, Target: j.request.Target,
 		Host: j.request.Host, Body: j.body, Header: c.codec.Encode(j.request, a.backend.ID, left, rank, j.resumeAfter),
 	}
+	c.recordOrigin(a)
 	sent := time.Now()
 	exchange, verdict, err := c.pool.Do(j.ctx, request, j.claim)
 	if err != nil {
@@ -102,7 +107,7 @@
 	defer exchange.Close()
 	c.passStatement(ctx, a, exchange.Response)
 	j.answer.begin(exchange.Abort)
-	result := c.forward(j, exchange)
+	result := c.forward(a, exchange)
 	if !j.firstEvent.IsZero() && j.firstEvent.After(sent) {
 		result.firstEvent = j.firstEvent.Sub(sent)
 	}
@@ -127,7 +132,8 @@
 }
 
 // forward checks the header of a response and forwards the response.
-func (c *callWorker) forward(j *job, exchange *upstream.Exchange) attemptResult {
+func (c *callWorker) forward(a attempt, exchange *upstream.Exchange) attemptResult {
+	j := a.job
 	response := exchange.Response
 	success := response.Status >= 200 && response.Status < 300
 	switch {
@@ -137,7 +143,7 @@
 	case !response.Signed || response.ContentEncoded:
 		return attemptResult{verdict: call.Unknown, reason: "answer without signature, or encoded"}
 	case success && j.route.Kind == route.Streaming && isEventStream(response):
-		return c.forwardStream(j, exchange)
+		return c.forwardStream(a, exchange)
 	}
 	return c.forwardBody(j, exchange)
 }
@@ -170,7 +176,8 @@
 }
 
 // forwardStream forwards events as they arrive.
-func (c *callWorker) forwardStream(j *job, exchange *upstream.Exchange) attemptResult {
+func (c *callWorker) forwardStream(a attempt, exchange *upstream.Exchange) attemptResult {
+	j := a.job
 	events := newEventReader(exchange, j.answer.grow)
 	received := 0
 	resumedHere, resumed := j.headSent, j.resumeAfter != ""
@@ -195,6 +202,9 @@
 			return attemptResult{verdict: call.Unknown, reason: "stream does not go on after event " + j.resumeAfter}
 		}
 		received++
+		if !c.bindToOrigin(a) {
+			return attemptResult{verdict: call.Unknown, reason: "the origin of the stream could not be stored", done: j.ctx.Err() != nil}
+		}
 		if !forwardHead(j, exchange) {
 			return attemptResult{verdict: call.Unknown, done: true}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,7 +72,7 @@
 	attempts := ring.New[attempt](settings.CallWorkers)
 	g.scheduler = newScheduler(group, log, settings.Address, settings.Zone, attempts, g.pool, turnStore)
 	for range settings.CallWorkers {
-		c := &callWorker{attempts: attempts, messages: g.scheduler.messages, pool: g.pool, codec: codec}
+		c := &callWorker{attempts: attempts, messages: g.scheduler.messages, pool: g.pool, codec: codec, turnStore: turnStore, log: log}
 		group.Go("caller", c.run)
 	}
 	group.RegisterGauge("dogwoodline_requests_running", func() int { return int(g.activeRequests.Load()) })
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -93,6 +93,8 @@
 	commit chan turnstore.Result
 	sent   atomic.Int64
 
+	facts factStore
+
 	crashes  *ring.Ring[turnstore.Crash]
 	reported atomic.Int64 // crashes that the gateway has reported
 }
@@ -100,6 +102,11 @@
 func (f *fakeTurnStore) Serving() bool { return true }
 
 func (f *fakeTurnStore) Do(ctx context.Context, op turnstore.Operation) turnstore.Result {
+	if op.FactKey != "" {
+		result := f.begin
+		result.Fact = f.facts.get(op.FactKey)
+		return result
+	}
 	if len(op.Records) == 0 || op.Records[0].GetReservation() != nil {
 		return f.begin
 	}
@@ -111,6 +118,12 @@
 	}
 }
 
+func (f *fakeTurnStore) Start(op turnstore.Operation) <-chan turnstore.Result {
+	reply := make(chan turnstore.Result, 1)
+	f.facts.put(op.Records, reply)
+	return reply
+}
+
 func (f *fakeTurnStore) ReportCrash(crash turnstore.Crash) bool {
 	f.reported.Add(1)
 	return f.crashes.TryPush(crash) == nil
@@ -133,6 +146,7 @@
 	addresses []string // of the backend servers
 	versions  []string // of the backend servers' software; empty for one version
 	zones     []string // of the backend servers; empty for that of the front
+	services  []string // of the backend servers; empty for svc
 	route     route.Route
 }
 
@@ -207,6 +221,9 @@
 	if i < len(s.versions) {
 		b.SoftwareVersion = s.versions[i]
 	}
+	if i < len(s.services) {
+		b.Service = s.services[i]
+	}
 	if i < len(s.zones) {
 		b.AvailabilityZone = s.zones[i]
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -39,8 +39,9 @@
 	service       route.Service
 	table         *route.Table
 	turn          *turnRecord
-	startsProgram bool // the request starts a program
-	headWritten   bool // the response header was sent
+	startsProgram bool          // the request starts a program
+	origin        *streamOrigin // of the stream that the client takes up; nil for a new one
+	headWritten   bool          // the response header was sent
 }
 
 // ServeHTTP serves one client request.
@@ -108,20 +109,15 @@
 func (e *clientExchange) serve() {
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.request.Arrived.Add(e.request.Timeout))
 	defer cancel()
-	name := e.route.PickService(hashFraction(e.request))
-	service, known := e.table.Services[name]
-	if !known {
-		service = route.Service{Name: name}
-	}
-	e.service = service
-	e.turn = newTurnRecord(e.gateway.turnStore, &e.request, e.route, service.Engine, e.request.Body)
+	e.service = e.findService(e.route.PickService(hashFraction(e.request)))
+	e.turn = newTurnRecord(e.gateway.turnStore, &e.request, e.route, e.service.Engine, e.request.Body)
 	body, ok := e.beginTurn(ctx)
 	if !ok {
 		return
 	}
 	deadline, _ := ctx.Deadline()
 	j := &job{
-		ctx: ctx, request: &e.request, route: e.route, service: service, body: body, deadline: deadline, startsProgram: e.startsProgram,
+		ctx: ctx, request: &e.request, route: e.route, service: e.service, body: body, deadline: deadline, startsProgram: e.startsProgram, origin: e.origin,
 		parts: ring.New[responsePart](partRingSize), resumeAfter: e.request.LastEventID,
 		answer: &answerBytes{budget: e.gateway.answerBudget},
 	}
@@ -134,11 +130,27 @@
 	e.relay(ctx, j)
 }
 
-// beginTurn reserves the turn's token budget and returns the body to send: the
-// conversation so far, followed by the request's own body. It reports false if
-// it has already responded.
+// findService returns the service with the given name.
+func (e *clientExchange) findService(name string) route.Service {
+	if service, known := e.table.Services[name]; known {
+		return service
+	}
+	return route.Service{Name: name}
+}
+
+// takesUp reports whether the client takes up a stream after its last event.
+func (e *clientExchange) takesUp() bool {
+	return e.route.Kind == route.Streaming && e.route.Resumable && e.request.LastEventID != ""
+}
+
+// beginTurn reserves the turn's token budget, finds the origin of a stream that the
+// client takes up, and returns the body to send: the conversation so far, followed
+// by the request's own body. It reports false if it has already responded.
 func (e *clientExchange) beginTurn(ctx context.Context) ([]byte, bool) {
-	if e.route.Kind != route.Streaming || (!e.turn.hasBudget && !e.route.RetainTurns) {
+	if !e.takesUp() {
+		e.request.ResumedAttempt = "" // there is no event to go on after
+	}
+	if e.route.Kind != route.Streaming || (!e.turn.hasBudget && !e.route.RetainTurns && !e.takesUp()) {
 		return e.request.Body, true
 	}
 	if e.route.RetainTurns && !e.gateway.turnStore.Serving() {
@@ -149,7 +161,7 @@
 	result := e.turn.begin(ctx, start)
 	e.log(slog.LevelInfo, "gateway: turn begun", "verdict", result.Verdict.String(), "program", e.request.Program,
 		"previous", e.request.PreviousTurn, "budget", e.request.TokenBudget, "spent", result.Spent, "reserved", result.Reserved,
-		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation),
+		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation), "resumed_attempt", e.request.ResumedAttempt,
 		"took_ms", time.Since(start).Milliseconds())
 	e.startsProgram = e.turn.hasBudget && result.Spent == 0 && result.Reserved == 0
 	switch result.Verdict {
@@ -168,6 +180,10 @@
 		e.refuse("too few turn stores answered", retryAfterNotReady)
 		return nil, false
 	}
+	if e.takesUp() && !e.useOrigin(result.Fact) {
+		e.turn.settle(start)
+		return nil, false
+	}
 	if len(result.Conversation) == 0 {
 		return e.request.Body, true
 	}
@@ -178,6 +194,20 @@
 	return append(body, e.request.Body...), true
 }
 
+// useOrigin lets the request run only where the rest of the stream that the client
+// takes up may come from. It reports false if it has refused the request, because
+// that is not known: the client can begin anew at once.
+func (e *clientExchange) useOrigin(fact turnstore.Fact) bool {
+	origin, known := decodeOrigin(fact)
+	if !known || !e.route.Allows(origin.service) {
+		e.refuse("the origin of the stream that is taken up is not known", retryAfterUnknownStream)
+		return false
+	}
+	e.origin, e.service = &origin, e.findService(origin.service)
+	e.turn.useEngine(e.service.Engine)
+	return true
+}
+
 // relay writes the parts of the response to the client until the last one.
 func (e *clientExchange) relay(ctx context.Context, j *job) {
 	for {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodline.example/call"
+	"dogwoodline.example/fleet"
 	"dogwoodline.example/ring"
 	"dogwoodline.example/route"
 )
@@ -54,9 +55,30 @@
 	resumeAfter  string
 	headSent     bool
 	lastReason   string
+	// origin limits the backend servers that may send the rest of the stream; nil
+	// before its first event.
+	origin       *streamOrigin
+	originRecord originRecord
 	waits        bool // it has been let wait for the limits of the backend servers
 }
 
+// fleetRequest describes which backend servers may get the call.
+func (j *job) fleetRequest() fleet.Request {
+	request := fleet.Request{Service: j.service.Name, Exclude: j.exclude}
+	if j.origin != nil {
+		request.SoftwareVersion = j.origin.version
+	}
+	return request
+}
+
+// noServerLeft says why no backend server may get the call.
+func (j *job) noServerLeft() string {
+	if j.origin != nil {
+		return "no backend server of software version " + j.origin.version + " is left for the rest of this stream"
+	}
+	return "no backend server is left for this call"
+}
+
 // certainlyNotRun reports whether the call has certainly not run.
 func (j *job) certainlyNotRun() bool { return phase(j.phase.Load()) != phaseSent }
 
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -258,7 +258,8 @@
 // place chooses a backend server for a job that may be sent. The job waits, or
 // fails, if none may get it now.
 func (s *Scheduler) place(j *job, now time.Time) {
-	request := fleet.Request{Service: j.service.Name, Exclude: j.exclude, TieBreak: s.random.Uint64()}
+	request := j.fleetRequest()
+	request.TieBreak = s.random.Uint64()
 	if j.service.Engine == nil { // for model servers, cached prompts matter more than an open connection
 		request.Connected = s.hasIdleConnection
 	}
--- a/gateway/softwareversions_test.go
+++ b/gateway/softwareversions_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -106,4 +107,94 @@
 			Expect(body).To(Equal("id: 2\ndata: v1\n\nid: 3\ndata: v1\n\n"))
 		}
 	})
+
+	// Guards against a stream that is taken up after all fronts lost power, before the
+	// stores knew its version (report of another operator, issue 26).
+	It("sends no event before its origin is stored", func() {
+		var served atomic.Int64
+		s := withVersions(resumableRoute, "v1", []string{"v1"}, versionEvents("v1", &served))
+		s.turnStore.facts.held = make(chan func(), 1)
+		answered := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, body, _ := s.post("/r/x")
+			answered <- body
+		}()
+		Eventually(served.Load, "2s", "5ms").Should(BeEquivalentTo(1))
+		Consistently(answered, "200ms", "20ms").ShouldNot(Receive())
+		(<-s.turnStore.facts.held)()
+		Eventually(answered, "2s", "5ms").Should(Receive(ContainSubstring("id: 3")))
+	})
+
+	// Guards against streams that do not begin while too few stores answer.
+	It("begins all the same when its origin cannot be stored, and whoever takes it up is refused", func() {
+		var served atomic.Int64
+		s := withVersions(resumableRoute, "v1", []string{"v1"}, versionEvents("v1", &served))
+		s.turnStore.facts.refuse()
+		status, body, _ := s.post("/r/x")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(HaveSuffix("id: 3\ndata: v1\n\n"))
+		status, _, header := s.post("/r/x", idHeader, "req-2", resumeHeader, "1", resumesHeader, "req-1")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(served.Load()).To(BeEquivalentTo(1), "the refused request has not run")
+	})
+
+	// Guards against guessing where a stream began.
+	It("is refused without being run when the client does not say which attempt began it", func() {
+		var served atomic.Int64
+		s := withVersions(resumableRoute, "v1", []string{"v1"}, versionEvents("v1", &served))
+		s.post("/r/x")
+		status, _, _ := s.post("/r/x", idHeader, "req-2", resumeHeader, "1")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(served.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against holding a client until its deadline although its version has gone.
+	It("is refused at once when no server of its version is left", func() {
+		var served atomic.Int64
+		s := withVersions(resumableRoute, "v1", []string{"v1"}, versionEvents("v1", &served))
+		s.post("/r/x")
+		s.versions = []string{"v2"}
+		s.register(0)
+		start := time.Now()
+		status, _, _ := s.post("/r/x", idHeader, "req-2", resumeHeader, "1", resumesHeader, "req-1")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+		Expect(served.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against an origin that names the server that refused the call instead of
+	// the one that answered it.
+	It("has the version of the server that answered, after another one refused the call", func() {
+		var served atomic.Int64
+		s := withVersions(resumableRoute, "v1", []string{"v1", "v2"}, refuse, versionEvents("v2", &served))
+		status, body, _ := s.post("/r/x")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(ContainSubstring("v2"))
+		time.Sleep(fullPause)
+		status, body, _ = s.post("/r/x", idHeader, "req-2", resumeHeader, "1", resumesHeader, "req-1")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("id: 2\ndata: v2\n\nid: 3\ndata: v2\n\n"))
+	})
+
+	// Guards against a route that is divided between services, and sends the attempt
+	// that takes a stream up to another service than the one that began it.
+	It("stays at its service when the route is divided", func() {
+		var first, second atomic.Int64
+		divided := resumableRoute
+		divided.Shares = []route.Share{{Service: "svc", Weight: 1}, {Service: "other", Weight: 1}}
+		s := newFixture(divided, versionEvents("svc", &first), versionEvents("other", &second))
+		s.services = []string{"svc", "other"}
+		s.register(1)
+		for i := range 20 {
+			began := fmt.Sprint("first-", i)
+			_, whole, _ := s.post("/r/x", idHeader, began)
+			_, rest, _ := s.post("/r/x", idHeader, fmt.Sprint("second-", i), resumeHeader, "1", resumesHeader, began)
+			Expect(rest).NotTo(BeEmpty())
+			Expect(whole).To(HaveSuffix(rest))
+		}
+		Expect(first.Load()).To(BeNumerically(">", 0))
+		Expect(second.Load()).To(BeNumerically(">", 0))
+	})
 })
--- a/gateway/turnrecord.go
+++ b/gateway/turnrecord.go
@@ -39,6 +39,8 @@
 	Serving() bool
 	// Do runs an operation and waits for its result.
 	Do(ctx context.Context, op turnstore.Operation) turnstore.Result
+	// Start starts an operation and returns the channel on which its result arrives.
+	Start(op turnstore.Operation) <-chan turnstore.Result
 	// Send stores records without waiting. It reports whether they were queued.
 	Send(records ...*turnpb.Record) bool
 	// ReportCrash reports a crash to all fronts. It reports whether it was queued.
@@ -63,12 +65,18 @@
 }
 
 func newTurnRecord(turnStore TurnStore, request *call.Request, r *route.Route, engine *route.Engine, input []byte) *turnRecord {
-	t := &turnRecord{turnStore: turnStore, request: request, route: r, input: input, tokensPerEvent: 1, attempt: request.ID}
+	t := &turnRecord{turnStore: turnStore, request: request, route: r, input: input, attempt: request.ID}
 	t.hasBudget = request.Program != "" && request.TokenBudget > 0
+	t.useEngine(engine)
+	return t
+}
+
+// useEngine sets the engine that generates the turn; nil if the service has none.
+func (t *turnRecord) useEngine(engine *route.Engine) {
+	t.tokensPerEvent = 1
 	if engine != nil && engine.TokensPerEvent > 0 {
 		t.tokensPerEvent = int64(engine.TokensPerEvent)
 	}
-	return t
 }
 
 func (t *turnRecord) retention() time.Duration {
@@ -93,13 +101,16 @@
 }
 
 // begin reserves the turn's tokens and fetches the conversation that it
-// continues.
+// continues, and the origin of the stream that it takes up.
 func (t *turnRecord) begin(ctx context.Context, now time.Time) turnstore.Result {
 	op := turnstore.Operation{}
 	if t.route.RetainTurns {
 		op.Chain = t.request.PreviousTurn
 	}
-	if !t.hasBudget && op.Chain == "" {
+	if t.request.ResumedAttempt != "" {
+		op.FactKey = originKey(t.request.ResumedAttempt)
+	}
+	if !t.hasBudget && op.Chain == "" && op.FactKey == "" {
 		return turnstore.Result{Verdict: turnstore.Stored}
 	}
 	var result turnstore.Result
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -72,7 +72,7 @@
 // job if none is left, and those jobs that would wait for too long.
 func (s *Scheduler) await(j *job, request fleet.Request, now time.Time) {
 	if _, left := s.fleet.LimitWait(request, now); !left {
-		s.failJob(j, "no backend server is left for this call", retryAfterFull, now)
+		s.failJob(j, j.noServerLeft(), retryAfterFull, now)
 		return
 	}
 	list := s.waiting.byService[j.service.Name]
@@ -87,12 +87,12 @@
 	rate, allLimited := s.fleet.LimitedRate(service)
 	var kept []*job
 	for _, j := range s.waiting.byService[service] {
-		wait, left := s.fleet.LimitWait(fleet.Request{Service: service, Exclude: j.exclude}, now)
+		wait, left := s.fleet.LimitWait(j.fleetRequest(), now)
 		switch {
 		case j.ctx.Err() != nil:
 			continue // the handler has already ended the request
 		case !left:
-			s.failJob(j, "no backend server is left for this call", retryAfterFull, now)
+			s.failJob(j, j.noServerLeft(), retryAfterFull, now)
 			continue
 		case allLimited && rate == 0:
 			s.failJob(j, "this front has no share of the limits of the backend servers", retryAfterFull, now) // others have
@@ -131,7 +131,7 @@
 			}
 		}
 		for _, j := range s.waiting.byService[service] {
-			wait, _ := s.fleet.LimitWait(fleet.Request{Service: service, Exclude: j.exclude}, now)
+			wait, _ := s.fleet.LimitWait(j.fleetRequest(), now)
 			next = min(next, wait)
 		}
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -86,6 +86,16 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// Allows reports whether the route sends requests to a service.
+func (r *Route) Allows(service string) bool {
+	for _, share := range r.Shares {
+		if share.Service == service && share.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Engine describes the capacity of each model server of a service.
 type Engine struct {
 	// Slots is the number of requests that a model server processes in one batch.
--- a/turnstore/client.go
+++ b/turnstore/client.go
@@ -98,6 +98,7 @@
 	reply  *turnpb.ExchangeReply
 	ledger *turnpb.Ledger
 	chain  *turnpb.Chain
+	fact   *turnpb.Fact
 	err    error
 }
 
@@ -132,16 +133,22 @@
 	return c.commands.Push(ctx, command{copySet: &set})
 }
 
+// Start starts an operation and returns the channel on which its result arrives.
+// The verdict is Uncertain if the queue is full.
+func (c *Client) Start(op Operation) <-chan Result {
+	reply := make(chan Result, 1)
+	if err := c.commands.TryPush(command{submit: &submission{op: op, reply: reply}}); err != nil {
+		reply <- Result{Verdict: Uncertain}
+	}
+	return reply
+}
+
 // Do runs an operation and returns its result. The verdict is Uncertain if the
 // queue is full, or if ctx ends first; the records may then be stored all the
 // same.
 func (c *Client) Do(ctx context.Context, op Operation) Result {
-	reply := make(chan Result, 1)
-	if err := c.commands.TryPush(command{submit: &submission{op: op, reply: reply}}); err != nil {
-		return Result{Verdict: Uncertain}
-	}
 	select {
-	case result := <-reply:
+	case result := <-c.Start(op):
 		return result
 	case <-ctx.Done():
 		return Result{Verdict: Uncertain}
@@ -247,7 +254,7 @@
 // begin sends an operation to its first members. Reservations and reads are
 // refused at once while no majority can be reached.
 func (c *Client) begin(s submission) {
-	if !c.hasSet || (s.op.reservation() != nil || s.op.Chain != "") && !c.serving.Load() {
+	if !c.hasSet || (s.op.reservation() != nil || s.op.Chain != "" || s.op.FactKey != "") && !c.serving.Load() {
 		s.reply <- Result{Verdict: Uncertain, CopySet: c.set.Version}
 		return
 	}
@@ -258,7 +265,7 @@
 	now := time.Now()
 	first, remaining := c.selectMembers(s.op, nearest)
 	for _, m := range first {
-		msg := message{records: s.op.Records}
+		msg := message{records: s.op.Records, fact: s.op.FactKey}
 		if m.Disk == nearest {
 			msg.chain = s.op.Chain
 		}
@@ -318,7 +325,7 @@
 	case a.reply != nil && a.reply.Status == turnpb.Status_STATUS_STALE:
 		c.adoptFromReply(a.reply)
 	case a.ok && found && member.Ready:
-		p.tally.addAnswer(a.disk, a.stored, a.ledger, a.chain)
+		p.tally.addAnswer(a.disk, a.stored, a.ledger, a.chain, a.fact)
 	}
 	c.decide(a.id, p)
 }
--- a/turnstore/recipients.go
+++ b/turnstore/recipients.go
@@ -35,6 +35,8 @@
 			program = record.GetReservation().Program
 		case record.GetSettlement() != nil:
 			program = record.GetSettlement().Program
+		case record.GetFact() != nil:
+			program = record.GetFact().Key // spreads facts as it does the records of budgets
 		}
 	}
 	wanted := c.set.Majority() + spareMembers
@@ -95,6 +97,6 @@
 	remaining := p.remaining
 	p.remaining = nil
 	for _, m := range remaining {
-		c.send(id, p, m, message{records: p.op.Records})
+		c.send(id, p, m, message{records: p.op.Records, fact: p.op.FactKey})
 	}
 }
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -21,6 +21,7 @@
 	disk    string
 	records []*turnpb.Record
 	chain   string // id of a turn whose conversation is wanted, or empty
+	fact    string // key of a fact that is wanted, or empty
 }
 
 // sender makes the Exchange requests to one member, in its own goroutine.
@@ -134,7 +135,7 @@
 	if err := s.updateReachability(ctx, err); err != nil {
 		return err
 	}
-	ledgers, chains := 0, 0
+	ledgers, chains, facts := 0, 0, 0
 	for _, m := range batch {
 		a := &answer{id: m.id, slot: s.slot, disk: m.disk, err: err, reply: reply, stored: len(m.records) > 0}
 		a.ok = err == nil && reply.Status == turnpb.Status_STATUS_OK
@@ -149,6 +150,10 @@
 				a.chain = reply.Chains[chains]
 				chains++
 			}
+			if m.fact != "" && facts < len(reply.Facts) {
+				a.fact = reply.Facts[facts]
+				facts++
+			}
 		}
 		if err := s.commands.Push(ctx, command{answer: a}); err != nil {
 			return err
@@ -170,6 +175,9 @@
 		if m.chain != "" {
 			request.Chains = append(request.Chains, m.chain)
 		}
+		if m.fact != "" {
+			request.Facts = append(request.Facts, m.fact)
+		}
 	}
 	return request
 }
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -312,6 +312,9 @@
 	for _, id := range in.Chains {
 		out.Chains = append(out.Chains, s.state.chain(id))
 	}
+	for _, key := range in.Facts {
+		out.Facts = append(out.Facts, s.state.facts.get(key))
+	}
 	return payloads
 }
 
--- a/turnstore/state.go
+++ b/turnstore/state.go
@@ -1,15 +1,15 @@
 // Package turnstore implements the turn store, which keeps conversations and
 // budgets on a disk, and the client with which front servers reach it.
 //
-// A record is one of five kinds: a turn of a conversation; a reservation, the
+// A record is one of six kinds: a turn of a conversation; a reservation, the
 // most tokens of a program's budget that an attempt may generate; a settlement,
 // the tokens that were handed out for that attempt; a fence, the lowest copy set
-// version that the store accepts; or a crash, the end of a backend server while it
-// ran a call.
+// version that the store accepts; a crash, the end of a backend server while it
+// ran a call; or a fact, which one front server knows and others need.
 //
 // The state of a store is a set of records, to which records are only added
-// until they expire: a turn never changes, and a settlement replaces its
-// reservation for good. So records may arrive in any order and more than once.
+// until they expire: a turn never changes, a settlement replaces its
+// reservation for good, and a fact replaces those of lower versions. So records may arrive in any order and more than once.
 package turnstore
 
 import (
@@ -49,17 +49,22 @@
 	programs    map[string]*ledger
 	turns       map[string]*turn
 	crashes     *crashes
+	facts       *facts
 	applied     []recordRef // in the order of arrival, for stores that pull
 	firstCursor uint64      // the cursor of applied[0]
 	fence       uint64      // the lowest copy set version that is accepted
 	bytes       int64       // the memory that records take
 }
 
-// recordRef names an applied record: program and attempt, or turn, or crash.
-type recordRef struct{ program, attempt, turn, crash string }
+// recordRef names an applied record: program and attempt, or turn, or crash, or
+// fact and its version.
+type recordRef struct {
+	program, attempt, turn, crash, fact string
+	factVersion                         uint64
+}
 
 func newState() *state {
-	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}, crashes: newCrashes()}
+	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}, crashes: newCrashes(), facts: newFacts()}
 }
 
 // apply adds a record that will be written to the given segment if it is new,
@@ -85,6 +90,12 @@
 			s.applied = append(s.applied, recordRef{crash: crashKey(kind.Crash)})
 			return true
 		}
+	case *turnpb.Record_Fact:
+		if grown, added := s.facts.add(kind.Fact, segment); added {
+			s.bytes += grown
+			s.applied = append(s.applied, recordRef{fact: kind.Fact.Key, factVersion: kind.Fact.Version})
+			return true
+		}
 	}
 	return false
 }
@@ -144,6 +155,11 @@
 			entry.segment = current
 		}
 	}
+	for _, entry := range s.facts.byKey {
+		if entry.segment <= segment {
+			entry.segment = current
+		}
+	}
 	for _, t := range s.turns {
 		if t.segment <= segment {
 			t.segment = current
@@ -202,6 +218,12 @@
 		}
 		return nil
 	}
+	if r.fact != "" {
+		if entry := s.facts.byKey[r.fact]; entry != nil && entry.fact.Version == r.factVersion {
+			return factRecord(entry.fact)
+		}
+		return nil
+	}
 	l := s.programs[r.program]
 	if l == nil {
 		return nil
@@ -279,6 +301,7 @@
 func (s *state) expire(now time.Time) {
 	limit := now.UnixMilli()
 	s.bytes -= recordOverhead * int64(s.crashes.expire(now))
+	s.bytes -= s.facts.expire(now)
 	for id, t := range s.turns {
 		if t.expires < limit {
 			s.bytes -= int64(len(t.record.Content)) + recordOverhead
@@ -319,6 +342,11 @@
 			records = append(records, crashRecord(entry.crash))
 		}
 	}
+	for _, entry := range s.facts.byKey {
+		if entry.segment <= segment {
+			records = append(records, factRecord(entry.fact))
+		}
+	}
 	if s.fence > 0 {
 		records = append(records, &turnpb.Record{Kind: &turnpb.Record_Fence{Fence: &turnpb.Fence{Version: s.fence}}})
 	}
--- a/turnstore/tally.go
+++ b/turnstore/tally.go
@@ -37,6 +37,9 @@
 	Budget int64
 	// Chain is the id of the last turn of the conversation to read, or empty.
 	Chain string
+	// FactKey is the key of the fact to read, or empty. Each member that receives
+	// the records is asked for it, and any two majorities have a member in common.
+	FactKey string
 }
 
 // reservation returns the reservation to check against the budget, or nil.
@@ -57,6 +60,8 @@
 	Spent, Reserved int64
 	// Synced is the number of ready members that have stored the records.
 	Synced int
+	// Fact is the newest fact that the members know of FactKey.
+	Fact Fact
 	// CopySet is the copy set version under which the answers were counted.
 	CopySet uint64
 }
@@ -71,6 +76,7 @@
 	chainReaders map[string]bool
 	entries      map[string]*turnpb.LedgerEntry // by attempt
 	turns        map[string]*turnpb.Turn        // by id
+	fact         *turnpb.Fact                   // the newest one; nil if none was read
 }
 
 func newTally(op Operation, set copyset.Set) *tally {
@@ -79,10 +85,13 @@
 
 // addAnswer counts the answer of a ready member. Stored says that the request
 // carried the records of the operation.
-func (t *tally) addAnswer(disk string, stored bool, ledger *turnpb.Ledger, chain *turnpb.Chain) {
+func (t *tally) addAnswer(disk string, stored bool, ledger *turnpb.Ledger, chain *turnpb.Chain, fact *turnpb.Fact) {
 	if stored || len(t.op.Records) == 0 {
 		t.synced[disk] = true
 	}
+	if fact != nil && (t.fact == nil || fact.Version > t.fact.Version) {
+		t.fact = fact
+	}
 	if ledger != nil {
 		for _, e := range ledger.Entries {
 			known := t.entries[e.Attempt]
@@ -144,6 +153,9 @@
 		}
 		return out
 	}
+	if t.fact != nil {
+		out.Fact = decodeFact(t.fact)
+	}
 	if own := t.op.reservation(); own != nil {
 		out.Spent, out.Reserved = t.otherTokens()
 		if t.op.Budget > 0 && out.Spent+out.Reserved+own.Tokens > t.op.Budget {
