soak: Run resumable streams at servers of two software versions

No stand-in had a software version, and no client took a stream up, so no soak could find such streams.

Change: four backend servers of two versions break off two of five answers; three clients take their streams up at random fronts, also after all processes were killed. The check finds events of two versions, gaps and second copies.

--- a/emulator/usersplatform/client.go
+++ b/emulator/usersplatform/client.go
@@ -26,6 +26,9 @@
 	Program string
 	// Budget is the number of tokens that the program may generate.
 	Budget int
+	// Resumes is the id of the attempt that brought the first event of the stream that
+	// is taken up, and LastEventID the id of its last event; empty for a new stream.
+	Resumes, LastEventID string
 }
 
 // maxOutputTokens is the maximum number of tokens that one turn generates.
@@ -50,6 +53,10 @@
 		r.Header.Set("X-Program-Id", request.Program)
 		r.Header.Set("X-Token-Budget", strconv.Itoa(request.Budget))
 	}
+	if request.Resumes != "" {
+		r.Header.Set("Resumes", request.Resumes)
+		r.Header.Set("Last-Event-Id", request.LastEventID)
+	}
 	reply, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return 0, "", err
@@ -126,8 +133,8 @@
 const FragileService = "fragile"
 
 // Configure registers the backend server at the address and writes a
-// configuration that routes the paths /turns/ and /calls/ to its service, and the
-// path /fragile/ to FragileService.
+// configuration that routes the paths /turns/ and /calls/ to its service, the path
+// /fragile/ to FragileService and StreamPath to StreamService.
 func (s *Store) Configure(ctx context.Context, b *Backend, address string) error {
 	err := s.Put(ctx, "servers/"+b.ID, map[string]any{
 		"Service": "llm", "Version": "v1", "Address": address, "Zone": "a", "Slots": 8, "State": "ready",
@@ -138,6 +145,7 @@
 	return s.Put(ctx, "op/config", json.RawMessage(`{"Version":3,"Routes":[
 		{"Name":"turns","Host":"site.example","PathPrefix":"/turns/","Kind":"streaming","TimeoutMs":5000,"Service":"llm","Attempts":1,"Retain":true,"RetentionS":60},
 		{"Name":"calls","Host":"site.example","PathPrefix":"/calls/","Kind":"unsafe","TimeoutMs":5000,"Service":"llm"},
+		{"Name":"streams","Host":"site.example","PathPrefix":"/streams/","Kind":"streaming","TimeoutMs":5000,"Service":"streams","Attempts":1,"Resumable":true},
 		{"Name":"fragile","Host":"site.example","PathPrefix":"/fragile/","Kind":"safe","TimeoutMs":1500,"Service":"fragile","Attempts":1}],
-		"Services":[{"Name":"llm","MaxConns":50,"Engine":{"Slots":8,"TokensPerEvent":5}},{"Name":"fragile","MaxConns":50}],"Limits":{"MaxBodyBytes":100000}}`))
+		"Services":[{"Name":"llm","MaxConns":50,"Engine":{"Slots":8,"TokensPerEvent":5}},{"Name":"fragile","MaxConns":50},{"Name":"streams","MaxConns":50}],"Limits":{"MaxBodyBytes":100000}}`))
 }
--- a/soak/roles/deployment.go
+++ b/soak/roles/deployment.go
@@ -54,7 +54,8 @@
 	backend      *usersplatform.Backend
 	fragile      []*usersplatform.FragileBackend
 	servers      []*httptest.Server
-	backendRelay *relay.Relay // from the fronts to the backend server
+	backendRelay *relay.Relay   // from the fronts to the backend server
+	streamRelays []*relay.Relay // from the fronts to the servers of resumable streams
 	fronts       []*host
 	stores       []*host
 	dataDirs     int // number given out so far
@@ -77,6 +78,11 @@
 	if err := d.store.Configure(ctx, d.backend, d.backendRelay.Address()); err != nil {
 		return d, Error.Wrap(err)
 	}
+	for _, server := range streamServers() {
+		if err := d.addStreamServer(ctx, server); err != nil {
+			return d, err
+		}
+	}
 	for i := range fragileServers {
 		d.fragile = append(d.fragile, usersplatform.NewFragileBackend(fmt.Sprintf("fragile-%d", i), i%2 == 1, d.store))
 	}
@@ -112,6 +118,18 @@
 	return d, d.awaitService(ctx, startTimeout)
 }
 
+// addStreamServer starts and registers a server of resumable streams.
+func (d *deployment) addStreamServer(ctx context.Context, server usersplatform.StreamBackend) error {
+	listening := httptest.NewServer(server)
+	d.servers = append(d.servers, listening)
+	toServer, err := relay.Start(listening.Listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	d.streamRelays = append(d.streamRelays, toServer)
+	return Error.Wrap(server.Register(ctx, d.store, toServer.Address()))
+}
+
 // hosts returns the fronts and the stores.
 func (d *deployment) hosts() []*host { return slices.Concat(d.fronts, d.stores) }
 
@@ -180,6 +198,9 @@
 	if d.backendRelay != nil {
 		d.backendRelay.Close()
 	}
+	for _, r := range d.streamRelays {
+		r.Close()
+	}
 	for _, server := range d.servers {
 		server.CloseClientConnections()
 		server.Close()
--- a/soak/roles/roles.go
+++ b/soak/roles/roles.go
@@ -55,12 +55,15 @@
 // Result is the outcome of a run: its faults, the numbers of answered, refused
 // and broken-off requests, and the violations found.
 type Result struct {
-	Seed       uint64
-	Faults     []string
-	Answered   int
-	Refused    int
-	BrokenOff  int
-	Violations []string
+	Seed      uint64
+	Faults    []string
+	Answered  int
+	Refused   int
+	BrokenOff int
+	// TakenUp is the number of requests that took up a resumable stream, and GoneOn the
+	// number of those that brought an event.
+	TakenUp, GoneOn int
+	Violations      []string
 	// Folder holds the logs of the processes. Run removes it unless there are
 	// violations.
 	Folder string
@@ -69,8 +72,8 @@
 // Write prints the result in readable form. It lists the violations, the faults
 // and the log folder only if there are violations.
 func (r Result) Write(w io.Writer) error {
-	_, err := fmt.Fprintf(w, "seed %d: %d answered, %d refused, %d broken off, %d faults, %d violations\n",
-		r.Seed, r.Answered, r.Refused, r.BrokenOff, len(r.Faults), len(r.Violations))
+	_, err := fmt.Fprintf(w, "seed %d: %d answered, %d refused, %d broken off, %d of %d streams taken up went on, %d faults, %d violations\n",
+		r.Seed, r.Answered, r.Refused, r.BrokenOff, r.GoneOn, r.TakenUp, len(r.Faults), len(r.Violations))
 	for _, line := range append(r.Violations, r.Faults...) {
 		if err == nil && len(r.Violations) > 0 {
 			_, err = fmt.Fprintln(w, " ", line)
@@ -112,6 +115,12 @@
 	for _, c := range crashingClients(config.Seed, d.frontAddresses()) {
 		clients.Go("crashing-client", c.run)
 	}
+	streams := &streamLog{}
+	for i := range streamClients {
+		c := &streamClient{fronts: d.frontAddresses(), name: fmt.Sprintf("s%d-stream%d", config.Seed, i), log: streams,
+			random: rand.New(rand.NewPCG(config.Seed, uint64(2000+i)))}
+		clients.Go("stream-client", c.run)
+	}
 	for _, b := range d.fragile {
 		group.Go("fragile-backend", b.Run)
 	}
@@ -134,6 +143,8 @@
 		crashes = append(crashes, b.Runs()...)
 	}
 	result.Violations = append(result.Violations, checkCrashes(crashes)...)
+	result.Violations = append(result.Violations, streams.violations...)
+	result.TakenUp, result.GoneOn = streams.takenUp, streams.goneOn
 	result.Seed, result.Faults, result.Folder = config.Seed, faults, folder
 	if failure != nil {
 		result.Violations = append(result.Violations, failure.Error())
