tunnel, upstream, gateway: Open connections through other fronts when there is no direct path

What callers saw: fronts that had lost their links to all backend servers, while clients still reached them, served 41 of 172, 36 of 166 and 36 of 176 first tries.

Cause: such a front tried one server after the other, 0.8 s each, until the time of the request was over. That another front reached the servers was known to that front only, and that this one reached none was said to nobody.

Change: - A front opens a connection through another front if a direct one is refused or has not opened within 0.3 s (module tunnel, a gRPC stream each). Only bytes pass there, so ids, budgets, limits, sessions, versions and what may be repeated stay with the front that took the call; a tunnel never leads into another. It ends as the backend server's connection did only if that closed it, so an answer without length is not taken for whole when a front is lost. A front opens 96 at most, to registered servers only, and a planned stop waits for them. - A path counts as cut only after another front has opened a connection, since a server that has ended refuses them too. Cut paths are tried again each second. - A front with most paths cut announces it: an announced fact, which stores pass on with the crashes, by the numbering that they have. Other fronts then leave it out of the directory, and do not ask it for connections.

Ruled out: leaving the directory alone, since clients keep old lists; handing whole requests to another front, since reservations, versions and the rule of one run would need two owners; asking all fronts before leaving the directory, since each tunnel answers that for one server.

Tests: specs of tunnel, upstream, gateway and turnstore. There is no process test: a relay cannot refuse connections of one front only.

--- a/fleet/capacity.go
+++ b/fleet/capacity.go
@@ -29,6 +29,15 @@
 	return running, capacity
 }
 
+// Addresses returns the addresses of all backend servers, including draining ones.
+func (f *Fleet) Addresses() map[string]bool {
+	addresses := map[string]bool{}
+	for _, s := range f.byID {
+		addresses[s.Address] = true
+	}
+	return addresses
+}
+
 // TotalSlots returns the number of calls that all backend servers can run at once.
 func (f *Fleet) TotalSlots() int {
 	sum := 0
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -42,6 +42,8 @@
 	Zone    string
 	// Cores is the number of CPU cores that it may use; may be fractional.
 	Cores float64
+	// PeerAddress is where it opens connections for other fronts; empty if it does not.
+	PeerAddress string
 }
 
 // selectFronts returns the fronts that clients are sent to, largest first. It
@@ -111,7 +113,7 @@
 // in its availability zone first, and how long it may keep the list.
 func (g *Gateway) Addresses(zone string) ([]string, time.Duration) {
 	var sameZone, otherZones []string
-	for _, f := range selectFronts(*g.fronts.Load(), g.scheduler.slots()) {
+	for _, f := range selectFronts(g.servingFronts(), g.scheduler.slots()) {
 		switch {
 		case f.Address == g.settings.Address && !g.Ready(): // not listed
 		case f.Zone == zone:
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -43,12 +43,29 @@
 	// when all fronts of that zone fail together.
 	It("starts with the client's availability zone and continues with the others", func() {
 		g := &Gateway{settings: Settings{MaxAddresses: 8}, scheduler: &Scheduler{messages: ring.New[schedulerMessage](1)}}
+		g.cutOff.Store(&map[string]bool{})
 		Expect(g.SetFronts(context.Background(), []Front{{Address: "1", Zone: "a"}, {Address: "2", Zone: "a"}, {Address: "3", Zone: "b"}})).To(Succeed())
 		all, _ := g.Addresses("b")
 		Expect(all).To(HaveLen(3))
 		Expect(all[0]).To(Equal("3"))
 	})
 
+	// Guards against clients that are sent to fronts without links to backend servers
+	// while others have some, and against an empty list when none has (RECOVER, issue
+	// 26).
+	It("leaves out the fronts that are cut off from backend servers, unless all are", func() {
+		g := &Gateway{settings: Settings{MaxAddresses: 8}, scheduler: &Scheduler{messages: ring.New[schedulerMessage](8)}}
+		g.fronts.Store(&[]Front{{Address: "1", PeerAddress: "p1"}, {Address: "2", PeerAddress: "p2"}, {Address: "3"}})
+		g.cutOff.Store(&map[string]bool{"1": true})
+		addresses, _ := g.Addresses("a")
+		Expect(addresses).To(ConsistOf("2", "3"))
+		Expect(g.peers(g.servingFronts())).To(Equal([]string{"p2"}))
+		g.cutOff.Store(&map[string]bool{"1": true, "2": true, "3": true})
+		addresses, _ = g.Addresses("a")
+		Expect(addresses).To(HaveLen(3))
+		Expect(g.peers(g.servingFronts())).To(BeEmpty(), "none of them would open a connection")
+	})
+
 	It("contains all hosts if they are of equal size", func() {
 		_, small := count(fronts(0, 7), 100)
 		Expect(small).To(Equal(7))
--- a/gateway/factstore_test.go
+++ b/gateway/factstore_test.go
@@ -29,6 +29,9 @@
 	}
 	for _, record := range records {
 		fact := record.GetFact()
+		if fact == nil {
+			continue
+		}
 		if fact.Version > f.byKey[fact.Key].Version {
 			f.byKey[fact.Key] = turnstore.Fact{Key: fact.Key, Version: fact.Version, Value: fact.Value}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,10 @@
 	AddressTTL time.Duration
 	// MaxAddresses is the maximum length of that list.
 	MaxAddresses int
+	// Dial opens a direct connection to a backend server; nil for one over TCP.
+	Dial upstream.Dial
+	// Detour opens connections to backend servers through other fronts; nil for none.
+	Detour Detour
 }
 
 // defaultAnswerBytes is the limit of the bytes of all answers if the settings
@@ -59,6 +63,7 @@
 	answerBudget   *answerBudget
 	table          atomic.Pointer[route.Table]
 	fronts         atomic.Pointer[[]Front]
+	cutOff         atomic.Pointer[map[string]bool] // addresses of fronts that are cut off from backend servers
 	draining       atomic.Bool
 	activeRequests atomic.Int64
 }
@@ -67,14 +72,21 @@
 func New(group *duty.Group, log *slog.Logger, set *metrics.Set, settings Settings, decode RequestDecoder, codec Codec, turnStore TurnStore) *Gateway {
 	g := &Gateway{settings: settings, log: log, set: set, decode: decode, turnStore: turnStore}
 	g.fronts.Store(&[]Front{})
+	g.cutOff.Store(&map[string]bool{})
 	g.answerBudget = newAnswerBudget(cmp.Or(settings.AnswerBytes, defaultAnswerBytes))
-	g.pool = upstream.NewPool(group, codec)
+	poolSettings := upstream.Settings{Dial: settings.Dial, Log: log}
+	if settings.Detour != nil {
+		poolSettings.Detour = settings.Detour
+	}
+	g.pool = upstream.NewPool(group, codec, poolSettings)
 	attempts := ring.New[attempt](settings.CallWorkers)
 	g.scheduler = newScheduler(group, log, settings.Address, settings.Zone, attempts, g.pool, turnStore)
 	for range settings.CallWorkers {
 		c := &callWorker{attempts: attempts, messages: g.scheduler.messages, pool: g.pool, codec: codec, turnStore: turnStore, log: log}
 		group.Go("caller", c.run)
 	}
+	group.Go("reachability", newReachability(g).run)
+	group.RegisterGauge("dogwoodline_cut_off", func() int { return len(*g.cutOff.Load()) })
 	group.RegisterGauge("dogwoodline_requests_running", func() int { return int(g.activeRequests.Load()) })
 	group.RegisterGauge("dogwoodline_upstream_connections", func() int { open, _ := g.pool.ConnCounts(); return open })
 	group.RegisterGauge("dogwoodline_upstream_dials_total", func() int { _, dialled := g.pool.ConnCounts(); return dialled })
@@ -116,18 +128,7 @@
 // SetFronts replaces the list of known fronts.
 func (g *Gateway) SetFronts(ctx context.Context, fronts []Front) error {
 	g.fronts.Store(&fronts)
-	known := knownFronts{}
-	listed := map[string]bool{}
-	for _, front := range selectFronts(fronts, g.scheduler.slots()) {
-		listed[front.Address] = true
-		known.listed = append(known.listed, front.Address)
-	}
-	for _, front := range fronts {
-		if !listed[front.Address] {
-			known.unlisted = append(known.unlisted, front.Address)
-		}
-	}
-	return g.scheduler.messages.Push(ctx, schedulerMessage{fronts: &known})
+	return g.refreshFronts(ctx)
 }
 
 // Drain starts a planned stop: the front is no longer ready, and further
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -95,6 +95,8 @@
 
 	facts factStore
 
+	announced *ring.Ring[turnstore.Fact]
+
 	crashes  *ring.Ring[turnstore.Crash]
 	reported atomic.Int64 // crashes that the gateway has reported
 }
@@ -131,8 +133,11 @@
 
 func (f *fakeTurnStore) Crashes() *ring.Ring[turnstore.Crash] { return f.crashes }
 
-func (f *fakeTurnStore) Send(...*turnpb.Record) bool {
+func (f *fakeTurnStore) Announced() *ring.Ring[turnstore.Fact] { return f.announced }
+
+func (f *fakeTurnStore) Send(records ...*turnpb.Record) bool {
 	f.sent.Add(1)
+	f.facts.put(records, make(chan turnstore.Result, 1))
 	return true
 }
 
@@ -158,7 +163,7 @@
 // concern its capacity.
 func newFixtureWith(log *slog.Logger, settings gateway.Settings, r route.Route, backends ...http.HandlerFunc) *fixture {
 	s := &fixture{turnStore: &fakeTurnStore{begin: turnstore.Result{Verdict: turnstore.Stored}, commit: make(chan turnstore.Result, 8),
-		crashes: ring.New[turnstore.Crash](8)}}
+		crashes: ring.New[turnstore.Crash](8), announced: ring.New[turnstore.Fact](8)}}
 	for _, handle := range backends {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(idHeader, r.Header.Get(idHeader))
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -105,7 +105,8 @@
 	hasIdleConnection func(address string) bool
 	backendCount      atomic.Int64
 	slotCount         atomic.Int64
-	listedFronts      atomic.Int64 // number of fronts that clients are sent to
+	addresses         atomic.Pointer[map[string]bool] // of the registered backend servers
+	listedFronts      atomic.Int64                    // number of fronts that clients are sent to
 	waiting           waitingCalls
 	admission         admission
 	lateness          lateness
@@ -123,6 +124,7 @@
 		crashes: crashRecords{}, ends: newServerEnds(), reportedCrashes: turnStore.Crashes(), reportCrash: turnStore.ReportCrash,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	s.addresses.Store(&map[string]bool{})
 	group.Go("scheduler", s.run)
 	group.RegisterRingDepth("scheduler", "items", s.messages.Len)
 	group.RegisterGauge("dogwoodline_calls_waiting", func() int { return int(s.waiting.count.Load()) })
@@ -186,6 +188,8 @@
 func (s *Scheduler) publishFleetSize() {
 	s.backendCount.Store(int64(s.fleet.BackendCount()))
 	s.slotCount.Store(int64(s.fleet.TotalSlots()))
+	addresses := s.fleet.Addresses()
+	s.addresses.Store(&addresses)
 }
 
 // slots returns the number of calls that all backend servers can run at once.
--- a/gateway/turnrecord.go
+++ b/gateway/turnrecord.go
@@ -45,6 +45,8 @@
 	Send(records ...*turnpb.Record) bool
 	// ReportCrash reports a crash to all fronts. It reports whether it was queued.
 	ReportCrash(crash turnstore.Crash) bool
+	// Announced returns the ring of facts that fronts have announced.
+	Announced() *ring.Ring[turnstore.Fact]
 	// Crashes returns the ring of crashes that fronts have reported.
 	Crashes() *ring.Ring[turnstore.Crash]
 }
--- a/netdial/netdial.go
+++ b/netdial/netdial.go
@@ -3,6 +3,7 @@
 package netdial
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"syscall"
@@ -28,17 +29,29 @@
 	tcpUserTimeout = 0x12
 )
 
-// DialContext opens a connection with the timeouts of this package. It has the
-// signature of net.Dialer.DialContext.
-func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+// Dialer opens connections. Its zero value has the timeouts of this package.
+type Dialer struct {
+	// Timeout bounds the opening of a connection; 0 means ConnectTimeout.
+	Timeout time.Duration
+}
+
+// DialContext opens a connection. It has the signature of net.Dialer.DialContext.
+func (d Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout: cmp.Or(d.Timeout, ConnectTimeout), KeepAliveConfig: keepAlive(), Control: userTimeout(SilenceLimit),
+	}
 	return dialer.DialContext(ctx, network, address)
 }
 
+// DialContext opens a connection with the timeouts of this package.
+func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return Dialer{}.DialContext(ctx, network, address)
+}
+
 // Listen listens on a TCP address. Accepted connections have the timeouts of
 // this package.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: userTimeout(SilenceLimit)}
 	return config.Listen(ctx, "tcp", address)
 }
 
@@ -46,17 +59,19 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects or
-// listens. It is the Control function of net.Dialer and net.ListenConfig.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(SilenceLimit.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// userTimeout returns the Control function of net.Dialer and net.ListenConfig that
+// sets TCP_USER_TIMEOUT on a socket before it connects or listens.
+func userTimeout(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optErr error
+		err := raw.Control(func(fd uintptr) {
+			optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return optErr
 	}
-	return optErr
 }
 
 // IdleConnUsable reports whether an idle connection can carry another request: the peer
--- a/role/drain.go
+++ b/role/drain.go
@@ -27,11 +27,12 @@
 	quietTime = 250 * time.Millisecond
 )
 
-// drain takes a front out of service without breaking off requests. It first
+// drain takes a front out of service without breaking off requests, its own ones or
+// those of other fronts that lead through it, which active counts. It first
 // marks the front as draining in the directory, then keeps serving until clients
 // have switched to other fronts and no request is running, or until the stop
 // window is nearly used up.
-func (p *process) drain(ctx context.Context, g *gateway.Gateway) {
+func (p *process) drain(ctx context.Context, g *gateway.Gateway, active func() int) {
 	started := time.Now()
 	g.Drain()
 	p.sendCommand(ctx, membership.SetDraining{})
@@ -40,13 +41,13 @@
 	// addresses again; some keep them three times as long as addressTTL.
 	minDuration := frontBatchDelay(host) + 3*addressTTL + drainMargin
 	end := started.Add(host.StopWindow - drainReserve)
-	for time.Now().Before(end) && (time.Since(started) < minDuration || g.ActiveRequests() > 0) {
+	for time.Now().Before(end) && (time.Since(started) < minDuration || active() > 0) {
 		time.Sleep(drainPollInterval)
 	}
-	p.log.Info("role: drained", "took_ms", time.Since(started).Milliseconds(), "running", g.ActiveRequests())
+	p.log.Info("role: drained", "took_ms", time.Since(started).Milliseconds(), "running", active())
 	p.sendCommand(ctx, membership.Leave{})
-	shutdown(ctx, p.log, p.servers, g.ActiveRequests, end.Add(drainReserve/2))
-	p.log.Info("role: connections closed", "took_ms", time.Since(started).Milliseconds(), "running", g.ActiveRequests())
+	shutdown(ctx, p.log, p.servers, active, end.Add(drainReserve/2))
+	p.log.Info("role: connections closed", "took_ms", time.Since(started).Milliseconds(), "running", active())
 }
 
 // shutdown stops accepting connections and returns once no request has been in
--- a/role/front.go
+++ b/role/front.go
@@ -4,19 +4,25 @@
 	"cmp"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
+	"google.golang.org/grpc"
 
 	"dogwoodline.example/copyset"
 	"dogwoodline.example/gateway"
 	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
+	"dogwoodline.example/netdial"
 	"dogwoodline.example/newsfeed"
 	"dogwoodline.example/platform"
+	"dogwoodline.example/tunnel"
+	"dogwoodline.example/tunnel/tunnelpb"
 	"dogwoodline.example/turnstore"
 )
 
@@ -31,6 +37,9 @@
 	// addressTTL is how long clients may cache the list of fronts. It is short so
 	// that clients soon stop using a front that was lost.
 	addressTTL = time.Second
+	// tunnelDialTimeout bounds the opening of a connection for another front, which
+	// waits netdial.ConnectTimeout for the outcome.
+	tunnelDialTimeout = 300 * time.Millisecond
 )
 
 // RunFront runs a front until the process receives SIGTERM or SIGINT.
@@ -38,10 +47,13 @@
 
 func serveFront(ctx context.Context, p *process) error {
 	turnStores := turnstore.NewClient(p.group, p.log, p.host.AvailabilityZone, p.host.ToleratedHostLosses, connect)
+	detour := tunnel.NewClient(p.log, connect)
+	defer detour.Close()
 	g := gateway.New(p.group, p.log, p.metricSet, gateway.Settings{
 		Address: p.host.FrontAddress, Zone: p.host.AvailabilityZone, CallWorkers: callWorkers,
 		AnswerBytes: int64(answerMemoryShare * float64(p.host.MemoryBytes)),
 		AddressTTL:  min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
+		Detour: detour,
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
 	batchDelay := func() time.Duration {
@@ -65,17 +77,40 @@
 			reader.SetFeeds(feedAddresses(members, p.host))
 		}),
 	}})
+	tunnels := tunnel.NewServer(p.group, p.log, tunnel.DialDirect(netdial.Dialer{Timeout: tunnelDialTimeout}), g.KnowsBackend, g.CutOff)
 	p.member.HTTP, p.member.Cores = p.host.FrontAddress, p.host.Cores
+	p.member.GRPC = p.serveTunnels(ctx, tunnels)
 	if err := p.listenFront(ctx, g); err != nil {
 		return err
 	}
 	p.register()
 	p.group.Go("presence", func(ctx context.Context) error { return p.publishReadiness(ctx, g) })
 	p.awaitStop()
-	p.drain(ctx, g)
+	p.drain(ctx, g, func() int { return g.ActiveRequests() + tunnels.Active() })
 	return nil
 }
 
+// serveTunnels starts the gRPC server at which other fronts ask for connections to
+// backend servers. It returns its address, or an empty text if no port is free:
+// another process of the host may use the first ones.
+func (p *process) serveTunnels(ctx context.Context, tunnels *tunnel.Server) string {
+	for port := p.host.PeerPorts[0]; port <= p.host.PeerPorts[1]; port++ {
+		address := net.JoinHostPort(p.host.IP, strconv.Itoa(port))
+		listener, err := netdial.Listen(ctx, address)
+		if err != nil {
+			p.log.Info("role: port for other fronts not opened", "address", address, "error", err)
+			continue
+		}
+		server := grpc.NewServer()
+		tunnelpb.RegisterTunnelServer(server, tunnels)
+		p.group.Go("grpc-accept", func(context.Context) error { return server.Serve(listener) })
+		p.onStop = append(p.onStop, server.Stop)
+		return address
+	}
+	p.log.Error("role: no port for other fronts is free, no connections are opened for them")
+	return ""
+}
+
 const (
 	// readyCheckInterval is how often a front checks whether it can serve.
 	readyCheckInterval = 100 * time.Millisecond
@@ -122,7 +157,7 @@
 	var fronts []gateway.Front
 	for _, m := range members {
 		if m.HTTP != "" && !m.Draining {
-			fronts = append(fronts, gateway.Front{Address: m.HTTP, Zone: m.Zone, Cores: m.Cores})
+			fronts = append(fronts, gateway.Front{Address: m.HTTP, Zone: m.Zone, Cores: m.Cores, PeerAddress: m.GRPC})
 		}
 	}
 	return fronts
--- a/role/role.go
+++ b/role/role.go
@@ -78,6 +78,7 @@
 	session   *membership.Session
 	member    membership.Member
 	servers   []*http.Server
+	onStop    []func() // stop other servers
 	signals   chan os.Signal
 }
 
@@ -112,6 +113,9 @@
 			p.log.Warn("role: HTTP server not closed", "error", closeErr)
 		}
 	}
+	for _, stop := range p.onStop {
+		stop()
+	}
 	p.group.Stop()
 	p.log.Info("role: stopped", "error", err)
 	time.Sleep(logFlushDelay)
--- a/turnstore/client.go
+++ b/turnstore/client.go
@@ -43,6 +43,7 @@
 	tolerated int    // the number of disks that may be lost without losing records
 	commands  *ring.Ring[command]
 	crashes   *ring.Ring[Crash] // reported by the stores
+	announced *ring.Ring[Fact]  // by front servers, passed on by the stores
 	toReport  *ring.Ring[Crash] // to be stored
 	senders   [maxMembers]*sender
 	serving   atomic.Bool
@@ -109,13 +110,13 @@
 	connect func(address string) (grpc.ClientConnInterface, func(), error)) *Client {
 	c := &Client{
 		log: log, zone: zone, tolerated: tolerated, commands: ring.New[command](4 * operationQueueSize), crashes: ring.New[Crash](maxCrashes),
-		toReport: ring.New[Crash](maxCrashes),
-		set:      &copyset.Set{}, slotByDisk: map[string]int{}, pending: map[uint64]*pending{},
+		announced: ring.New[Fact](maxCrashes), toReport: ring.New[Crash](maxCrashes),
+		set: &copyset.Set{}, slotByDisk: map[string]int{}, pending: map[uint64]*pending{},
 		fallbackTimer: time.NewTimer(time.Hour),
 	}
 	c.fallbackTimer.Stop()
 	for i := range c.senders {
-		c.senders[i] = newSender(i, log, connect, c.commands, c.crashes)
+		c.senders[i] = newSender(i, log, connect, c.commands, c.crashes, c.announced)
 		group.Go("turn-sender", c.senders[i].run)
 	}
 	group.Go("turn-keeper", c.run)
--- a/turnstore/crashreporter.go
+++ b/turnstore/crashreporter.go
@@ -26,6 +26,10 @@
 // including this one.
 func (c *Client) Crashes() *ring.Ring[Crash] { return c.crashes }
 
+// Announced returns the queue of the facts that front servers have announced,
+// including this one. A fact may come several times, and an older version later.
+func (c *Client) Announced() *ring.Ring[Fact] { return c.announced }
+
 // runCrashReporter is the goroutine that stores crashes, in the order of their
 // reports, each until a majority of the stores has it.
 func (c *Client) runCrashReporter(ctx context.Context) error {
--- a/turnstore/facts.go
+++ b/turnstore/facts.go
@@ -19,11 +19,15 @@
 	Value   []byte
 	// Expires is when stores drop the fact.
 	Expires time.Time
+	// Announced facts reach all front servers without being asked for.
+	Announced bool
 }
 
 // Record returns the record that stores the fact.
 func (f Fact) Record() *turnpb.Record {
-	return factRecord(&turnpb.Fact{Key: f.Key, Version: f.Version, Value: f.Value, ExpiresUnixMs: f.Expires.UnixMilli()})
+	return factRecord(&turnpb.Fact{
+		Key: f.Key, Version: f.Version, Value: f.Value, ExpiresUnixMs: f.Expires.UnixMilli(), Announced: f.Announced,
+	})
 }
 
 func factRecord(f *turnpb.Fact) *turnpb.Record {
@@ -31,7 +35,7 @@
 }
 
 func decodeFact(f *turnpb.Fact) Fact {
-	return Fact{Key: f.Key, Version: f.Version, Value: f.Value, Expires: time.UnixMilli(f.ExpiresUnixMs)}
+	return Fact{Key: f.Key, Version: f.Version, Value: f.Value, Expires: time.UnixMilli(f.ExpiresUnixMs), Announced: f.Announced}
 }
 
 // facts holds the newest fact of each key. The store-writer goroutine owns it.
--- a/turnstore/facts_test.go
+++ b/turnstore/facts_test.go
@@ -68,4 +68,37 @@
 		Expect(missing.Verdict).To(Equal(Stored))
 		Expect(missing.Fact.Version).To(BeZero())
 	})
+
+	// Guards against fronts that never hear that another one has no links to backend
+	// servers, or hear it for ever (RECOVER, issue 26).
+	It("that are announced reach all front servers, the newest last, also after all stores have restarted", func() {
+		c := newCluster("a", "b", "c")
+		announce := func(version uint64, value string) {
+			fact := factOf("front/x", version, value, time.Hour)
+			fact.Announced = true
+			Expect(do(c.newClient(), Operation{Records: []*turnpb.Record{fact.Record()}}).Verdict).To(Equal(Stored))
+		}
+		newest := func(client *Client) func() string {
+			known := Fact{}
+			return func() string {
+				for fact, ok := client.Announced().TryPop(); ok; fact, ok = client.Announced().TryPop() {
+					if fact.Version > known.Version {
+						known = fact
+					}
+				}
+				return string(known.Value)
+			}
+		}
+		listener := newest(c.newClient())
+		announce(1, "cut off")
+		Eventually(listener, "3s", "10ms").Should(Equal("cut off"))
+		announce(2, "back")
+		Eventually(listener, "3s", "10ms").Should(Equal("back"))
+		for _, host := range []string{"a", "b", "c"} {
+			s := c.stores[host]
+			c.stop(s)
+			c.start(host, s.folder)
+		}
+		Eventually(newest(c.newClient()), "3s", "10ms").Should(Equal("back"))
+	})
 })
--- a/turnstore/recipients_test.go
+++ b/turnstore/recipients_test.go
@@ -19,7 +19,7 @@
 		for i := range members {
 			disk := fmt.Sprintf("d%d", i)
 			set.Members = append(set.Members, copyset.Member{Disk: disk, Ready: true})
-			client.slotByDisk[disk], client.senders[i] = i, newSender(i, slog.New(slog.DiscardHandler), dialTest, nil, nil)
+			client.slotByDisk[disk], client.senders[i] = i, newSender(i, slog.New(slog.DiscardHandler), dialTest, nil, nil, nil)
 		}
 		return client
 	}
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -26,14 +26,15 @@
 
 // sender makes the Exchange requests to one member, in its own goroutine.
 type sender struct {
-	slot     int
-	log      *slog.Logger
-	connect  func(address string) (grpc.ClientConnInterface, func(), error)
-	queue    *ring.Ring[message]
-	commands *ring.Ring[command]    // the client's queue, for answers
-	crashes  *ring.Ring[Crash]      // the client's queue of crash reports
-	address  atomic.Pointer[string] // of the member; empty if none is assigned
-	failing  atomic.Bool            // the last request failed
+	slot      int
+	log       *slog.Logger
+	connect   func(address string) (grpc.ClientConnInterface, func(), error)
+	queue     *ring.Ring[message]
+	commands  *ring.Ring[command]    // the client's queue, for answers
+	crashes   *ring.Ring[Crash]      // the client's queue of crash reports
+	announced *ring.Ring[Fact]       // the client's queue of announced facts
+	address   atomic.Pointer[string] // of the member; empty if none is assigned
+	failing   atomic.Bool            // the last request failed
 
 	// The run goroutine owns the fields below.
 	conn        turnpb.TurnStoreClient
@@ -46,8 +47,8 @@
 }
 
 func newSender(slot int, log *slog.Logger, connect func(string) (grpc.ClientConnInterface, func(), error),
-	commands *ring.Ring[command], crashes *ring.Ring[Crash]) *sender {
-	s := &sender{slot: slot, log: log, connect: connect, queue: ring.New[message](operationQueueSize), commands: commands, crashes: crashes}
+	commands *ring.Ring[command], crashes *ring.Ring[Crash], announced *ring.Ring[Fact]) *sender {
+	s := &sender{slot: slot, log: log, connect: connect, queue: ring.New[message](operationQueueSize), commands: commands, crashes: crashes, announced: announced}
 	s.assign("")
 	return s
 }
@@ -100,7 +101,7 @@
 	if err == nil {
 		var reply *turnpb.ExchangeReply
 		if reply, err = s.call(ctx, &turnpb.ExchangeRequest{CrashesAfter: s.lastCrash, CrashNumbering: s.numbering}); err == nil {
-			s.forwardCrashes(reply)
+			s.forwardNews(reply)
 		}
 	}
 	return s.updateReachability(ctx, err)
@@ -126,7 +127,7 @@
 	}
 	if err == nil {
 		s.sentVersion = batch[0].set.Version
-		s.forwardCrashes(reply)
+		s.forwardNews(reply)
 	} else {
 		// The next answer may come from a process that has restarted. It does not
 		// serve before it knows the copy set.
@@ -219,14 +220,20 @@
 	s.conn, s.closeConn, s.connAddress, s.sentVersion = nil, nil, "", 0
 }
 
-// forwardCrashes passes the crash reports of a reply to the client's queue.
-func (s *sender) forwardCrashes(reply *turnpb.ExchangeReply) {
+// forwardNews passes the crash reports and announced facts of a reply to the
+// client's queues.
+func (s *sender) forwardNews(reply *turnpb.ExchangeReply) {
 	s.lastCrash, s.numbering, s.asked = reply.LastCrash, reply.CrashNumbering, time.Now()
 	for _, crash := range reply.Crashes {
 		if s.crashes.TryPush(decodeCrash(crash)) != nil {
 			s.log.Warn("turnstore: crash report dropped, the queue is full", "end", crash.ServerEnd)
 		}
 	}
+	for _, fact := range reply.Announced {
+		if s.announced.TryPush(decodeFact(fact)) != nil {
+			s.log.Warn("turnstore: announced fact dropped, the queue is full", "key", fact.Key)
+		}
+	}
 }
 
 // updateReachability records whether the last request succeeded. When that
--- a/turnstore/sender_test.go
+++ b/turnstore/sender_test.go
@@ -36,7 +36,7 @@
 	It("sends the copy set again after a request has failed", func() {
 		conn := &recordingConn{errs: []error{nil, nil, errors.New("reset"), nil}}
 		s := newSender(0, slog.New(slog.DiscardHandler), func(string) (grpc.ClientConnInterface, func(), error) { return conn, func() {}, nil },
-			ring.New[command](64), ring.New[Crash](64))
+			ring.New[command](64), ring.New[Crash](64), ring.New[Fact](64))
 		s.assign("1:1")
 		set := &copyset.Set{Version: 3}
 		for range 4 {
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -276,8 +276,8 @@
 	return turnpb.Status_STATUS_OK, nil, payloads
 }
 
-// exchange applies a request and answers it. Crashes are passed on even if the
-// records are not taken.
+// exchange applies a request and answers it. News are passed on even if the records
+// are not taken.
 func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte, diskRefuses bool) (*turnpb.ExchangeReply, [][]byte) {
 	s.adoptEncodedSet(in.Set)
 	out := &turnpb.ExchangeReply{}
@@ -285,8 +285,7 @@
 	if out.Status == turnpb.Status_STATUS_OK {
 		payloads = s.applyExchange(in, out, payloads, diskRefuses)
 	}
-	out.Crashes, out.LastCrash = s.state.crashes.after(in.CrashesAfter, in.CrashNumbering)
-	out.CrashNumbering = s.state.crashes.numbering
+	s.state.news.after(in.CrashesAfter, in.CrashNumbering, out)
 	return out, payloads
 }
 
--- a/turnstore/state.go
+++ b/turnstore/state.go
@@ -48,7 +48,7 @@
 type state struct {
 	programs    map[string]*ledger
 	turns       map[string]*turn
-	crashes     *crashes
+	news        *news
 	facts       *facts
 	applied     []recordRef // in the order of arrival, for stores that pull
 	firstCursor uint64      // the cursor of applied[0]
@@ -64,7 +64,7 @@
 }
 
 func newState() *state {
-	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}, crashes: newCrashes(), facts: newFacts()}
+	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}, news: newNews(), facts: newFacts()}
 }
 
 // apply adds a record that will be written to the given segment if it is new,
@@ -85,7 +85,7 @@
 			return true
 		}
 	case *turnpb.Record_Crash:
-		if s.crashes.add(kind.Crash, segment) {
+		if s.news.add(kind.Crash, segment) {
 			s.bytes += recordOverhead
 			s.applied = append(s.applied, recordRef{crash: crashKey(kind.Crash)})
 			return true
@@ -93,6 +93,9 @@
 	case *turnpb.Record_Fact:
 		if grown, added := s.facts.add(kind.Fact, segment); added {
 			s.bytes += grown
+			if kind.Fact.Announced {
+				s.news.announce(kind.Fact)
+			}
 			s.applied = append(s.applied, recordRef{fact: kind.Fact.Key, factVersion: kind.Fact.Version})
 			return true
 		}
@@ -150,7 +153,7 @@
 // moveTo records that all live records up to the end of the given segment have
 // been written again to the current one.
 func (s *state) moveTo(current, segment uint64) {
-	for _, entry := range s.crashes.list {
+	for _, entry := range s.news.byKey {
 		if entry.segment <= segment {
 			entry.segment = current
 		}
@@ -213,7 +216,7 @@
 		return nil
 	}
 	if r.crash != "" {
-		if entry := s.crashes.byKey[r.crash]; entry != nil {
+		if entry := s.news.byKey[r.crash]; entry != nil {
 			return crashRecord(entry.crash)
 		}
 		return nil
@@ -300,7 +303,7 @@
 // expire removes the records that have expired by now.
 func (s *state) expire(now time.Time) {
 	limit := now.UnixMilli()
-	s.bytes -= recordOverhead * int64(s.crashes.expire(now))
+	s.bytes -= recordOverhead * int64(s.news.expire(now))
 	s.bytes -= s.facts.expire(now)
 	for id, t := range s.turns {
 		if t.expires < limit {
@@ -337,7 +340,7 @@
 			}
 		}
 	}
-	for _, entry := range s.crashes.list {
+	for _, entry := range s.news.byKey {
 		if entry.segment <= segment {
 			records = append(records, crashRecord(entry.crash))
 		}
--- a/turnstore/state_test.go
+++ b/turnstore/state_test.go
@@ -28,6 +28,14 @@
 	}}}
 }
 
+// newsAfter returns the reply of a store to a front server that knows the news up to a
+// number, and the number of the newest.
+func newsAfter(s *state, number, numbering uint64) (*turnpb.ExchangeReply, uint64) {
+	reply := &turnpb.ExchangeReply{}
+	s.news.after(number, numbering, reply)
+	return reply, reply.LastCrash
+}
+
 var _ = Describe("State", func() {
 	// Guards against the loss of a record at a restart: it was tagged with the
 	// segment that was open when a copy of it arrived, although nothing was
@@ -122,11 +130,11 @@
 			s.apply(encodeCrash(Crash{Calls: []call.Identity{1}, ServerEnd: end, Expires: time.Now().Add(time.Minute)}), 1)
 			restarted.apply(encodeCrash(Crash{Calls: []call.Identity{1}, ServerEnd: end, Expires: time.Now().Add(time.Minute)}), 1)
 		}
-		reports, last := s.crashes.after(0, 0)
-		Expect(reports).To(HaveLen(3))
-		reports, _ = s.crashes.after(last, s.crashes.numbering)
-		Expect(reports).To(BeEmpty())
-		reports, _ = restarted.crashes.after(last, s.crashes.numbering)
-		Expect(reports).To(HaveLen(3))
+		reports, last := newsAfter(s, 0, 0)
+		Expect(reports.Crashes).To(HaveLen(3))
+		reports, _ = newsAfter(s, last, s.news.numbering)
+		Expect(reports.Crashes).To(BeEmpty())
+		reports, _ = newsAfter(restarted, last, s.news.numbering)
+		Expect(reports.Crashes).To(HaveLen(3))
 	})
 })
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -23,25 +25,56 @@
 // its lock, so it is held for a few instructions only and never during I/O.
 type Pool struct {
 	decoder       Decoder
+	log           *slog.Logger
+	detour        Detour
+	dial          Dial
+	paths         *paths
 	pendingWrites *ring.Ring[func()]
 
 	mu         sync.Mutex
 	idle       map[string][]*conn // by address, the one used last at the end
-	open       map[string]int     // open connections by address, idle or in use
+	openConns  map[string]int     // open connections by address, idle or in use
 	dialled    int                // connections opened so far
 	idleLimits idleLimits
 }
 
+// Settings configures a pool. The zero value suits a process that is alone.
+type Settings struct {
+	// Detour opens connections to backend servers to which there is no direct path.
+	Detour Detour
+	// Dial opens a direct connection; nil for one over TCP.
+	Dial Dial
+	Log  *slog.Logger
+}
+
+// Dial opens a direct connection to a backend server within the limit.
+type Dial func(ctx context.Context, address string, limit time.Duration) (net.Conn, error)
+
+// dialTCP is the Dial that is used if the settings have none.
+func dialTCP(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+	return netdial.Dialer{Timeout: limit}.DialContext(ctx, "tcp", address)
+}
+
 // NewPool returns a pool whose background goroutines run in group.
-func NewPool(group *duty.Group, decoder Decoder) *Pool {
+func NewPool(group *duty.Group, decoder Decoder, settings Settings) *Pool {
 	p := &Pool{
-		decoder: decoder, pendingWrites: ring.New[func()](writerCount),
-		idle: map[string][]*conn{}, open: map[string]int{}, idleLimits: idleLimits{},
+		decoder: decoder, log: settings.Log, detour: settings.Detour, dial: settings.Dial, paths: newPaths(), pendingWrites: ring.New[func()](writerCount),
+		idle: map[string][]*conn{}, openConns: map[string]int{}, idleLimits: idleLimits{},
+	}
+	if p.log == nil {
+		p.log = slog.New(slog.DiscardHandler)
+	}
+	if p.dial == nil {
+		p.dial = dialTCP
+	}
+	if p.detour == nil {
+		p.detour = noDetour{}
 	}
 	for range writerCount {
 		group.Go("upstream-writer", p.runWriter)
 	}
 	group.Go("upstream-sweep", p.runSweep)
+	group.Go("upstream-paths", p.runPathChecks)
 	return p
 }
 
@@ -118,15 +151,20 @@
 
 // connect opens a connection and counts it.
 func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
-	c, err := dial(ctx, address)
+	c, err := p.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	p.count(c)
+	return c, nil
+}
+
+// count counts a connection that was opened.
+func (p *Pool) count(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open[address]++
+	p.openConns[c.address]++
 	p.dialled++
-	return c, nil
 }
 
 // popIdle removes and returns the idle connection that was used last, if any,
@@ -161,9 +199,9 @@
 	_ = c.Close() // an error here says nothing about whether the request ran
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open[c.address]--
-	if p.open[c.address] <= 0 {
-		delete(p.open, c.address)
+	p.openConns[c.address]--
+	if p.openConns[c.address] <= 0 {
+		delete(p.openConns, c.address)
 	}
 }
 
@@ -190,20 +228,14 @@
 	// Silent means that nothing came back: the host is down, or there is no path to
 	// it from here. The backend server may be running.
 	Silent
+	// CutOff means that there is no direct path, but another host reaches the backend
+	// server, which accepts connections.
+	CutOff
 )
 
 // String returns the name of the value for logs.
-func (r Reachability) String() string { return [...]string{"accepting", "refusing", "silent"}[r] }
-
-// Probe tries to connect to the address. A connection that it opens is kept as an
-// idle one.
-func (p *Pool) Probe(ctx context.Context, address string) Reachability {
-	c, err := p.connect(ctx, address)
-	if err != nil {
-		return reachability(err)
-	}
-	p.putIdle(c)
-	return Accepting
+func (r Reachability) String() string {
+	return [...]string{"accepting", "refusing", "silent", "cut off"}[r]
 }
 
 // reachability returns what the error of a failed connect says.
@@ -226,7 +258,7 @@
 func (p *Pool) ConnCounts() (open, dialled int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, count := range p.open {
+	for _, count := range p.openConns {
 		open += count
 	}
 	return open, p.dialled
--- a/upstream/probe_test.go
+++ b/upstream/probe_test.go
@@ -18,7 +18,7 @@
 	newPool := func() *Pool {
 		group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
 		DeferCleanup(group.Stop)
-		return NewPool(group, nil)
+		return NewPool(group, nil, Settings{})
 	}
 
 	It("tells one that listens from one that has ended", func() {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,12 +15,12 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"dogwoodline.example/call"
-	"dogwoodline.example/netdial"
 )
 
 // Error is the class of all errors of this package.
@@ -88,6 +88,7 @@
 	idleBefore  time.Duration // how long it was idle before the exchange; 0 if new
 	writeResult chan error    // the result of the write in progress; capacity 1, so that a writer never blocks
 	framed      bool          // the response marks its own end, by length or chunks
+	detour      bool          // it leads through another host, and is not used again
 }
 
 // Request is a request to a backend server.
@@ -134,7 +135,11 @@
 		return nil, call.NotRun, err
 	}
 	if !beforeSend() {
-		p.putIdle(c)
+		if c.detour {
+			p.discard(c)
+		} else {
+			p.putIdle(c)
+		}
 		return nil, call.NotRun, context.Canceled
 	}
 	// In HTTP/1.1, closing the connection is the only way to tell a backend
@@ -146,6 +151,9 @@
 	if err != nil {
 		cancelClose()
 		p.discard(c)
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			p.CloseIdle(request.Address) // they lead over the same path
+		}
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		} else if c.idleBefore > 0 {
@@ -265,7 +273,7 @@
 // backend server keeps the connection open.
 func (e *Exchange) Close() {
 	stopped := e.cancelClose()
-	if !stopped || !e.bodyRead || e.Response.Close || !e.conn.framed || e.conn.reader.Buffered() > 0 || e.conn.idleTimeout <= 0 {
+	if !stopped || !e.bodyRead || e.Response.Close || !e.conn.framed || e.conn.reader.Buffered() > 0 || e.conn.idleTimeout <= 0 || e.conn.detour {
 		e.pool.discard(e.conn)
 		return
 	}
@@ -282,14 +290,10 @@
 	e.pool.putIdle(e.conn)
 }
 
-// dial opens a connection.
-func dial(ctx context.Context, address string) (*conn, error) {
-	socket, err := netdial.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Join(ErrNotConnected, err)
-	}
+// newConn returns the connection that leads over the socket.
+func newConn(socket net.Conn, address string) *conn {
 	bounded := &boundedReader{source: socket, left: unlimited}
 	return &conn{
 		Conn: socket, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize), writeResult: make(chan error, 1),
-	}, nil
+	}
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -76,7 +76,7 @@
 func newPool(d decoder) *upstream.Pool {
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
 	DeferCleanup(group.Stop)
-	return upstream.NewPool(group, d)
+	return upstream.NewPool(group, d, upstream.Settings{})
 }
 
 func always() bool { return true }
