netdial, upstream: Let connections to backend servers outlive a silence of two seconds

Cause: TCP_USER_TIMEOUT of 1.5 s decides when keep-alive gives up, whatever its count: with probes each second at the second one, so that a silence of little more than a second that covers the first ended a call in progress. The comment said three seconds.

Change: 3.2 s on connections to backend servers, which lets three probes pass and gives up at four seconds. Connections to the platform's store, to other hosts and from clients keep 1.5 s, and the comment says what that means. grpc-go sets the option by itself only with its own keep-alive, which is not used.

Ruled out: a count of probes (ignored); no TCP_USER_TIMEOUT (bytes that are sent would wait for many minutes).

--- a/netdial/netdial.go
+++ b/netdial/netdial.go
@@ -19,7 +19,8 @@
 	// reached must act on a change of the platform's configuration.
 	SilenceLimit = 1500 * time.Millisecond
 	// Keep-alive probes with these values detect an unreachable peer on an idle
-	// connection within about three seconds.
+	// connection. Where TCP_USER_TIMEOUT is set, it decides when they give up, and
+	// the count does not: with SilenceLimit after two seconds.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
@@ -33,12 +34,16 @@
 type Dialer struct {
 	// Timeout bounds the opening of a connection; 0 means ConnectTimeout.
 	Timeout time.Duration
+	// SilenceLimit is how long sent bytes may stay unacknowledged; 0 means the
+	// constant of this name. As soon as a keep-alive probe is due after that time
+	// without an answer, the connection fails, however many probes are left.
+	SilenceLimit time.Duration
 }
 
 // DialContext opens a connection. It has the signature of net.Dialer.DialContext.
 func (d Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout: cmp.Or(d.Timeout, ConnectTimeout), KeepAliveConfig: keepAlive(), Control: userTimeout(SilenceLimit),
+		Timeout: cmp.Or(d.Timeout, ConnectTimeout), KeepAliveConfig: keepAlive(), Control: userTimeout(cmp.Or(d.SilenceLimit, SilenceLimit)),
 	}
 	return dialer.DialContext(ctx, network, address)
 }
--- a/upstream/paths.go
+++ b/upstream/paths.go
@@ -28,6 +28,10 @@
 	// how many of them may fail each time.
 	pathCheckInterval = time.Second
 	maxFailedChecks   = 2
+	// backendSilenceLimit is how long bytes sent to a backend server may stay
+	// unacknowledged. A sound server may be silent for more than a second; a limit
+	// of over three seconds lets three keep-alive probes pass.
+	backendSilenceLimit = 3200 * time.Millisecond
 )
 
 // Detour opens connections to backend servers through other hosts.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -52,7 +52,7 @@
 
 // dialTCP is the Dial that is used if the settings have none.
 func dialTCP(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
-	return netdial.Dialer{Timeout: limit}.DialContext(ctx, "tcp", address)
+	return netdial.Dialer{Timeout: limit, SilenceLimit: backendSilenceLimit}.DialContext(ctx, "tcp", address)
 }
 
 // NewPool returns a pool whose background goroutines run in group.
