gateway, role: Refuse requests that come too late in a planned stop

Change: once clients have had the time to learn of other fronts (the member list's delay and three lives of an address list), a request whose time reaches beyond the end of the grace is refused at once as not run, on a connection that closes. Before, and if its time is shorter, it is served.

Ruled out: refusing from the signal on, since clients with an old list would spend their attempts at several stopping fronts in turn.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 	fronts         atomic.Pointer[[]Front]
 	cutOff         atomic.Pointer[map[string]bool] // addresses of fronts that are cut off from backend servers
 	draining       atomic.Bool
+	stopPlan       atomic.Pointer[stopPlan]
 	activeRequests atomic.Int64
 }
 
@@ -132,8 +133,22 @@
 }
 
 // Drain starts a planned stop: the front is no longer ready, and further
-// responses close their connections.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// responses close their connections. From the time moved on, when clients know
+// other fronts, a request is refused if its time reaches beyond end, when the
+// process exits.
+func (g *Gateway) Drain(moved, end time.Time) {
+	g.stopPlan.Store(&stopPlan{moved: moved, end: end})
+	g.draining.Store(true)
+}
+
+// stopPlan says when the clients of a stopping front know others, and when it exits.
+type stopPlan struct{ moved, end time.Time }
+
+// refuses reports whether a request that must be answered by the deadline comes too
+// late in a planned stop.
+func (p *stopPlan) refuses(arrived, deadline time.Time) bool {
+	return p != nil && arrived.After(p.moved) && deadline.After(p.end)
+}
 
 // Draining reports whether Drain was called.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -618,7 +618,7 @@
 		addresses, ttl := s.gateway.Addresses("c")
 		Expect(addresses).To(Equal([]string{"near", "far", "self"}))
 		Expect(ttl).To(Equal(time.Second))
-		s.gateway.Drain()
+		s.gateway.Drain(time.Now(), time.Now().Add(time.Minute))
 		addresses, _ = s.gateway.Addresses("c")
 		Expect(addresses).To(Equal([]string{"near", "far"}))
 	})
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -25,6 +25,9 @@
 	// retryAfterNotReady is the Retry-After of a front that has no
 	// configuration yet or reaches too few turn stores.
 	retryAfterNotReady = 300 * time.Millisecond
+	// retryAfterStopping is the Retry-After of a front that is about to stop; others
+	// serve the request at once.
+	retryAfterStopping = 50 * time.Millisecond
 	// defaultTimeout applies if neither the route nor the client sets a timeout.
 	defaultTimeout = 30 * time.Second
 )
@@ -83,6 +86,10 @@
 	if e.request.Timeout == 0 {
 		e.request.Timeout = defaultTimeout
 	}
+	if e.gateway.stopPlan.Load().refuses(e.request.Arrived, e.request.Arrived.Add(e.request.Timeout)) {
+		e.refuse("this front stops before the time of the request is over", retryAfterStopping)
+		return false
+	}
 	return e.readBody()
 }
 
--- a/role/drain.go
+++ b/role/drain.go
@@ -34,13 +34,13 @@
 // window is nearly used up.
 func (p *process) drain(ctx context.Context, g *gateway.Gateway, active func() int) {
 	started := time.Now()
-	g.Drain()
-	p.sendCommand(ctx, membership.SetDraining{})
 	host := p.currentHost()
 	// All fronts must have learned of the change, and clients must have asked for
 	// addresses again; some keep them three times as long as addressTTL.
 	minDuration := frontBatchDelay(host) + 3*addressTTL + drainMargin
 	end := started.Add(host.StopWindow - drainReserve)
+	g.Drain(started.Add(minDuration), end)
+	p.sendCommand(ctx, membership.SetDraining{})
 	for time.Now().Before(end) && (time.Since(started) < minDuration || active() > 0) {
 		time.Sleep(drainPollInterval)
 	}
