upstream: Count as open only paths that were opened since the first one was cut

A front that was cut off at second 4 said so at 7.0 to 7.4: it had opened connections to most servers within ten seconds before, so two cut paths were not most of them, and requests went on to idle connections that were dead.

Change: cut paths are compared with those over which a connection was opened since the first of them was cut.

--- a/upstream/paths.go
+++ b/upstream/paths.go
@@ -62,6 +62,7 @@
 
 type path struct {
 	cut         bool
+	cutSince    time.Time
 	opened      time.Time // when a direct connection was opened last
 	detourPause time.Time // no other way is tried until then
 }
@@ -88,20 +89,28 @@
 }
 
 // hostCutOff reports whether this host reaches at most half of the backend servers that
-// it tried lately.
+// it tried to reach since the first path was cut.
 func (p *paths) hostCutOff(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.hostCut(now)
 }
 
+// hostCut compares the paths that are cut with those over which a connection was
+// opened since the first of them was: what was open before says nothing.
 func (p *paths) hostCut(now time.Time) bool {
-	cut, open := 0, 0
+	cut, since := 0, now
 	for _, known := range p.byAddress {
-		switch {
-		case known.cut:
+		if known.cut {
 			cut++
-		case now.Sub(known.opened) < pathMemory:
+			if known.cutSince.Before(since) {
+				since = known.cutSince
+			}
+		}
+	}
+	open := 0
+	for _, known := range p.byAddress {
+		if !known.cut && known.opened.After(since) && now.Sub(known.opened) < pathMemory {
 			open++
 		}
 	}
@@ -120,13 +129,15 @@
 
 // noteCut notes that only another host reaches the address. It reports whether that is
 // new.
-func (p *paths) noteCut(address string) bool {
+func (p *paths) noteCut(address string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.at(address)
-	was := known.cut
-	known.cut = true
-	return !was
+	if known.cut {
+		return false
+	}
+	known.cut, known.cutSince = true, now
+	return true
 }
 
 // noteUnreachable notes that no other host reached the address either.
@@ -163,7 +174,7 @@
 }
 
 // CutOff reports whether this host reaches at most half of the backend servers that it
-// tried lately, although others reach them.
+// tried to reach lately, although others reach them.
 func (p *Pool) CutOff() bool { return p.paths.hostCutOff(time.Now()) }
 
 // open opens a connection, directly or, if that fails, through another host. The error
@@ -227,7 +238,7 @@
 		}
 		return nil, errors.Join(ErrNotConnected, err)
 	}
-	if p.paths.noteCut(address) {
+	if p.paths.noteCut(address, time.Now()) {
 		p.log.Warn("upstream: no direct path to backend server, another front reaches it", "address", address, "cut_off", p.CutOff())
 	}
 	c := newConn(socket, address)
--- a/upstream/paths_test.go
+++ b/upstream/paths_test.go
@@ -128,6 +128,27 @@
 		Expect(pool.Probe(context.Background(), third)).To(Equal(Silent))
 	})
 
+	// Guards against a front that is cut off for seconds before it says so, because it
+	// opened connections to most servers shortly before the cut (RECOVER, issue 26).
+	It("counts as cut with the whole host when two are, and none was opened since", func() {
+		p := newPaths()
+		now := time.Now()
+		for _, address := range []string{"a", "b", "c", "d", "e", "f"} {
+			p.noteOpened(address, now)
+		}
+		p.noteCut("a", now.Add(time.Second))
+		Expect(p.hostCutOff(now.Add(time.Second))).To(BeFalse())
+		p.noteCut("b", now.Add(2*time.Second))
+		Expect(p.hostCutOff(now.Add(2 * time.Second))).To(BeTrue())
+		for _, address := range []string{"c", "d", "e"} {
+			p.noteOpened(address, now.Add(3*time.Second))
+		}
+		Expect(p.hostCutOff(now.Add(3*time.Second))).To(BeFalse(), "most servers are reached")
+		p.noteOpened("a", now.Add(4*time.Second))
+		p.noteOpened("b", now.Add(4*time.Second))
+		Expect(p.hostCutOff(now.Add(4 * time.Second))).To(BeFalse())
+	})
+
 	It("whose server is not used any more is forgotten", func() {
 		p := newPaths()
 		now := time.Now()
