cmd: Show that streams keep their software version after all processes were killed

Six streams of two servers are broken off, all fronts and stores are killed and started again, and each is taken up at another front.

--- a/cmd/dogwoodline/roles_test.go
+++ b/cmd/dogwoodline/roles_test.go
@@ -211,6 +211,56 @@
 		f.restart("store-2")
 	})
 
+	// Guards against streams that are taken up after all fronts were killed at once and
+	// hold events of two software versions (report of another operator, issue 26).
+	It("go on with a stream at its software version after all of them were killed", func() {
+		for i, version := range []string{"v1", "v2"} {
+			server := usersplatform.StreamBackend{ID: fmt.Sprintf("stream-%d", i), Version: version}
+			listening := httptest.NewServer(server)
+			DeferCleanup(listening.Close)
+			Expect(server.Register(context.Background(), f.platform, listening.Listener.Addr().String())).To(Succeed())
+		}
+		send := func(front string, request usersplatform.Request) (int, string, error) {
+			address := fmt.Sprintf("%s:%d", f.hosts[front].ip, usersplatform.FrontPort)
+			return usersplatform.Send(context.Background(), address, usersplatform.SiteHost, usersplatform.StreamPath, request)
+		}
+		Eventually(func() int { // until the front has heard of the servers
+			status, _, _ := send("front-1", usersplatform.Request{ID: "probe"})
+			return status
+		}, "12s", "50ms").Should(Equal(http.StatusOK))
+		brokenOff := map[string]string{} // by attempt, what the client got before the last "\n\n"
+		for i := 0; len(brokenOff) < 6; i++ {
+			Expect(i).To(BeNumerically("<", 200))
+			id := fmt.Sprint("begin-", i)
+			_, body, err := send("front-1", usersplatform.Request{ID: id})
+			if end := strings.LastIndex(body, "\n\n"); err != nil && end > 0 {
+				brokenOff[id] = body[:end]
+			}
+		}
+		all := []string{"front-1", "front-2", "store-1", "store-2", "store-3", "store-4"}
+		for _, name := range all {
+			f.signal(name, syscall.SIGKILL)
+		}
+		for _, name := range all {
+			f.restart(name)
+		}
+		f.waitReady("front-1")
+		f.waitReady("front-2")
+		for began, events := range brokenOff {
+			last := strings.Count(events, "id: ")
+			version := events[strings.LastIndex(events, "v"):]
+			Eventually(func() (int, error) {
+				status, body, err := send("front-2", usersplatform.Request{ID: began + "-again", Resumes: began, LastEventID: fmt.Sprint(last)})
+				for _, line := range strings.Split(body, "\n") {
+					if data, ok := strings.CutPrefix(line, "data: "); ok {
+						Expect(data).To(Equal(version), "%s after %q: %q", began, events, body)
+					}
+				}
+				return status, err
+			}, "12s", "50ms").Should(Equal(http.StatusOK))
+		}
+	})
+
 	It("finish requests in progress when a front is stopped, and direct clients to another front", func() {
 		f.backend.SetPause(300 * time.Millisecond)
 		before := len(f.backend.Runs())
