upstream: Do not count a path as cut whose server has ended since

A path stayed cut until a direct connection opened. Servers that left during a cut never open one, so a front could have counted as cut off, and stayed out of the directory, long after.

Change: where a cut path still fails, another front is asked whether it has one.

Test: upstream "is no longer cut when its server has ended" fails before.

--- a/upstream/paths.go
+++ b/upstream/paths.go
@@ -260,12 +260,16 @@
 	}
 }
 
-// checkPaths tries cut paths until some of them have failed.
+// checkPaths tries cut paths until some of them have failed. A path that another host
+// does not have either is not cut: its server has ended.
 func (p *Pool) checkPaths(ctx context.Context, addresses []string) {
 	failed := 0
 	for _, address := range addresses {
 		c, err := p.openDirect(ctx, address, detourAfter)
 		if err != nil {
+			if other, err := p.openDetour(ctx, address); err == nil {
+				_ = other.Close() // it was opened only to see whether the server accepts it
+			}
 			if failed++; failed == maxFailedChecks {
 				return
 			}
--- a/upstream/paths_test.go
+++ b/upstream/paths_test.go
@@ -128,6 +128,24 @@
 		Expect(pool.Probe(context.Background(), third)).To(Equal(Silent))
 	})
 
+	// Guards against a front that counts as cut off for ever, because servers to which
+	// its paths were cut have ended since.
+	It("is no longer cut when its server has ended", func() {
+		_, elsewhere := listen()
+		first, second := refusing(), refusing()
+		detour := &fakeDetour{reach: map[string]string{first: elsewhere, second: elsewhere}, err: errRefusedElsewhere}
+		pool := newPool(detour)
+		for _, address := range []string{first, second} {
+			_, err := pool.open(context.Background(), address)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(pool.CutOff()).To(BeTrue())
+		detour.mu.Lock()
+		detour.reach = nil
+		detour.mu.Unlock()
+		Eventually(pool.CutOff, "3s", "20ms").Should(BeFalse())
+	})
+
 	// Guards against a front that is cut off for seconds before it says so, because it
 	// opened connections to most servers shortly before the cut (RECOVER, issue 26).
 	It("counts as cut with the whole host when two are, and none was opened since", func() {
