role, tunnel: Give connections for other fronts the limits of direct ones

A front opened connections for others with the shorter silence limit, so that a sound backend server that was silent for a second or so lost the calls that lead through another front. The dial of upstream is used for both now. gRPC connections to fronts that may not be asked any more are closed after a minute; they were kept for ever.

--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -37,7 +37,7 @@
 	f := &cutFront{refuses: refuses, peers: grpc.NewServer()}
 	f.cut.Store(true)
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	f.tunnels = tunnel.NewServer(group, slog.New(slog.DiscardHandler), tunnel.DialDirect(netdial.Dialer{}), func(string) bool { return true }, func() bool { return false })
+	f.tunnels = tunnel.NewServer(group, slog.New(slog.DiscardHandler), dialDirect, func(string) bool { return true }, func() bool { return false })
 	tunnelpb.RegisterTunnelServer(f.peers, f.tunnels)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -63,6 +63,8 @@
 	return f
 }
 
+func dialDirect(_ context.Context, address string) (net.Conn, error) { return net.Dial("tcp", address) }
+
 // dial is the direct dial of the front. While it is cut off, opening packets get no
 // answer, or a refusal.
 func (f *cutFront) dial(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
--- a/role/front.go
+++ b/role/front.go
@@ -24,6 +24,7 @@
 	"dogwoodline.example/tunnel"
 	"dogwoodline.example/tunnel/tunnelpb"
 	"dogwoodline.example/turnstore"
+	"dogwoodline.example/upstream"
 )
 
 const (
@@ -77,7 +78,10 @@
 			reader.SetFeeds(feedAddresses(members, p.host))
 		}),
 	}})
-	tunnels := tunnel.NewServer(p.group, p.log, tunnel.DialDirect(netdial.Dialer{Timeout: tunnelDialTimeout}), g.KnowsBackend, g.CutOff)
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return upstream.DialTCP(ctx, address, tunnelDialTimeout)
+	}
+	tunnels := tunnel.NewServer(p.group, p.log, dial, g.KnowsBackend, g.CutOff)
 	p.member.HTTP, p.member.Cores = p.host.FrontAddress, p.host.Cores
 	p.member.GRPC = p.serveTunnels(ctx, tunnels)
 	if err := p.listenFront(ctx, g); err != nil {
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +27,14 @@
 	ErrSilent = Error.New("another front gets no answer either")
 )
 
-// maxPeerTries is how many other fronts are asked for one connection.
-const maxPeerTries = 2
+const (
+	// maxPeerTries is how many other fronts are asked for one connection.
+	maxPeerTries = 2
+	// linkRetention is how long the gRPC connection to a front is kept that may not be
+	// asked any more. It is above the longest time of a request, since connections to
+	// backend servers may still lead through it.
+	linkRetention = time.Minute
+)
 
 // Client opens connections to backend servers through other fronts. Callers share
 // its lock, which is held for a few instructions only.
@@ -44,6 +51,7 @@
 type peerLink struct {
 	client tunnelpb.TunnelClient
 	close  func()
+	unused time.Time // since when the front may not be asked; zero while it may
 }
 
 // NewClient returns a client that knows no other front yet. connect opens a gRPC
@@ -58,6 +66,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.peers = addresses
+	now := time.Now()
+	for address, link := range c.links {
+		switch {
+		case slices.Contains(addresses, address):
+			link.unused = time.Time{}
+		case link.unused.IsZero():
+			link.unused = now
+		case now.Sub(link.unused) > linkRetention:
+			link.close()
+			delete(c.links, address)
+		}
+	}
 }
 
 // HasPeers reports whether there is a front to ask.
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -18,7 +18,6 @@
 	"google.golang.org/grpc/status"
 
 	"dogwoodline.example/duty"
-	"dogwoodline.example/netdial"
 	"dogwoodline.example/ring"
 	"dogwoodline.example/tunnel/tunnelpb"
 )
@@ -155,8 +154,3 @@
 func Refused(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
-
-// DialDirect opens a connection without a detour, for Server.
-func DialDirect(dialer netdial.Dialer) Dial {
-	return func(ctx context.Context, address string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) }
-}
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -16,7 +16,6 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"dogwoodline.example/duty"
-	"dogwoodline.example/netdial"
 	"dogwoodline.example/tunnel"
 	"dogwoodline.example/tunnel/tunnelpb"
 )
@@ -37,7 +36,7 @@
 func startPeer(known func(string) bool) *peer {
 	p := &peer{grpc: grpc.NewServer()}
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	p.server = tunnel.NewServer(group, slog.New(slog.DiscardHandler), tunnel.DialDirect(netdial.Dialer{}), known, func() bool { return p.cutOff })
+	p.server = tunnel.NewServer(group, slog.New(slog.DiscardHandler), dialDirect, known, func() bool { return p.cutOff })
 	tunnelpb.RegisterTunnelServer(p.grpc, p.server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -82,6 +81,8 @@
 	return listener.Addr().String()
 }
 
+func dialDirect(_ context.Context, address string) (net.Conn, error) { return net.Dial("tcp", address) }
+
 func anyAddress(string) bool { return true }
 
 var _ = Describe("A connection through another front", func() {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -50,8 +50,8 @@
 // Dial opens a direct connection to a backend server within the limit.
 type Dial func(ctx context.Context, address string, limit time.Duration) (net.Conn, error)
 
-// dialTCP is the Dial that is used if the settings have none.
-func dialTCP(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+// DialTCP is the Dial that is used if the settings have none.
+func DialTCP(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
 	return netdial.Dialer{Timeout: limit, SilenceLimit: backendSilenceLimit}.DialContext(ctx, "tcp", address)
 }
 
@@ -65,7 +65,7 @@
 		p.log = slog.New(slog.DiscardHandler)
 	}
 	if p.dial == nil {
-		p.dial = dialTCP
+		p.dial = DialTCP
 	}
 	if p.detour == nil {
 		p.detour = noDetour{}
--- a/upstream/silence_test.go
+++ b/upstream/silence_test.go
@@ -21,7 +21,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(listener.Close)
-		socket, err := dialTCP(context.Background(), listener.Addr().String(), time.Second)
+		socket, err := DialTCP(context.Background(), listener.Addr().String(), time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(socket.Close)
 		raw, err := socket.(syscall.Conn).SyscallConn()
