tunnel: Ask further fronts when one opens no connection

Cause: the first front that was asked decided. One that is cut off itself, and has not noticed, answers that the server refuses or is silent; that was believed, and held against the server for half a second. So fronts that were cut off together could not find out that they were.

Change: up to four fronts are asked, two of them silent ones; those that opened no connection within two seconds come last. A server counts as refused only if all that answered are refused.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -145,6 +145,7 @@
 type fixture struct {
 	gateway   *gateway.Gateway
 	turnStore *fakeTurnStore
+	store     gateway.TurnStore // used in place of turnStore, if it is set
 	front     *httptest.Server
 	runs      atomic.Int64
 
@@ -188,8 +189,11 @@
 // startGateway starts a gateway that knows the backend servers and the route.
 func (s *fixture) startGateway(log *slog.Logger, settings gateway.Settings) {
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	settings.Address, settings.Zone, settings.AddressTTL, settings.MaxAddresses = "self", "a", time.Second, 8
-	s.gateway = gateway.New(group, log, metrics.NewSet(), settings, decode, codec{}, s.turnStore)
+	settings.Zone, settings.AddressTTL, settings.MaxAddresses = "a", time.Second, 8
+	if settings.Address == "" {
+		settings.Address = "self"
+	}
+	s.gateway = gateway.New(group, log, metrics.NewSet(), settings, decode, codec{}, s.client())
 	for i := range s.addresses {
 		s.register(i)
 	}
@@ -207,6 +211,14 @@
 	})
 }
 
+// client returns the client of the turn stores that the gateway gets.
+func (s *fixture) client() gateway.TurnStore {
+	if s.store != nil {
+		return s.store
+	}
+	return s.turnStore
+}
+
 // restartOn replaces the gateway by one that shares the turn stores of another
 // fixture.
 func (s *fixture) restartOn(other *fixture) {
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -28,8 +28,13 @@
 )
 
 const (
-	// maxPeerTries is how many other fronts are asked for one connection.
-	maxPeerTries = 2
+	// maxPeerTries is how many other fronts are asked for one connection, and
+	// maxSilent how many of them may find no answer, which takes each some time.
+	maxPeerTries = 4
+	maxSilent    = 2
+	// failedMemory is how long a front that opened no connection is asked after the
+	// others: it may be cut off itself and not know it yet.
+	failedMemory = 2 * time.Second
 	// linkRetention is how long the gRPC connection to a front is kept that may not be
 	// asked any more. It is above the longest time of a request, since connections to
 	// backend servers may still lead through it.
@@ -45,6 +50,8 @@
 	mu    sync.Mutex
 	peers []string             // addresses of the fronts that may be asked
 	links map[string]*peerLink // by address
+	// failed tells when a front last opened no connection, by address.
+	failed map[string]time.Time
 }
 
 // peerLink is the gRPC connection to another front.
@@ -57,7 +64,7 @@
 // NewClient returns a client that knows no other front yet. connect opens a gRPC
 // connection and returns it with a function that closes it.
 func NewClient(log *slog.Logger, connect func(address string) (grpc.ClientConnInterface, func(), error)) *Client {
-	return &Client{log: log, connect: connect, links: map[string]*peerLink{}}
+	return &Client{log: log, connect: connect, links: map[string]*peerLink{}, failed: map[string]time.Time{}}
 }
 
 // SetPeers replaces the fronts that may be asked. Connections that lead through
@@ -67,6 +74,11 @@
 	defer c.mu.Unlock()
 	c.peers = addresses
 	now := time.Now()
+	for address, failed := range c.failed {
+		if now.Sub(failed) > failedMemory {
+			delete(c.failed, address)
+		}
+	}
 	for address, link := range c.links {
 		switch {
 		case slices.Contains(addresses, address):
@@ -98,41 +110,70 @@
 }
 
 // Dial opens a connection to a backend server through another front. The error is
-// ErrNoPeer, ErrRefused or ErrSilent.
+// ErrNoPeer, ErrRefused or ErrSilent. What one front finds is not taken for the
+// state of the server before others were asked: it may be cut off too.
 func (c *Client) Dial(ctx context.Context, address string) (net.Conn, error) {
+	silent, refused := 0, 0
 	for _, peer := range c.choosePeers() {
 		conn, outcome, err := c.dialThrough(ctx, peer, address)
-		switch {
-		case ctx.Err() != nil:
+		if ctx.Err() != nil {
 			return nil, errors.Join(ErrNoPeer, ctx.Err())
-		case err != nil:
+		}
+		if err != nil {
 			c.log.Info("tunnel: front not reached for a connection to a backend server", "front", peer, "address", address, "error", err)
-		case outcome == tunnelpb.Outcome_OUTCOME_CONNECTED:
+		}
+		if c.note(peer, conn != nil); conn != nil {
 			return conn, nil
-		case outcome == tunnelpb.Outcome_OUTCOME_REFUSED:
-			return nil, ErrRefused
-		case outcome == tunnelpb.Outcome_OUTCOME_SILENT:
-			return nil, ErrSilent
+		}
+		switch outcome {
+		case tunnelpb.Outcome_OUTCOME_REFUSED:
+			refused++
+		case tunnelpb.Outcome_OUTCOME_SILENT:
+			silent++
+		}
+		if silent == maxSilent {
+			break
 		}
 	}
+	switch {
+	case silent > 0:
+		return nil, ErrSilent
+	case refused > 0:
+		return nil, ErrRefused
+	}
 	return nil, ErrNoPeer
 }
 
+// note notes whether a front opened a connection.
+func (c *Client) note(peer string, opened bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if opened {
+		delete(c.failed, peer)
+	} else {
+		c.failed[peer] = time.Now()
+	}
+}
+
 // Refused reports whether an error of Dial says that nobody listens.
 func (c *Client) Refused(err error) bool { return errors.Is(err, ErrRefused) }
 
 // choosePeers returns the fronts to ask, in random order so that their load is
-// even.
+// even, but first those that have not failed lately.
 func (c *Client) choosePeers() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var chosen []string
+	now := time.Now()
+	var sound, doubtful []string
 	for _, i := range rand.Perm(len(c.peers)) {
-		if chosen = append(chosen, c.peers[i]); len(chosen) == maxPeerTries {
-			break
+		if peer := c.peers[i]; now.Sub(c.failed[peer]) > failedMemory {
+			sound = append(sound, peer)
+		} else {
+			doubtful = append(doubtful, peer)
 		}
 	}
-	return chosen
+	chosen := append(sound, doubtful...)
+	return chosen[:min(len(chosen), maxPeerTries)]
 }
 
 // link returns the connection to a front, and opens it if there is none.
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,12 +32,19 @@
 	grpc    *grpc.Server
 	address string
 	cutOff  bool
+	refused bool // its own connections are refused
 }
 
 func startPeer(known func(string) bool) *peer {
 	p := &peer{grpc: grpc.NewServer()}
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	p.server = tunnel.NewServer(group, slog.New(slog.DiscardHandler), dialDirect, known, func() bool { return p.cutOff })
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		if p.refused {
+			return nil, syscall.ECONNREFUSED
+		}
+		return dialDirect(ctx, address)
+	}
+	p.server = tunnel.NewServer(group, slog.New(slog.DiscardHandler), dial, known, func() bool { return p.cutOff })
 	tunnelpb.RegisterTunnelServer(p.grpc, p.server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -182,6 +190,23 @@
 		Expect(newClient().HasPeers()).To(BeFalse())
 	})
 
+	// Guards against fronts that are cut off together, ask each other first, and take the
+	// server for unreachable (RECOVER, issue 26).
+	It("leads through the one front that reaches the server, while others are cut off and do not know it", func() {
+		address := serveBackend(func(conn net.Conn) { conn.Close() })
+		var peers []string
+		for range 3 {
+			p := startPeer(anyAddress)
+			p.refused = true
+			peers = append(peers, p.address)
+		}
+		client := newClient(append(peers, startPeer(anyAddress).address)...)
+		for range 8 {
+			_, err := client.Dial(ctx, address)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("is given up with the request that it was opened for", func() {
 		ctx, cancel := context.WithCancel(ctx)
 		cancel()
