--- a/emulator/usersplatform/streams.go
+++ b/emulator/usersplatform/streams.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// StreamService is the service of the StreamBackends, and StreamPath the path of
-	// their route. Its streams may be resumed.
+	// StreamService is the service of the StreamBackends.
 	StreamService = "streams"
-	StreamPath    = "/streams/"
+	// StreamPath is the path of their route, whose streams may be resumed.
+	StreamPath = "/streams/"
 	// StreamEvents is the number of events of a stream.
 	StreamEvents = 8
 	// streamEventInterval is the time between them.
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -75,7 +75,7 @@
 // it is, and when it no longer is.
 func (r *reachability) announce(now time.Time) {
 	cutOff := r.gateway.pool.CutOff()
-	if cutOff == r.cutOff && !(cutOff && now.Sub(r.announcedAt) > reachRepeat) {
+	if cutOff == r.cutOff && (!cutOff || now.Sub(r.announcedAt) <= reachRepeat) {
 		return
 	}
 	if cutOff != r.cutOff {
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -172,7 +172,7 @@
 			doubtful = append(doubtful, peer)
 		}
 	}
-	chosen := append(sound, doubtful...)
+	chosen := slices.Concat(sound, doubtful)
 	return chosen[:min(len(chosen), maxPeerTries)]
 }
 
