--- a/turnstore/client.go
+++ b/turnstore/client.go
@@ -109,8 +109,8 @@
 func NewClient(group *duty.Group, log *slog.Logger, zone string, tolerated int,
 	connect func(address string) (grpc.ClientConnInterface, func(), error)) *Client {
 	c := &Client{
-		log: log, zone: zone, tolerated: tolerated, commands: ring.New[command](4 * operationQueueSize), crashes: ring.New[Crash](maxCrashes),
-		announced: ring.New[Fact](maxCrashes), toReport: ring.New[Crash](maxCrashes),
+		log: log, zone: zone, tolerated: tolerated, commands: ring.New[command](4 * operationQueueSize), crashes: ring.New[Crash](maxNews),
+		announced: ring.New[Fact](maxNews), toReport: ring.New[Crash](maxNews),
 		set: &copyset.Set{}, slotByDisk: map[string]int{}, pending: map[uint64]*pending{},
 		fallbackTimer: time.NewTimer(time.Hour),
 	}
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -41,9 +41,9 @@
 	connAddress string // the address that conn leads to
 	closeConn   func()
 	sentVersion uint64    // the last copy set version sent on this connection
-	asked       time.Time // when the member was last asked for crashes
-	lastCrash   uint64    // the number of the last crash received from the member
-	numbering   uint64    // the numbering of crashes that lastCrash belongs to
+	asked       time.Time // when the member was last asked for news
+	lastNews    uint64    // the number of the last news received from the member
+	numbering   uint64    // the numbering that lastNews belongs to
 }
 
 func newSender(slot int, log *slog.Logger, connect func(string) (grpc.ClientConnInterface, func(), error),
@@ -100,7 +100,7 @@
 	err := s.ensureConnected()
 	if err == nil {
 		var reply *turnpb.ExchangeReply
-		if reply, err = s.call(ctx, &turnpb.ExchangeRequest{CrashesAfter: s.lastCrash, CrashNumbering: s.numbering}); err == nil {
+		if reply, err = s.call(ctx, &turnpb.ExchangeRequest{NewsAfter: s.lastNews, NewsNumbering: s.numbering}); err == nil {
 			s.forwardNews(reply)
 		}
 	}
@@ -167,7 +167,7 @@
 // member has received that version on this connection.
 func (s *sender) encode(batch []message) *turnpb.ExchangeRequest {
 	set := batch[0].set
-	request := &turnpb.ExchangeRequest{CopySet: set.Version, CrashesAfter: s.lastCrash, CrashNumbering: s.numbering}
+	request := &turnpb.ExchangeRequest{CopySet: set.Version, NewsAfter: s.lastNews, NewsNumbering: s.numbering}
 	if s.sentVersion != set.Version {
 		request.Set = encodeVersionedSet(*set)
 	}
@@ -223,7 +223,7 @@
 // forwardNews passes the crash reports and announced facts of a reply to the
 // client's queues.
 func (s *sender) forwardNews(reply *turnpb.ExchangeReply) {
-	s.lastCrash, s.numbering, s.asked = reply.LastCrash, reply.CrashNumbering, time.Now()
+	s.lastNews, s.numbering, s.asked = reply.LastNews, reply.NewsNumbering, time.Now()
 	for _, crash := range reply.Crashes {
 		if s.crashes.TryPush(decodeCrash(crash)) != nil {
 			s.log.Warn("turnstore: crash report dropped, the queue is full", "end", crash.ServerEnd)
--- a/turnstore/sender_test.go
+++ b/turnstore/sender_test.go
@@ -24,7 +24,7 @@
 
 func (c *recordingConn) Invoke(_ context.Context, _ string, in, out any, _ ...grpc.CallOption) error {
 	c.requests = append(c.requests, in.(*turnpb.ExchangeRequest))
-	out.(*turnpb.ExchangeReply).LastCrash, out.(*turnpb.ExchangeReply).CrashNumbering = 7, 9
+	out.(*turnpb.ExchangeReply).LastNews, out.(*turnpb.ExchangeReply).NewsNumbering = 7, 9
 	err := c.errs[0]
 	c.errs = c.errs[1:]
 	return err
@@ -44,7 +44,7 @@
 		}
 		withSet, crashes := []bool{}, [][2]uint64{}
 		for _, request := range conn.requests {
-			withSet, crashes = append(withSet, len(request.Set) > 0), append(crashes, [2]uint64{request.CrashesAfter, request.CrashNumbering})
+			withSet, crashes = append(withSet, len(request.Set) > 0), append(crashes, [2]uint64{request.NewsAfter, request.NewsNumbering})
 		}
 		Expect(withSet).To(Equal([]bool{true, false, false, true}))
 		Expect(crashes).To(Equal([][2]uint64{{0, 0}, {7, 9}, {7, 9}, {7, 9}}))
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -285,7 +285,7 @@
 	if out.Status == turnpb.Status_STATUS_OK {
 		payloads = s.applyExchange(in, out, payloads, diskRefuses)
 	}
-	s.state.news.after(in.CrashesAfter, in.CrashNumbering, out)
+	s.state.news.after(in.NewsAfter, in.NewsNumbering, out)
 	return out, payloads
 }
 
--- a/turnstore/state_test.go
+++ b/turnstore/state_test.go
@@ -33,7 +33,7 @@
 func newsAfter(s *state, number, numbering uint64) (*turnpb.ExchangeReply, uint64) {
 	reply := &turnpb.ExchangeReply{}
 	s.news.after(number, numbering, reply)
-	return reply, reply.LastCrash
+	return reply, reply.LastNews
 }
 
 var _ = Describe("State", func() {
