tunnel, upstream: Keep no connection whose request has ended, and write a probe once

If a request ended in the moment in which another front had opened its connection, the connection was dropped without being closed: both fronts and the backend server kept it. It is returned now, and its user closes it, as with a direct one that opens late. Pool.Probe had the direct try twice, which is one piece of code now.

Tests: tunnel, upstream and the specs of gateway on cuts, crashes and backend servers pass. No spec shows the leak; the moment is too short to hit.

--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -116,15 +116,17 @@
 	silent, refused := 0, 0
 	for _, peer := range c.choosePeers() {
 		conn, outcome, err := c.dialThrough(ctx, peer, address)
+		if conn != nil {
+			c.note(peer, true)
+			return conn, nil // also if ctx has ended since: its user closes it
+		}
 		if ctx.Err() != nil {
 			return nil, errors.Join(ErrNoPeer, ctx.Err())
 		}
 		if err != nil {
 			c.log.Info("tunnel: front not reached for a connection to a backend server", "front", peer, "address", address, "error", err)
 		}
-		if c.note(peer, conn != nil); conn != nil {
-			return conn, nil
-		}
+		c.note(peer, false)
 		switch outcome {
 		case tunnelpb.Outcome_OUTCOME_REFUSED:
 			refused++
--- a/upstream/paths.go
+++ b/upstream/paths.go
@@ -284,21 +284,19 @@
 // idle one. If there is no direct path, another host is asked whether the server
 // accepts connections.
 func (p *Pool) Probe(ctx context.Context, address string) Reachability {
-	if !p.detour.HasPeers() {
-		c, err := p.openDirect(ctx, address, netdial.ConnectTimeout)
-		if err != nil {
-			return reachability(err)
-		}
-		p.count(c)
-		p.putIdle(c)
-		return Accepting
+	limit, mayAsk := netdial.ConnectTimeout, p.detour.HasPeers()
+	if mayAsk {
+		limit = detourAfter
 	}
-	c, err := p.openDirect(ctx, address, detourAfter)
+	c, err := p.openDirect(ctx, address, limit)
 	if err == nil {
 		p.count(c)
 		p.putIdle(c)
 		return Accepting
 	}
+	if !mayAsk {
+		return reachability(err)
+	}
 	other, detourErr := p.openDetour(ctx, address)
 	switch {
 	case detourErr == nil:
