review: Show that long requests take a front over its memory

Request bodies within the operator's limit are read whole and copied without a bound over all requests. 25 of them at once take a front over its memory, and the platform kills it with postings under way.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -27,6 +28,7 @@
 	complete   bool
 	err        error
 	retryAfter time.Duration
+	kept       bool // it was sent on a channel that had been used before
 }
 
 // ok reports whether the attempt was answered with success, as a whole.
@@ -49,6 +51,8 @@
 func send(front string, in clientRequest) clientAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), in.deadline)
 	defer cancel()
+	kept := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { kept = info.Reused }})
 	r, err := http.NewRequestWithContext(ctx, in.method, "http://"+front+in.path, strings.NewReader(in.body))
 	if err != nil {
 		return clientAnswer{err: err}
@@ -61,11 +65,11 @@
 	}
 	response, err := clients.Do(r)
 	if err != nil {
-		return clientAnswer{err: err}
+		return clientAnswer{err: err, kept: kept}
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	answer := clientAnswer{status: response.StatusCode, body: string(body), complete: err == nil, err: err}
+	answer := clientAnswer{status: response.StatusCode, body: string(body), complete: err == nil, err: err, kept: kept}
 	if seconds, parseErr := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); parseErr == nil {
 		answer.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 // cases holds the cases by their name.
 var cases = map[string]playedCase{
 	"rolling-stores": playRollingStores,
+	"large-bodies":   playLargeBodies,
 }
 
 func main() {
