review: Show that an encoded slash selects the route of another service

The front matches routes against the decoded path and forwards the path as it was sent. After a route was added below another one, requests that belong to the upper one run at the service of the lower one.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]playedCase{
 	"rolling-stores": playRollingStores,
 	"large-bodies":   playLargeBodies,
+	"encoded-path":   playEncodedPath,
 }
 
 func main() {
