review: Show that a turn taken up after a front was killed is stored in part

The front that takes a stream up stores only the events that it has passed on as the turn's output. The next turn runs with a conversation that lacks the first ones.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -203,9 +203,12 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// startLimit is how long the fronts may take to be ready.
+const startLimit = 20 * time.Second
+
 // awaitReady waits until all fronts are ready.
-func (d *deployment) awaitReady(limit time.Duration) error {
-	for end := time.Now().Add(limit); ; time.Sleep(50 * time.Millisecond) {
+func (d *deployment) awaitReady() error {
+	for end := time.Now().Add(startLimit); ; time.Sleep(50 * time.Millisecond) {
 		all := true
 		for _, h := range d.fronts {
 			all = all && h.ready()
@@ -214,7 +217,7 @@
 		case all:
 			return nil
 		case time.Now().After(end):
-			return fmt.Errorf("the fronts were not ready after %s", limit)
+			return fmt.Errorf("the fronts were not ready after %s", startLimit)
 		}
 	}
 }
--- a/review/standin/encodedpath.go
+++ b/review/standin/encodedpath.go
@@ -82,7 +82,7 @@
 		servers = append(servers, s)
 	}
 	d.platform.put("op/config", priceConfig(1))
-	if err := d.awaitReady(20 * time.Second); err != nil {
+	if err := d.awaitReady(); err != nil {
 		return false, err
 	}
 	wrong, served, sent := 0, 0, 0
--- a/review/standin/largebodies.go
+++ b/review/standin/largebodies.go
@@ -123,7 +123,7 @@
 		servers = append(servers, s)
 	}
 	d.platform.put("op/config", postConfig())
-	if err := d.awaitReady(20 * time.Second); err != nil {
+	if err := d.awaitReady(); err != nil {
 		return false, err
 	}
 	var stop atomic.Bool
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"rolling-stores": playRollingStores,
 	"large-bodies":   playLargeBodies,
 	"encoded-path":   playEncodedPath,
+	"taken-up":       playTakenUp,
 }
 
 func main() {
--- a/review/standin/rollingstores.go
+++ b/review/standin/rollingstores.go
@@ -82,7 +82,7 @@
 		c.servers = append(c.servers, s)
 	}
 	d.platform.put("op/config", turnsConfig())
-	return c, d.awaitReady(20 * time.Second)
+	return c, d.awaitReady()
 }
 
 // turn sends the next turn of a program, with the retries and further sends of a
