review: Show that a program that loops takes the fronts over their memory

Each turn that is refused leaves entries in the program's ledger, and every store sends the whole ledger for each turn. After some thousand turns the fronts are killed for their memory, again and again.

--- a/review/standin/largebodies.go
+++ b/review/standin/largebodies.go
@@ -30,6 +30,7 @@
 type postServer struct {
 	record *record
 	id     string
+	quiet  bool // what it runs is not written to the record
 
 	mu   sync.Mutex
 	runs map[string]int // bytes by request id
@@ -50,7 +51,9 @@
 	s.mu.Lock()
 	s.runs[id] = int(count)
 	s.mu.Unlock()
-	s.record.event("server %s runs %s with a body of %d bytes", s.id, id, count)
+	if !s.quiet {
+		s.record.event("server %s runs %s with a body of %d bytes", s.id, id, count)
+	}
 	time.Sleep(bodyWork)
 	w.Header().Set(names["seal"], "seal."+s.id+"."+id)
 	_, _ = fmt.Fprintf(w, "posted %s", id) // the caller may have left
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,8 +22,8 @@
 var cases = map[string]playedCase{
 	"rolling-stores": playRollingStores,
 	"large-bodies":   playLargeBodies,
-	"encoded-path":   playEncodedPath,
 	"taken-up":       playTakenUp,
+	"runaway":        playRunaway,
 }
 
 func main() {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -253,3 +253,10 @@
 	s.mu.Unlock()
 	reply(w, http.StatusOK, map[string]any{})
 }
+
+// remove removes a key.
+func (s *platformStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(key, nil, 0, true)
+}
