review: Show that one crash of three servers bars an input of all programs

Calls are taken for the same harmful one by method, host, path and body, and the body of a turn is its new input alone. When three servers crash at once while three programs run a turn with the same input, every front refuses that input from then on, for an hour, whoever sends it.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 	"large-bodies":   playLargeBodies,
 	"taken-up":       playTakenUp,
 	"runaway":        playRunaway,
+	"same-input":     playSameInput,
 }
 
 func main() {
