turnstore, gateway: Read a conversation although each store lacks a turn of it

Cause: a store returns a conversation from its last turn back to the first turn that it lacks. The client of the stores asked each member once, for the last turn, and could only join what came back. A store that was away lacks the turns of that time. Once each store lacks some turn, none returns the oldest ones, although three disks hold each of them.

Hypotheses were: (1) the reader cannot join behind a gap, (2) stores never get what they missed, (3) turns expire early at stores with a gap. The log could not tell them apart: "turn begun" had the verdict "uncertain" only. It now names missing_turn, the turn that no answer had, and explain states it. Ruled out for this symptom: too few stores (synced was a majority) and expiry (60 s had not passed).

Change: the client asks the members for the conversation up to the turn that no answer has had yet, those that have not said that they lack it, until the conversation is whole or no member is left. The message is the one that knows (the chain of an id), so it works with stores of that build.

--- a/explain/cause.go
+++ b/explain/cause.go
@@ -67,6 +67,9 @@
 			begun.number("budget"), begun.number("most"), begun.number("spent"), begun.number("reserved")), true
 	case reason == "no such turn":
 		return fmt.Sprintf("No store has the turn %s that the request continues.", begun.text("previous")), true
+	case begun.text("verdict") == "uncertain" && begun.text("missing_turn") != "":
+		return fmt.Sprintf("No store that answered has the turn %s, which precedes the turn %s that the request continues; %s.",
+			begun.text("missing_turn"), begun.text("previous"), c.storesAt(end)), true
 	case reason == "too few turn stores answered" && begun.number("copy_set") == 0:
 		return fmt.Sprintf("The front on %s counted no answer of a store in %.0f ms, so it was behind itself; %s.",
 			end.Host, begun.number("took_ms"), c.storesAt(end)), true
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -168,7 +168,7 @@
 	result := e.turn.begin(ctx, start)
 	e.log(slog.LevelInfo, "gateway: turn begun", "verdict", result.Verdict.String(), "program", e.request.Program,
 		"previous", e.request.PreviousTurn, "budget", e.request.TokenBudget, "spent", result.Spent, "reserved", result.Reserved,
-		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation), "resumed_attempt", e.request.ResumedAttempt,
+		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation), "missing_turn", result.MissingTurn, "resumed_attempt", e.request.ResumedAttempt,
 		"took_ms", time.Since(start).Milliseconds())
 	e.startsProgram = e.turn.hasBudget && result.Spent == 0 && result.Reserved == 0
 	switch result.Verdict {
@@ -184,7 +184,7 @@
 		if e.r.Context().Err() != nil {
 			e.abortClientLeft("while its turn was started")
 		}
-		e.refuse("too few turn stores answered", retryAfterNotReady)
+		e.refuse(uncertainReason(result), retryAfterNotReady)
 		return nil, false
 	}
 	if e.takesUp() && !e.useOrigin(result.Fact) {
@@ -201,6 +201,14 @@
 	return append(body, e.request.Body...), true
 }
 
+// uncertainReason says why it is not certain whether a turn may begin.
+func uncertainReason(result turnstore.Result) string {
+	if result.MissingTurn != "" {
+		return "no turn store that answered has an earlier turn of the conversation"
+	}
+	return "too few turn stores answered"
+}
+
 // useOrigin lets the request run only where the rest of the stream that the client
 // takes up may come from. It reports false if it has refused the request, because
 // that is not known: the client can begin anew at once.
--- a/turnstore/client.go
+++ b/turnstore/client.go
@@ -80,12 +80,11 @@
 	// set is the copy set that all requests of the operation carry. Answers
 	// under two versions must not add up to a majority, since a store that joins
 	// in between may have pulled the record from neither group of members.
-	set            *copyset.Set
-	outstanding    int              // requests that are not answered yet
-	remaining      []copyset.Member // members that the operation was not sent to
-	chainSentToAll bool             // all ready members were asked for the chain
-	chainAsked     map[int]bool     // senders that were asked for the chain
-	replied        bool             // the result was sent
+	set         *copyset.Set
+	outstanding int                 // requests that are not answered yet
+	remaining   []copyset.Member    // members that the operation was not sent to
+	chainAsked  map[turnAtDisk]bool // members that were asked for the conversation up to a turn
+	replied     bool                // the result was sent
 }
 
 // answer is the part of one member's Exchange reply that concerns one
@@ -260,7 +259,7 @@
 		return
 	}
 	c.nextID++
-	p := &pending{submission: s, tally: newTally(s.op, *c.set), set: c.set, chainAsked: map[int]bool{}}
+	p := &pending{submission: s, tally: newTally(s.op, *c.set), set: c.set, chainAsked: map[turnAtDisk]bool{}}
 	c.pending[c.nextID] = p
 	nearest := c.nearestDisk()
 	now := time.Now()
@@ -309,7 +308,7 @@
 		return // the member does not keep up; the others decide
 	}
 	if msg.chain != "" {
-		p.chainAsked[slot] = true
+		p.chainAsked[turnAtDisk{msg.chain, m.Disk}] = true
 	}
 	p.outstanding++
 }
@@ -351,13 +350,7 @@
 	if result.Verdict == Undecided && p.outstanding == 0 {
 		c.sendToRemaining(id, p)
 	}
-	if !p.replied && result.Verdict != Stored && p.op.Chain != "" && !p.chainSentToAll && c.needsMoreReaders(p) {
-		p.chainSentToAll = true
-		for _, m := range p.tally.set.Members {
-			if slot, ok := c.slotByDisk[m.Disk]; ok && m.Ready && !p.chainAsked[slot] {
-				c.send(id, p, m, message{chain: p.op.Chain})
-			}
-		}
+	if !p.replied && result.Verdict != Stored && c.askForMissingTurn(id, p) {
 		result = p.tally.result(p.outstanding + len(p.remaining))
 	}
 	if !p.replied && result.Verdict != Undecided {
@@ -372,11 +365,23 @@
 	}
 }
 
-// needsMoreReaders reports whether the conversation is still incomplete
-// although a majority has stored the records or a member has been read.
-func (c *Client) needsMoreReaders(p *pending) bool {
-	if _, whole := p.tally.conversation(); whole {
+// askForMissingTurn asks for the conversation up to the turn that no answer has had,
+// once a majority has stored the records or a member has been read. A member that
+// lacks a later turn may have it, since a store returns a conversation only up to
+// the first turn that it lacks. It reports whether it has asked a member.
+func (c *Client) askForMissingTurn(id uint64, p *pending) bool {
+	if len(p.tally.synced) < p.tally.set.Majority() && len(p.tally.chainReaders) == 0 {
+		return false
+	}
+	turn := p.tally.missingTurn()
+	if turn == "" {
 		return false
 	}
-	return len(p.tally.synced) >= p.tally.set.Majority() || len(p.tally.chainReaders) > 0
+	before := p.outstanding
+	for _, m := range p.tally.set.Members {
+		if m.Ready && !p.tally.lacks(m.Disk, turn) && !p.chainAsked[turnAtDisk{turn, m.Disk}] {
+			c.send(id, p, m, message{chain: turn})
+		}
+	}
+	return p.outstanding > before
 }
--- a/turnstore/tally.go
+++ b/turnstore/tally.go
@@ -1,6 +1,8 @@
 package turnstore
 
 import (
+	"slices"
+
 	"dogwoodline.example/copyset"
 	"dogwoodline.example/turnstore/turnpb"
 )
@@ -64,6 +66,9 @@
 	Fact Fact
 	// CopySet is the copy set version under which the answers were counted.
 	CopySet uint64
+	// MissingTurn is the turn of the conversation that no answer had, if there is
+	// one: Chain itself, or the nearest turn before it.
+	MissingTurn string
 }
 
 // tally counts the members' answers to one operation. It does no I/O.
@@ -76,11 +81,16 @@
 	chainReaders map[string]bool
 	entries      map[string]*turnpb.LedgerEntry // by attempt
 	turns        map[string]*turnpb.Turn        // by id
+	lacking      map[turnAtDisk]bool            // turns that members have said they lack
 	fact         *turnpb.Fact                   // the newest one; nil if none was read
 }
 
+// turnAtDisk names a turn and a member.
+type turnAtDisk struct{ turn, disk string }
+
 func newTally(op Operation, set copyset.Set) *tally {
-	return &tally{op: op, set: set, synced: map[string]bool{}, chainReaders: map[string]bool{}, entries: map[string]*turnpb.LedgerEntry{}, turns: map[string]*turnpb.Turn{}}
+	return &tally{op: op, set: set, synced: map[string]bool{}, chainReaders: map[string]bool{}, entries: map[string]*turnpb.LedgerEntry{},
+		turns: map[string]*turnpb.Turn{}, lacking: map[turnAtDisk]bool{}}
 }
 
 // addAnswer counts the answer of a ready member. Stored says that the request
@@ -101,29 +111,50 @@
 		}
 	}
 	if chain != nil {
-		t.chainReaders[disk] = true
-		for _, turn := range chain.Turns {
-			t.turns[turn.Id] = turn
-		}
+		t.addChain(disk, chain)
 	}
 }
 
-// conversation returns the contents of the chain's turns, oldest first. It
-// reports false if a turn is not known.
-func (t *tally) conversation() ([][]byte, bool) {
-	var contents [][]byte
-	for id := t.op.Chain; id != ""; {
+// addChain adds the turns of a member's answer, which ends at the first turn that
+// the member lacks.
+func (t *tally) addChain(disk string, chain *turnpb.Chain) {
+	t.chainReaders[disk] = true
+	next := chain.Id
+	for _, turn := range chain.Turns {
+		t.turns[turn.Id] = turn
+		next = turn.Previous
+	}
+	if next != "" {
+		t.lacking[turnAtDisk{next, disk}] = true
+	}
+}
+
+// lacks reports whether the member has said that it lacks the turn.
+func (t *tally) lacks(disk, turn string) bool { return t.lacking[turnAtDisk{turn, disk}] }
+
+// missingTurn returns the first turn of the chain, from its end, that no answer
+// has had yet, or an empty text if the conversation is complete.
+func (t *tally) missingTurn() string {
+	id := t.op.Chain
+	for id != "" {
 		turn := t.turns[id]
 		if turn == nil {
-			return nil, false
+			return id
 		}
-		contents = append(contents, turn.Content)
 		id = turn.Previous
 	}
-	for a, b := 0, len(contents)-1; a < b; a, b = a+1, b-1 {
-		contents[a], contents[b] = contents[b], contents[a]
+	return ""
+}
+
+// conversation returns the contents of the chain's turns, oldest first. All of them
+// must be known.
+func (t *tally) conversation() [][]byte {
+	var contents [][]byte
+	for id := t.op.Chain; id != ""; id = t.turns[id].Previous {
+		contents = append(contents, t.turns[id].Content)
 	}
-	return contents, true
+	slices.Reverse(contents)
+	return contents
 }
 
 // otherTokens returns the tokens that other attempts of the program have
@@ -167,10 +198,10 @@
 		out.Verdict = Stored
 		return out
 	}
-	contents, whole := t.conversation()
+	out.MissingTurn = t.missingTurn()
 	switch {
-	case whole:
-		out.Verdict, out.Conversation = Stored, contents
+	case out.MissingTurn == "":
+		out.Verdict, out.Conversation = Stored, t.conversation()
 	case len(t.chainReaders) >= t.set.ReadQuorum() && t.turns[t.op.Chain] == nil:
 		out.Verdict = TurnMissing
 	case outstanding == 0:
