turnstore: Keep turns before a gap as long as those after it

Callers would see a conversation refused for good, although its last turn is within its retention: earlier turns expired at a store that got a turn between them late or never.

Cause: a turn extends the expiry of those that it continues, back to the first one that the store lacks. Those before the gap kept their own expiry, also after the missing turn had arrived, whose record may carry an older expiry than the turns that continue it.

Change: a store remembers the ids of turns that it lacks and needs, with the latest expiry of the turns that continue them, and extends on from a turn when it arrives. Gaps are forgotten with those turns. Nothing on the wire or on disk changes; a restart finds the gaps again while it reads the log.

Spec "keeps the turns before a gap as long as those after it ..." failed before (the chain was not whole after two minutes).

--- a/turnstore/state.go
+++ b/turnstore/state.go
@@ -48,6 +48,7 @@
 type state struct {
 	programs    map[string]*ledger
 	turns       map[string]*turn
+	gaps        gaps
 	news        *news
 	facts       *facts
 	applied     []recordRef // in the order of arrival, for stores that pull
@@ -64,7 +65,7 @@
 }
 
 func newState() *state {
-	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}, news: newNews(), facts: newFacts()}
+	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}, gaps: gaps{}, news: newNews(), facts: newFacts()}
 }
 
 // apply adds a record that will be written to the given segment if it is new,
@@ -133,21 +134,32 @@
 // applyTurn adds a turn and extends the expiry of those that it continues.
 func (s *state) applyTurn(record *turnpb.Turn, segment uint64) bool {
 	known := s.turns[record.Id]
+	expires := record.ExpiresUnixMs
 	if known == nil {
-		s.turns[record.Id] = &turn{record: record, expires: record.ExpiresUnixMs, segment: segment}
+		expires = max(expires, s.gaps.fill(record.Id))
+		s.turns[record.Id] = &turn{record: record, expires: expires, segment: segment}
 		s.bytes += int64(len(record.Content)) + recordOverhead
 		s.applied = append(s.applied, recordRef{turn: record.Id})
 	}
-	// Earlier turns live as long as the turns that continue them.
-	for id := record.Id; id != ""; {
+	s.extendExpiry(record.Id, expires)
+	return known == nil
+}
+
+// extendExpiry makes a turn and those that it continues live at least until the
+// given time. Those before a turn that is not held follow when it arrives.
+func (s *state) extendExpiry(last string, expires int64) {
+	for id := last; id != ""; {
 		t := s.turns[id]
-		if t == nil || (id != record.Id && t.expires >= record.ExpiresUnixMs) {
-			break
+		if t == nil {
+			s.gaps.extend(id, expires)
+			return
+		}
+		if id != last && t.expires >= expires {
+			return
 		}
-		t.expires = max(t.expires, record.ExpiresUnixMs)
+		t.expires = max(t.expires, expires)
 		id = t.record.Previous
 	}
-	return known == nil
 }
 
 // moveTo records that all live records up to the end of the given segment have
@@ -311,6 +323,7 @@
 			delete(s.turns, id)
 		}
 	}
+	s.gaps.expire(limit)
 	for program, l := range s.programs {
 		if l.expires < limit {
 			s.bytes -= recordOverhead * int64(len(l.entries))
--- a/turnstore/state_test.go
+++ b/turnstore/state_test.go
@@ -67,6 +67,30 @@
 		Expect(s.chain("b").Whole).To(BeTrue())
 	})
 
+	// Guards against turns that expire at a store too early, because it got a turn of the
+	// conversation later than those that continue it, or never (LOST, review/1).
+	It("keeps the turns before a gap as long as those after it, once the turn between them has arrived", func() {
+		s := newState()
+		s.apply(turnRecord("a", "", "one", time.Second), 1)
+		s.apply(turnRecord("c", "b", "three", time.Minute), 1)
+		s.apply(turnRecord("d", "c", "four", time.Hour), 1)
+		s.apply(turnRecord("b", "a", "two", time.Second), 1)
+		s.expire(time.Now().Add(2 * time.Minute))
+		Expect(s.chain("d").Whole).To(BeTrue())
+		s.expire(time.Now().Add(2 * time.Hour))
+		Expect(s.turns).To(BeEmpty())
+		Expect(s.bytes).To(BeZero())
+	})
+
+	// Guards against memory that grows with each turn that never arrives.
+	It("forgets a gap with the turns that continue it", func() {
+		s := newState()
+		s.apply(turnRecord("b", "a", "two", time.Minute), 1)
+		Expect(s.gaps).To(HaveLen(1))
+		s.expire(time.Now().Add(time.Hour))
+		Expect(s.gaps).To(BeEmpty())
+	})
+
 	It("reports a conversation as incomplete when an earlier turn is missing", func() {
 		s := newState()
 		s.apply(turnRecord("b", "a", "two", time.Hour), 1)
