turnstore, turnlog, role: Give a store that was away the records that it missed

A record that a store missed stayed on the other disks only, for good. With three stores that also lets a budget be exceeded: the store that missed a program's last settlement forgets the earlier ones sooner than the others, and a majority that has it may know of neither (spec "keeps a program's settlements ...").

Cause: nothing gave a ready member what it had missed. Only a disk that joins the copy set pulled.

Change: each store has one more duty, the repairer. It copies - after a start, and when a front says so, the records that arrived at other members since the store may have missed some, from so many members that every majority is among them: ids first, contents only of what is lacking. A front says so (ExchangeRequest.missed_ms) when an operation was stored by a majority and a member that should have got it has not answered for it. The others keep marks of when records arrived, so the list is as long as what was missed, not as the disk (PullRequest.arrived_within_ms). - at any time, the turns before those that it holds, by id.

Nothing on disk changes.

Ruled out: marking a store that was away as not ready, so that it pulls as a new disk does (a kill of all stores would leave none to pull from, and each restart would cost two writes to the platform's store); fronts that keep what a member missed (lost with the front, and memory).

--- a/cmd/dogwoodline/roles_test.go
+++ b/cmd/dogwoodline/roles_test.go
@@ -189,6 +189,32 @@
 		Expect(f.lastBody()).To(HaveSuffix("t2-3\nthree"))
 	})
 
+	// Guards against conversations that are refused for good after a release of the
+	// stores, although three disks hold each of their turns (LOST, review/1).
+	It("keep a conversation when each store is restarted in turn", func() {
+		conversation, previous := "", ""
+		turn := func(id string) {
+			GinkgoHelper()
+			expectTurn("front-1", usersplatform.Request{ID: id, Previous: previous, Body: "to " + id + "\n"})
+			Expect(f.lastBody()).To(Equal(conversation + "to " + id + "\n"))
+			conversation += fmt.Sprintf("to %s\n%s-1\n%s-2\n%s-3\n", id, id, id, id)
+			previous = id
+		}
+		turn("r0")
+		for i, name := range []string{"store-1", "store-2", "store-3", "store-4"} {
+			f.signal(name, syscall.SIGTERM)
+			Expect(f.hosts[name].process.Wait()).To(Succeed())
+			turn(fmt.Sprint("r", i+1, "-while-away"))
+			f.restart(name)
+			Eventually(func() (string, error) {
+				content, err := os.ReadFile(f.hosts[name].logFile.Name())
+				_, sinceStart, _ := strings.Cut(string(content), "stop requested")
+				return sinceStart, err
+			}, "12s", "50ms").Should(ContainSubstring("turnstore: missed records copied"))
+			turn(fmt.Sprint("r", i+1, "-after"))
+		}
+	})
+
 	It("keep a conversation if a store's disk is lost and another store is down", func() {
 		copySet := func() string {
 			item, _ := f.platform.Get(context.Background(), "copyset")
--- a/role/store.go
+++ b/role/store.go
@@ -49,6 +49,7 @@
 	report := func(done bool) (string, []byte) { return platform.RetireReport(p.host.Name, done) }
 	joiner := turnstore.NewJoiner(server, p.store, p.log, self, p.host.ToleratedHostLosses, report, connect)
 	p.group.Go("joiner", joiner.Run)
+	p.group.Go("repairer", turnstore.NewRepairer(server, p.log, p.host.AvailabilityZone, connect).Run)
 	notify := func(ctx context.Context, update turnstore.Update) { _ = joiner.Updates().Push(ctx, update) } // fails only when the process stops
 	copySets := copySetSubscription(p.log, func(ctx context.Context, set copyset.Set) { notify(ctx, turnstore.Update{CopySet: &set}) })
 	copySets.onList = func(ctx context.Context, keys map[string]bool, _ bool) {
--- a/turnstore/client.go
+++ b/turnstore/client.go
@@ -81,8 +81,10 @@
 	// under two versions must not add up to a majority, since a store that joins
 	// in between may have pulled the record from neither group of members.
 	set         *copyset.Set
+	begun       time.Time
 	outstanding int                 // requests that are not answered yet
 	remaining   []copyset.Member    // members that the operation was not sent to
+	owed        map[string]bool     // disks that should get the records
 	chainAsked  map[turnAtDisk]bool // members that were asked for the conversation up to a turn
 	replied     bool                // the result was sent
 }
@@ -259,10 +261,10 @@
 		return
 	}
 	c.nextID++
-	p := &pending{submission: s, tally: newTally(s.op, *c.set), set: c.set, chainAsked: map[turnAtDisk]bool{}}
+	now := time.Now()
+	p := &pending{submission: s, tally: newTally(s.op, *c.set), set: c.set, begun: now, owed: map[string]bool{}, chainAsked: map[turnAtDisk]bool{}}
 	c.pending[c.nextID] = p
 	nearest := c.nearestDisk()
-	now := time.Now()
 	first, remaining := c.selectMembers(s.op, nearest)
 	for _, m := range first {
 		msg := message{records: s.op.Records, fact: s.op.FactKey}
@@ -272,29 +274,19 @@
 		c.send(c.nextID, p, m, msg)
 	}
 	p.remaining = remaining
+	for _, m := range remaining {
+		p.owed[m.Disk] = c.failing(m)
+	}
 	c.decide(c.nextID, p)
 	if len(p.remaining) > 0 {
 		c.scheduleFallback(c.nextID, now)
 	}
 }
 
-// nearestDisk returns the disk of the member that is asked for conversations
-// first, because they make long answers: a reachable one in this availability
-// zone, or else the first reachable one.
-func (c *Client) nearestDisk() string {
-	first := ""
-	for _, m := range c.set.Members {
-		if !m.Ready || c.senders[c.slotByDisk[m.Disk]].failing.Load() {
-			continue
-		}
-		if m.Zone == c.zone {
-			return m.Disk
-		}
-		if first == "" {
-			first = m.Disk
-		}
-	}
-	return first
+// failing reports whether the last request to a member failed.
+func (c *Client) failing(m copyset.Member) bool {
+	slot, known := c.slotByDisk[m.Disk]
+	return known && c.senders[slot].failing.Load()
 }
 
 // send queues a request for one member, unless its queue is full.
@@ -304,6 +296,9 @@
 		return
 	}
 	msg.id, msg.set, msg.disk = id, p.set, m.Disk
+	if len(msg.records) > 0 {
+		p.owed[m.Disk] = true
+	}
 	if c.senders[slot].queue.TryPush(msg) != nil {
 		return // the member does not keep up; the others decide
 	}
@@ -361,27 +356,7 @@
 		if !p.replied {
 			p.reply <- Result{Verdict: Uncertain, Synced: len(p.tally.synced), CopySet: p.tally.set.Version}
 		}
+		c.noteMissed(p)
 		delete(c.pending, id)
 	}
 }
-
-// askForMissingTurn asks for the conversation up to the turn that no answer has had,
-// once a majority has stored the records or a member has been read. A member that
-// lacks a later turn may have it, since a store returns a conversation only up to
-// the first turn that it lacks. It reports whether it has asked a member.
-func (c *Client) askForMissingTurn(id uint64, p *pending) bool {
-	if len(p.tally.synced) < p.tally.set.Majority() && len(p.tally.chainReaders) == 0 {
-		return false
-	}
-	turn := p.tally.missingTurn()
-	if turn == "" {
-		return false
-	}
-	before := p.outstanding
-	for _, m := range p.tally.set.Members {
-		if m.Ready && !p.tally.lacks(m.Disk, turn) && !p.chainAsked[turnAtDisk{turn, m.Disk}] {
-			c.send(id, p, m, message{chain: turn})
-		}
-	}
-	return p.outstanding > before
-}
--- a/turnstore/gaps.go
+++ b/turnstore/gaps.go
@@ -7,6 +7,8 @@
 // gap is one turn that is not held.
 type gap struct {
 	expires int64 // Unix ms; the latest expiry of the turns that continue it
+	listed  bool  // it was there at an earlier call of due
+	absent  bool  // no other store has the turn
 }
 
 // extend records that the turn is not held, and that it is needed until the given
@@ -39,3 +41,26 @@
 		}
 	}
 }
+
+// due returns up to limit turns that should be copied from other stores: those that
+// were missing at an earlier call too, because a turn may arrive shortly after one
+// that continues it.
+func (g gaps) due(limit int) []string {
+	var ids []string
+	for id, known := range g {
+		if known.listed && !known.absent && len(ids) < limit {
+			ids = append(ids, id)
+		}
+		known.listed = true
+	}
+	return ids
+}
+
+// setAbsent records that no other store has the turns, so that they are not due.
+func (g gaps) setAbsent(ids []string) {
+	for _, id := range ids {
+		if known := g[id]; known != nil {
+			known.absent = true
+		}
+	}
+}
--- a/turnstore/joiner.go
+++ b/turnstore/joiner.go
@@ -42,13 +42,12 @@
 // Joiner makes the disk of a server a member of the copy set, drops absent
 // members, and copies the records to the other members when the disk is retired.
 type Joiner struct {
-	server    *Server
+	puller
 	store     kvstore.Store
 	log       *slog.Logger
 	self      copyset.Member
 	tolerated int // the number of disks that may be lost without losing records
 	report    RetireReport
-	connect   func(address string) (grpc.ClientConnInterface, func(), error)
 	updates   *ring.Ring[Update]
 	stable    atomic.Bool
 
@@ -70,7 +69,7 @@
 	connect func(address string) (grpc.ClientConnInterface, func(), error)) *Joiner {
 	self.Disk = server.Disk()
 	return &Joiner{
-		server: server, store: store, log: log, self: self, tolerated: tolerated, report: report, connect: connect,
+		puller: puller{server: server, connect: connect}, store: store, log: log, self: self, tolerated: tolerated, report: report,
 		updates: ring.New[Update](updateQueueSize), missingSince: map[string]time.Time{},
 	}
 }
--- a/turnstore/pull.go
+++ b/turnstore/pull.go
@@ -1,6 +1,10 @@
 package turnstore
 
-import "dogwoodline.example/turnstore/turnpb"
+import (
+	"time"
+
+	"dogwoodline.example/turnstore/turnpb"
+)
 
 // pullPageBytes is the approximate size of a reply to Pull.
 const pullPageBytes = 512 << 10
@@ -20,16 +24,29 @@
 
 // fillPull adds the turns that a request names, or else a page, to the reply.
 func (s *Server) fillPull(in *turnpb.PullRequest, out *turnpb.PullReply) {
+	limit := pullPageBytes
+	if in.MaxBytes > 0 {
+		limit = int(min(in.MaxBytes, pullPageBytes))
+	}
 	if len(in.Turns) > 0 {
-		records, lookedUp := s.state.turnRecords(in.Turns, pullPageBytes, in.OmitContent)
+		records, lookedUp := s.state.turnRecords(in.Turns, limit, in.OmitContent)
 		out.Records, out.Cursor, out.Done = records, uint64(lookedUp), lookedUp == len(in.Turns)
 		return
 	}
-	out.Records, out.Cursor, out.Done = s.state.page(in.Cursor, pullPageBytes, in.OmitContent)
+	cursor := in.Cursor
+	if in.ArrivedWithinMs > 0 {
+		within := time.Duration(min(in.ArrivedWithinMs, maxArrivedWithinMs)) * time.Millisecond
+		cursor = max(cursor, s.state.arrivals.since(time.Now().Add(-within)))
+	}
+	out.Records, out.Cursor, out.Done = s.state.page(cursor, limit, in.OmitContent)
 }
 
+// maxArrivedWithinMs is more than any mark of an arrival reaches back, in ms.
+const maxArrivedWithinMs = 24 * 60 * 60 * 1000
+
 // importRecords is applyRecords without the turns that have no content and are
-// not held. It returns their ids.
+// not held. It returns their ids, and those of turns that are not held either and that the
+// imported ones continue.
 func (s *Server) importRecords(records []*turnpb.Record, payloads [][]byte) (_ [][]byte, missing []string) {
 	usable := make([]*turnpb.Record, 0, len(records))
 	for _, record := range records {
@@ -39,5 +56,11 @@
 		}
 		usable = append(usable, record)
 	}
-	return s.applyRecords(usable, payloads), missing
+	payloads = s.applyRecords(usable, payloads)
+	for _, record := range usable {
+		if previous := record.GetTurn().GetPrevious(); previous != "" && s.state.turns[previous] == nil {
+			missing = append(missing, previous)
+		}
+	}
+	return payloads, missing
 }
--- a/turnstore/retire.go
+++ b/turnstore/retire.go
@@ -132,7 +132,7 @@
 // them.
 func (j *Joiner) pushToMajority(ctx context.Context, next copyset.Set) bool {
 	complete := 0
-	for _, m := range j.nearestFirst() {
+	for _, m := range nearestFirst(j.copySet, j.self.Zone) {
 		if complete >= next.Majority() {
 			break
 		}
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -35,6 +35,9 @@
 	announced *ring.Ring[Fact]       // the client's queue of announced facts
 	address   atomic.Pointer[string] // of the member; empty if none is assigned
 	failing   atomic.Bool            // the last request failed
+	// missedSince is when the first operation began that others have stored and the
+	// member has not; nil if the member has been told, or has missed none.
+	missedSince atomic.Pointer[time.Time]
 
 	// The run goroutine owns the fields below.
 	conn        turnpb.TurnStoreClient
@@ -58,6 +61,20 @@
 	if known := s.address.Swap(&address); known == nil || *known != address {
 		s.failing.Store(false)
 	}
+	if address == "" {
+		s.missedSince.Store(nil)
+	}
+}
+
+// noteMissed has the member told that it has missed an operation that began at the
+// given time.
+func (s *sender) noteMissed(begun time.Time) {
+	for {
+		known := s.missedSince.Load()
+		if known != nil && !known.After(begun) || s.missedSince.CompareAndSwap(known, &begun) {
+			return
+		}
+	}
 }
 
 func (s *sender) run(ctx context.Context) error {
@@ -84,8 +101,8 @@
 }
 
 // waitOrProbe waits for messages. It probes a member that cannot be reached, so
-// that its return is noticed even when no messages are sent to it, and asks one
-// that was sent no message for a while for crashes.
+// that its return is noticed even when no messages are sent to it, asks one that was
+// sent no message for a while for crashes, and tells one what it has missed.
 func (s *sender) waitOrProbe(ctx context.Context, probe <-chan time.Time) error {
 	select {
 	case <-s.queue.Ready():
@@ -94,7 +111,7 @@
 		return ctx.Err()
 	case <-probe:
 	}
-	if *s.address.Load() == "" || !s.failing.Load() && time.Since(s.asked) < maxNewsAge {
+	if *s.address.Load() == "" || !s.failing.Load() && s.missedSince.Load() == nil && time.Since(s.asked) < maxNewsAge {
 		return nil
 	}
 	err := s.ensureConnected()
@@ -205,11 +222,18 @@
 func (s *sender) call(ctx context.Context, request *turnpb.ExchangeRequest) (*turnpb.ExchangeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	missedSince := s.missedSince.Load()
+	if missedSince != nil {
+		request.MissedMs = uint64(max(1, time.Since(*missedSince).Milliseconds()))
+	}
 	reply, err := s.conn.Exchange(ctx, request)
 	if ctx.Err() != nil {
 		// The connection may be dead without an error; dial a new one.
 		s.disconnect()
 	}
+	if err == nil {
+		s.missedSince.CompareAndSwap(missedSince, nil)
+	}
 	return reply, err
 }
 
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -50,20 +50,25 @@
 	unwritten  [][]byte
 	maxBytes   int64
 	batchTimer duty.Timer
+	// missedSince is when the first record was stored by others that this store may
+	// lack; zero if there is none.
+	missedSince time.Time
 
 	copySet     atomic.Pointer[copyset.Set] // the newest one known
 	ready       atomic.Bool                 // this disk counts for majorities
 	refusing    atomic.Bool                 // this disk leaves the copy set or has left it
 	recordBytes atomic.Int64                // for metrics
 	turnCount   atomic.Int64                // for metrics
+	gapCount    atomic.Int64                // for metrics
 }
 
-// request is an item of the writer's queue. One of exchange, pull, ownPage and
-// imported is set.
+// request is an item of the writer's queue. One of exchange, pull, ownPage, repair
+// and imported is set.
 type request struct {
 	exchange *turnpb.ExchangeRequest
 	pull     *turnpb.PullRequest
 	ownPage  *uint64          // cursor from which this process reads its own records
+	repair   *repairProgress  // what the repairer has done; it asks for more
 	imported []*turnpb.Record // pulled from another store
 	reply    chan<- outcome   // has a buffer of one
 }
@@ -72,7 +77,8 @@
 type outcome struct {
 	exchange *turnpb.ExchangeReply
 	pull     *turnpb.PullReply
-	missing  []string // ids of imported turns whose contents are not held
+	repair   repairWork
+	missing  []string // ids of turns that are not held, after an import
 	err      error
 }
 
@@ -97,12 +103,14 @@
 		return nil, err
 	}
 	s.turnLog = turnLog
+	s.missedSince = turnLog.LastWrite()
 	s.updateGauges()
 	log.Info("turnstore: log opened", "disk", turnLog.Identity(), "records", replayed,
 		"turns", len(s.state.turns), "programs", len(s.state.programs))
 	group.Go("store-writer", s.run)
 	group.RegisterRingDepth("store-writer", "requests", s.requests.Len)
 	group.RegisterGauge("dogwoodline_store_record_bytes", func() int { return int(s.recordBytes.Load()) })
+	group.RegisterGauge("dogwoodline_store_missing_turns", func() int { return int(s.gapCount.Load()) })
 	group.RegisterGauge("dogwoodline_store_turns", func() int { return int(s.turnCount.Load()) })
 	return s, nil
 }
@@ -164,8 +172,8 @@
 }
 
 // Import makes records that were pulled from another store durable here. It
-// returns the ids of the turns without content that are not held here yet; they
-// have not been imported.
+// returns the ids of the turns without content that are not held here yet, which
+// have not been imported, and of turns before the imported ones that are not held.
 func (s *Server) Import(ctx context.Context, records []*turnpb.Record) (missing []string, err error) {
 	result, err := s.submit(ctx, request{imported: records})
 	return result.missing, err
@@ -226,6 +234,8 @@
 		case r.ownPage != nil:
 			outcomes[i].pull = &turnpb.PullReply{}
 			s.fillPull(&turnpb.PullRequest{Cursor: *r.ownPage}, outcomes[i].pull)
+		case r.repair != nil:
+			outcomes[i].repair = s.nextRepair(r.repair)
 		default:
 			payloads, outcomes[i].missing = s.importRecords(r.imported, payloads)
 		}
@@ -280,6 +290,7 @@
 // are not taken.
 func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte, diskRefuses bool) (*turnpb.ExchangeReply, [][]byte) {
 	s.adoptEncodedSet(in.Set)
+	s.noteMissed(in.MissedMs)
 	out := &turnpb.ExchangeReply{}
 	out.Status, out.Set, payloads = s.checkVersion(in.CopySet, payloads)
 	if out.Status == turnpb.Status_STATUS_OK {
@@ -337,6 +348,7 @@
 // are still live, it appends those to the log again and removes the segment.
 func (s *Server) expireAndCompact(now time.Time) {
 	s.state.expire(now)
+	s.state.arrivals.mark(now, s.state.nextCursor())
 	s.updateGauges()
 	segment, ok := s.turnLog.OldestSegment()
 	if !ok {
@@ -379,4 +391,5 @@
 func (s *Server) updateGauges() {
 	s.recordBytes.Store(s.state.bytes)
 	s.turnCount.Store(int64(len(s.state.turns)))
+	s.gapCount.Store(int64(len(s.state.gaps)))
 }
--- a/turnstore/state.go
+++ b/turnstore/state.go
@@ -53,8 +53,9 @@
 	facts       *facts
 	applied     []recordRef // in the order of arrival, for stores that pull
 	firstCursor uint64      // the cursor of applied[0]
-	fence       uint64      // the lowest copy set version that is accepted
-	bytes       int64       // the memory that records take
+	arrivals    arrivals
+	fence       uint64 // the lowest copy set version that is accepted
+	bytes       int64  // the memory that records take
 }
 
 // recordRef names an applied record: program and attempt, or turn, or crash, or
@@ -267,7 +268,7 @@
 func (s *state) page(cursor uint64, limit int, omitContent bool) (records []*turnpb.Record, next uint64, done bool) {
 	cursor = max(cursor, s.firstCursor)
 	size := 0
-	for cursor < s.firstCursor+uint64(len(s.applied)) && size < limit {
+	for cursor < s.nextCursor() && size < limit {
 		r := s.applied[cursor-s.firstCursor]
 		cursor++
 		if record := s.record(r); record != nil {
@@ -278,9 +279,12 @@
 			size += recordSize(record)
 		}
 	}
-	return records, cursor, cursor >= s.firstCursor+uint64(len(s.applied))
+	return records, cursor, cursor >= s.nextCursor()
 }
 
+// nextCursor returns the cursor of the next record that arrives.
+func (s *state) nextCursor() uint64 { return s.firstCursor + uint64(len(s.applied)) }
+
 // turnRecords returns the records of the given turns that are held, up to about
 // limit bytes, and the number of ids that were looked up.
 func (s *state) turnRecords(ids []string, limit int, omitContent bool) (records []*turnpb.Record, lookedUp int) {
--- a/turnstore/transfer.go
+++ b/turnstore/transfer.go
@@ -26,21 +26,21 @@
 		j.pulledVersion, j.pulledDisks, j.pullStart = j.copySet.Version, map[string]bool{}, time.Now()
 	}
 	complete := true
-	for _, m := range j.nearestFirst() {
+	for _, m := range nearestFirst(j.copySet, j.self.Zone) {
 		if !m.Ready || m.Disk == j.self.Disk || j.pulledDisks[m.Disk] {
 			continue
 		}
 		if j.pulledEnough() && time.Since(j.pullStart) > pullAllGrace {
 			return true
 		}
-		count, err := j.pull(ctx, m)
+		copied, err := j.pull(ctx, j.copySet, m, &turnpb.PullRequest{})
 		if err != nil {
 			j.log.Warn("turnstore: pull failed", "from", m.Host, "copy_set", j.copySet.Version, "error", err)
 			complete = false
 			continue
 		}
 		j.pulledDisks[m.Disk] = true
-		j.log.Info("turnstore: pulled", "from", m.Host, "records", count, "copy_set", j.copySet.Version)
+		j.log.Info("turnstore: pulled", "from", m.Host, "records", copied.records, "turn_bytes", copied.turnBytes, "copy_set", j.copySet.Version)
 	}
 	return j.pulledEnough() && (complete || time.Since(j.pullStart) > pullAllGrace)
 }
@@ -52,85 +52,6 @@
 	return len(j.pulledDisks) >= j.copySet.MustPullFrom(self)
 }
 
-// nearestFirst returns the members, those in this availability zone first. The
-// first one that is pulled from sends most of the contents.
-func (j *Joiner) nearestFirst() []copyset.Member {
-	members := slices.Clone(j.copySet.Members)
-	distance := func(m copyset.Member) int {
-		if m.Zone == j.self.Zone {
-			return 0
-		}
-		return 1
-	}
-	slices.SortStableFunc(members, func(a, b copyset.Member) int { return distance(a) - distance(b) })
-	return members
-}
-
-// pull makes all records of one member durable here and returns their number. The
-// contents of turns are transferred only if this store lacks them, because most
-// members hold the same turns.
-func (j *Joiner) pull(ctx context.Context, from copyset.Member) (int, error) {
-	conn, closeConn, err := j.connect(from.Address)
-	if err != nil {
-		return 0, err
-	}
-	defer closeConn()
-	client := turnpb.NewTurnStoreClient(conn)
-	count := 0
-	for cursor := uint64(0); ; {
-		page, err := j.pullPage(ctx, client, &turnpb.PullRequest{Cursor: cursor, OmitContent: true})
-		if err != nil {
-			return count, err
-		}
-		missing, err := j.server.Import(ctx, page.Records)
-		if err != nil {
-			return count, err
-		}
-		if err := j.pullTurns(ctx, client, missing); err != nil {
-			return count, err
-		}
-		count += len(page.Records)
-		if page.Done {
-			return count, nil
-		}
-		cursor = page.Cursor
-	}
-}
-
-// pullTurns makes the given turns durable here, as far as the other store still
-// holds them.
-func (j *Joiner) pullTurns(ctx context.Context, client turnpb.TurnStoreClient, ids []string) error {
-	for len(ids) > 0 {
-		reply, err := j.pullPage(ctx, client, &turnpb.PullRequest{Turns: ids})
-		if err != nil {
-			return err
-		}
-		if reply.Cursor == 0 || reply.Cursor > uint64(len(ids)) {
-			return Error.New("pull of %d turns answered with cursor %d", len(ids), reply.Cursor)
-		}
-		if _, err := j.server.Import(ctx, reply.Records); err != nil {
-			return err
-		}
-		ids = ids[reply.Cursor:]
-	}
-	return nil
-}
-
-// pullPage makes one Pull request under the current copy set.
-func (j *Joiner) pullPage(ctx context.Context, client turnpb.TurnStoreClient, request *turnpb.PullRequest) (*turnpb.PullReply, error) {
-	request.CopySet, request.Set = j.copySet.Version, encodeVersionedSet(j.copySet)
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
-	defer cancel()
-	reply, err := client.Pull(ctx, request)
-	if err != nil {
-		return nil, err
-	}
-	if reply.Status != turnpb.Status_STATUS_OK {
-		return nil, Error.New("pull refused with %s", reply.Status)
-	}
-	return reply, nil
-}
-
 // push stores the records of this disk that one member has not received yet.
 func (j *Joiner) push(ctx context.Context, to copyset.Member) error {
 	conn, closeConn, err := j.connect(to.Address)
@@ -168,7 +89,7 @@
 	if len(ids) == 0 {
 		return records
 	}
-	reply, err := j.pullPage(ctx, client, &turnpb.PullRequest{Turns: ids, OmitContent: true})
+	reply, err := pullPage(ctx, client, j.copySet, &turnpb.PullRequest{Turns: ids, OmitContent: true})
 	if err != nil {
 		j.log.Info("turnstore: turns of member not known, sending all", "to", to.Host, "error", err)
 		return records
