gateway, turnstore: Keep a turn whole that is taken up at another front

Cause: a front stored as a turn's output what it had written itself. Where a stream was taken up, that is the rest only.

Hypotheses were: (1) this; (2) the backend server was sent another body when the stream went on (ruled out: the record shows the same body with Last-Event-Id); (3) the next turn continued another attempt (ruled out by its chain).

Change: on routes whose turns are kept and whose streams may be resumed, each event is stored as a piece before it is sent, a record of the kind that conversations consist of, chained to the one before. The front that takes the stream up reads the pieces up to the client's last event, claims the turn (the fact about its origin, with a version above all of the attempts before), and stores prefix and rest. On routes whose streams may not be resumed a turn with a last event id is refused, as its beginning would be missing too.

Beside: origins of such turns have another key, so its fronts refuse to take up what a new front began instead of storing a part; a new front refuses what an old one began.

--- a/cmd/dogwoodline/roles_test.go
+++ b/cmd/dogwoodline/roles_test.go
@@ -287,6 +287,42 @@
 		}
 	})
 
+	// Guards against turns of which only the events after a break are stored, so that
+	// the next turn runs with a conversation that never took place (UNASKED, review/3).
+	It("keep a turn whole that was taken up after its front was killed", func() {
+		f.backend.SetPause(150 * time.Millisecond)
+		defer f.backend.SetPause(0)
+		send := func(front string, request usersplatform.Request) (int, string, error) {
+			request.Turn = true
+			address := fmt.Sprintf("%s:%d", f.hosts[front].ip, usersplatform.FrontPort)
+			return usersplatform.Send(context.Background(), address, usersplatform.SiteHost, usersplatform.ResumableTurnsPath, request)
+		}
+		type answer struct {
+			status int
+			body   string
+			err    error
+		}
+		first := make(chan answer, 1)
+		before := len(f.backend.Runs())
+		go func() {
+			status, body, err := send("front-1", usersplatform.Request{ID: "k1", Body: "one\n"})
+			first <- answer{status, body, err}
+		}()
+		Eventually(func() int { return len(f.backend.Runs()) }, "5s", "5ms").Should(BeNumerically(">", before))
+		time.Sleep(100 * time.Millisecond) // the first event has gone out, and the second has not
+		f.signal("front-1", syscall.SIGKILL)
+		begun := <-first
+		Expect(begun.err).To(HaveOccurred())
+		Expect(begun.body).To(Equal("id: 1\ndata: k1-1\n\n"))
+		status, body, err := send("front-2", usersplatform.Request{ID: "k2", Body: "one\n", Resumes: "k1", LastEventID: "1"})
+		Expect(fmt.Sprint(status, err)).To(Equal("200 <nil>"))
+		Expect(body).To(Equal("id: 2\ndata: k2-2\n\nid: 3\ndata: k2-3\n\n"))
+		f.restart("front-1")
+		f.waitReady("front-1")
+		expectTurn("front-1", usersplatform.Request{ID: "k3", Previous: "k2", Body: "two\n"})
+		Expect(f.lastBody()).To(Equal("one\nk1-1\nk2-2\nk2-3\ntwo\n"))
+	})
+
 	It("finish requests in progress when a front is stopped, and direct clients to another front", func() {
 		f.backend.SetPause(300 * time.Millisecond)
 		before := len(f.backend.Runs())
--- a/emulator/usersplatform/backend.go
+++ b/emulator/usersplatform/backend.go
@@ -17,7 +17,8 @@
 }
 
 // Backend is a backend server that answers requests of streaming routes with a
-// few events and all others with a short body. It records the requests it ran.
+// few events, or those after the one that the request names, and all others with a
+// short body. It records the requests it ran.
 type Backend struct {
 	// ID is the name of the server in the metadata store.
 	ID string
@@ -79,7 +80,8 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range b.Events {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none for a stream from its start
+	for i := last; i < b.Events; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i+1, id, i+1)
 		if flusher, ok := w.(http.Flusher); ok {
 			flusher.Flush()
--- a/emulator/usersplatform/client.go
+++ b/emulator/usersplatform/client.go
@@ -129,12 +129,16 @@
 // SiteHost is the HTTP host name of all routes in the stand-in's configuration.
 const SiteHost = "site.example"
 
+// ResumableTurnsPath is the path of the route whose turns are kept and whose streams
+// may be resumed.
+const ResumableTurnsPath = "/resumable-turns/"
+
 // FragileService is the service of the FragileBackends.
 const FragileService = "fragile"
 
 // Configure registers the backend server at the address and writes a
-// configuration that routes the paths /turns/ and /calls/ to its service, the path
-// /fragile/ to FragileService and StreamPath to StreamService.
+// configuration that routes the paths /turns/, ResumableTurnsPath and /calls/ to its
+// service, the path /fragile/ to FragileService and StreamPath to StreamService.
 func (s *Store) Configure(ctx context.Context, b *Backend, address string) error {
 	err := s.Put(ctx, "servers/"+b.ID, map[string]any{
 		"Service": "llm", "Version": "v1", "Address": address, "Zone": "a", "Slots": 8, "State": "ready",
@@ -144,6 +148,7 @@
 	}
 	return s.Put(ctx, "op/config", json.RawMessage(`{"Version":3,"Routes":[
 		{"Name":"turns","Host":"site.example","PathPrefix":"/turns/","Kind":"streaming","TimeoutMs":5000,"Service":"llm","Attempts":1,"Retain":true,"RetentionS":60},
+		{"Name":"resumable-turns","Host":"site.example","PathPrefix":"/resumable-turns/","Kind":"streaming","TimeoutMs":5000,"Service":"llm","Attempts":1,"Retain":true,"RetentionS":60,"Resumable":true},
 		{"Name":"calls","Host":"site.example","PathPrefix":"/calls/","Kind":"unsafe","TimeoutMs":5000,"Service":"llm"},
 		{"Name":"streams","Host":"site.example","PathPrefix":"/streams/","Kind":"streaming","TimeoutMs":5000,"Service":"streams","Attempts":1,"Resumable":true},
 		{"Name":"fragile","Host":"site.example","PathPrefix":"/fragile/","Kind":"safe","TimeoutMs":1500,"Service":"fragile","Attempts":1}],
--- /dev/null
+++ b/gateway/beginturn.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"dogwoodline.example/route"
+	"dogwoodline.example/turnstore"
+)
+
+// takesUp reports whether the client takes up a stream after its last event.
+func (e *clientExchange) takesUp() bool {
+	return e.route.Kind == route.Streaming && e.route.Resumable && e.request.LastEventID != ""
+}
+
+// beginTurn reserves the turn's token budget, finds the origin of a stream that the
+// client takes up, and returns the body to send: the conversation so far, followed
+// by the request's own body. It reports false if it has already responded.
+func (e *clientExchange) beginTurn(ctx context.Context) ([]byte, bool) {
+	if !e.takesUp() {
+		e.request.ResumedAttempt = "" // there is no event to go on after
+	}
+	if e.route.Kind != route.Streaming || (!e.turn.hasBudget && !e.route.RetainTurns && !e.takesUp()) {
+		return e.request.Body, true
+	}
+	if !e.turnMayBegin() {
+		return nil, false
+	}
+	if e.keepsPieces() {
+		e.pieces = &turnPieces{attempt: e.request.ID}
+	}
+	start := time.Now()
+	result := e.turn.begin(ctx, start)
+	e.log(slog.LevelInfo, "gateway: turn begun", "verdict", result.Verdict.String(), "program", e.request.Program,
+		"previous", e.request.PreviousTurn, "budget", e.request.TokenBudget, "spent", result.Spent, "reserved", result.Reserved,
+		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation), "missing_turn", result.MissingTurn, "resumed_attempt", e.request.ResumedAttempt,
+		"took_ms", time.Since(start).Milliseconds())
+	e.startsProgram = e.turn.hasBudget && result.Spent == 0 && result.Reserved == 0
+	if result.Verdict != turnstore.Stored {
+		e.refuseTurn(result, start)
+		return nil, false
+	}
+	if e.takesUp() && !e.useOrigin(ctx, result.Fact) {
+		e.turn.settle(start)
+		return nil, false
+	}
+	if len(result.Conversation) == 0 {
+		return e.request.Body, true
+	}
+	var body []byte
+	for _, content := range result.Conversation {
+		body = append(body, content...)
+	}
+	return append(body, e.request.Body...), true
+}
+
+// turnMayBegin reports whether the stores can keep the turn, whole. If not, it has
+// refused the request.
+func (e *clientExchange) turnMayBegin() bool {
+	switch {
+	case !e.route.RetainTurns:
+		return true
+	case !e.gateway.turnStore.Serving():
+		e.refuse("too few turn stores are known", retryAfterNotReady)
+		return false
+	case !e.route.Resumable && e.request.LastEventID != "":
+		// The backend server would leave out the events that the client has, and the turn
+		// would be stored without them.
+		e.refuse("streams of this route cannot be taken up", retryAfterUnknownStream)
+		return false
+	}
+	return true
+}
+
+// refuseTurn responds to a request whose turn the stores did not let begin at the
+// given time.
+func (e *clientExchange) refuseTurn(result turnstore.Result, start time.Time) {
+	switch result.Verdict {
+	case turnstore.OverBudget:
+		e.writeError(http.StatusPaymentRequired, "the program's token budget is spent")
+	case turnstore.TurnMissing:
+		e.turn.settle(start)
+		e.writeError(http.StatusNotFound, "no such turn")
+	default:
+		if e.r.Context().Err() != nil {
+			e.abortClientLeft("while its turn was started")
+		}
+		e.refuse(uncertainReason(result), retryAfterNotReady)
+	}
+}
+
+// uncertainReason says why it is not certain whether a turn may begin.
+func uncertainReason(result turnstore.Result) string {
+	if result.MissingTurn != "" {
+		return "no turn store that answered has an earlier turn of the conversation"
+	}
+	return "too few turn stores answered"
+}
+
+// useOrigin lets the request run only where the rest of the stream that the client
+// takes up may come from. It reports false if it has refused the request, because
+// that is not known: the client can begin anew at once.
+func (e *clientExchange) useOrigin(ctx context.Context, fact turnstore.Fact) bool {
+	origin, known := decodeOrigin(fact)
+	if !known || !e.route.Allows(origin.Service) {
+		e.refuse("the origin of the stream that is taken up is not known", retryAfterUnknownStream)
+		return false
+	}
+	if e.keepsPieces() && !e.takeUpTurn(ctx, fact, origin) {
+		e.refuse("the events that the client has of the turn are not known", retryAfterUnknownStream)
+		return false
+	}
+	e.origin = &streamOrigin{service: origin.Service, version: origin.SoftwareVersion}
+	e.service = e.findService(origin.Service)
+	e.turn.useEngine(e.service.Engine)
+	return true
+}
--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -205,6 +205,7 @@
 		if !c.bindToOrigin(a) {
 			return attemptResult{verdict: call.Unknown, reason: "the origin of the stream could not be stored", done: j.ctx.Err() != nil}
 		}
+		c.storePiece(j, event)
 		if !forwardHead(j, exchange) {
 			return attemptResult{verdict: call.Unknown, done: true}
 		}
--- a/gateway/factstore_test.go
+++ b/gateway/factstore_test.go
@@ -11,6 +11,8 @@
 type factStore struct {
 	mu    sync.Mutex
 	byKey map[string]turnstore.Fact
+	// newest is found in place of a fact of its key that was stored later; nil for none.
+	newest *turnstore.Fact
 	// refuses makes it store nothing.
 	refuses bool
 	// held is where replies wait until the spec sends them; nil to reply at once.
@@ -32,6 +34,9 @@
 		if fact == nil {
 			continue
 		}
+		if f.newest != nil && f.newest.Key == fact.Key {
+			f.byKey[fact.Key] = *f.newest
+		}
 		if fact.Version > f.byKey[fact.Key].Version {
 			f.byKey[fact.Key] = turnstore.Fact{Key: fact.Key, Version: fact.Version, Value: fact.Value}
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -15,7 +15,6 @@
 	"dogwoodline.example/call"
 	"dogwoodline.example/ring"
 	"dogwoodline.example/route"
-	"dogwoodline.example/turnstore"
 )
 
 // RequestDecoder decodes the headers of a client request.
@@ -44,6 +43,7 @@
 	turn          *turnRecord
 	startsProgram bool          // the request starts a program
 	origin        *streamOrigin // of the stream that the client takes up; nil for a new one
+	pieces        *turnPieces   // of a turn that can be taken up; nil for none
 	headWritten   bool          // the response header was sent
 }
 
@@ -126,9 +126,10 @@
 	j := &job{
 		ctx: ctx, request: &e.request, route: e.route, service: e.service, body: body, deadline: deadline, startsProgram: e.startsProgram, origin: e.origin,
 		parts: ring.New[responsePart](partRingSize), resumeAfter: e.request.LastEventID,
-		answer: &answerBytes{budget: e.gateway.answerBudget},
+		answer: &answerBytes{budget: e.gateway.answerBudget}, pieces: e.pieces,
 	}
 	defer j.answer.close()
+	j.answer.grow(len(e.turn.output)) // of the attempts before
 	if err := e.gateway.scheduler.messages.TryPush(schedulerMessage{job: j}); err != nil {
 		e.turn.settle(time.Now())
 		e.refuse("too many requests wait", retryAfterFull)
@@ -145,84 +146,6 @@
 	return route.Service{Name: name}
 }
 
-// takesUp reports whether the client takes up a stream after its last event.
-func (e *clientExchange) takesUp() bool {
-	return e.route.Kind == route.Streaming && e.route.Resumable && e.request.LastEventID != ""
-}
-
-// beginTurn reserves the turn's token budget, finds the origin of a stream that the
-// client takes up, and returns the body to send: the conversation so far, followed
-// by the request's own body. It reports false if it has already responded.
-func (e *clientExchange) beginTurn(ctx context.Context) ([]byte, bool) {
-	if !e.takesUp() {
-		e.request.ResumedAttempt = "" // there is no event to go on after
-	}
-	if e.route.Kind != route.Streaming || (!e.turn.hasBudget && !e.route.RetainTurns && !e.takesUp()) {
-		return e.request.Body, true
-	}
-	if e.route.RetainTurns && !e.gateway.turnStore.Serving() {
-		e.refuse("too few turn stores are known", retryAfterNotReady)
-		return nil, false
-	}
-	start := time.Now()
-	result := e.turn.begin(ctx, start)
-	e.log(slog.LevelInfo, "gateway: turn begun", "verdict", result.Verdict.String(), "program", e.request.Program,
-		"previous", e.request.PreviousTurn, "budget", e.request.TokenBudget, "spent", result.Spent, "reserved", result.Reserved,
-		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation), "missing_turn", result.MissingTurn, "resumed_attempt", e.request.ResumedAttempt,
-		"took_ms", time.Since(start).Milliseconds())
-	e.startsProgram = e.turn.hasBudget && result.Spent == 0 && result.Reserved == 0
-	switch result.Verdict {
-	case turnstore.Stored:
-	case turnstore.OverBudget:
-		e.writeError(http.StatusPaymentRequired, "the program's token budget is spent")
-		return nil, false
-	case turnstore.TurnMissing:
-		e.turn.settle(start)
-		e.writeError(http.StatusNotFound, "no such turn")
-		return nil, false
-	default:
-		if e.r.Context().Err() != nil {
-			e.abortClientLeft("while its turn was started")
-		}
-		e.refuse(uncertainReason(result), retryAfterNotReady)
-		return nil, false
-	}
-	if e.takesUp() && !e.useOrigin(result.Fact) {
-		e.turn.settle(start)
-		return nil, false
-	}
-	if len(result.Conversation) == 0 {
-		return e.request.Body, true
-	}
-	var body []byte
-	for _, content := range result.Conversation {
-		body = append(body, content...)
-	}
-	return append(body, e.request.Body...), true
-}
-
-// uncertainReason says why it is not certain whether a turn may begin.
-func uncertainReason(result turnstore.Result) string {
-	if result.MissingTurn != "" {
-		return "no turn store that answered has an earlier turn of the conversation"
-	}
-	return "too few turn stores answered"
-}
-
-// useOrigin lets the request run only where the rest of the stream that the client
-// takes up may come from. It reports false if it has refused the request, because
-// that is not known: the client can begin anew at once.
-func (e *clientExchange) useOrigin(fact turnstore.Fact) bool {
-	origin, known := decodeOrigin(fact)
-	if !known || !e.route.Allows(origin.service) {
-		e.refuse("the origin of the stream that is taken up is not known", retryAfterUnknownStream)
-		return false
-	}
-	e.origin, e.service = &origin, e.findService(origin.service)
-	e.turn.useEngine(e.service.Engine)
-	return true
-}
-
 // relay writes the parts of the response to the client until the last one.
 func (e *clientExchange) relay(ctx context.Context, j *job) {
 	for {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -59,7 +59,8 @@
 	// before its first event.
 	origin       *streamOrigin
 	originRecord originRecord
-	waits        bool // it has been let wait for the limits of the backend servers
+	pieces       *turnPieces // of a turn that can be taken up; nil for none
+	waits        bool        // it has been let wait for the limits of the backend servers
 }
 
 // fleetRequest describes which backend servers may get the call.
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodline.example/fleet"
+	"dogwoodline.example/route"
 	"dogwoodline.example/turnstore"
 	"dogwoodline.example/turnstore/turnpb"
 )
@@ -14,6 +15,9 @@
 	// originKeyPrefix begins the keys of the facts about streams. The ID of the
 	// attempt that began the stream follows.
 	originKeyPrefix = "stream/"
+	// turnOriginKeyPrefix takes its place for turns that are kept. Fronts of earlier
+	// releases do not find these: they would store such a turn in part.
+	turnOriginKeyPrefix = "turn-stream/"
 	// originRetention is how long the origin of a stream is kept beyond the time
 	// that its first client waits. It covers the difference between the clocks of
 	// hosts, and clients that take a stream up late.
@@ -38,26 +42,40 @@
 	return streamOrigin{service: b.Service, version: b.SoftwareVersion}
 }
 
-func originKey(attempt string) string { return originKeyPrefix + attempt }
+// originKey returns the key of the fact about the stream that an attempt begins.
+func originKey(r *route.Route, attempt string) string {
+	if r.RetainTurns {
+		return turnOriginKeyPrefix + attempt
+	}
+	return originKeyPrefix + attempt
+}
+
+// originFact returns the fact that another front needs to resume the stream that the
+// call begins. A later fact of the same attempt has a higher version.
+func originFact(j *job, origin streamOrigin, version uint64) turnstore.Fact {
+	value := &turnpb.StreamOrigin{Service: origin.service, SoftwareVersion: origin.version}
+	if j.pieces != nil {
+		value.Attempt = j.pieces.attempt
+	}
+	return turnstore.Fact{Key: originKey(j.route, j.request.ID), Version: version, Value: encodeOrigin(value), Expires: j.deadline.Add(originRetention)}
+}
 
-// fact returns the fact that another front needs to resume the stream that the
-// attempt begins. A later fact of the same attempt has a higher version.
-func (o streamOrigin) fact(attempt string, version uint64, expires time.Time) turnstore.Fact {
-	value, err := proto.Marshal(&turnpb.StreamOrigin{Service: o.service, SoftwareVersion: o.version})
+func encodeOrigin(origin *turnpb.StreamOrigin) []byte {
+	value, err := proto.Marshal(origin)
 	if err != nil {
 		panic("gateway: cannot encode the origin of a stream: " + err.Error())
 	}
-	return turnstore.Fact{Key: originKey(attempt), Version: version, Value: value, Expires: expires}
+	return value
 }
 
 // decodeOrigin returns the origin that a fact states. It reports false if the
 // origin is not known.
-func decodeOrigin(fact turnstore.Fact) (streamOrigin, bool) {
-	var origin turnpb.StreamOrigin
-	if fact.Version == 0 || proto.Unmarshal(fact.Value, &origin) != nil || origin.Service == "" {
-		return streamOrigin{}, false
+func decodeOrigin(fact turnstore.Fact) (*turnpb.StreamOrigin, bool) {
+	origin := &turnpb.StreamOrigin{}
+	if fact.Version == 0 || proto.Unmarshal(fact.Value, origin) != nil || origin.Service == "" {
+		return nil, false
 	}
-	return streamOrigin{service: origin.Service, version: origin.SoftwareVersion}, true
+	return origin, true
 }
 
 // originRecord is the origin of a stream that is being stored, or was.
@@ -81,7 +99,7 @@
 }
 
 func (c *callWorker) storeOrigin(j *job) <-chan turnstore.Result {
-	fact := j.originRecord.origin.fact(j.request.ID, j.originRecord.version, j.deadline.Add(originRetention))
+	fact := originFact(j, j.originRecord.origin, j.originRecord.version)
 	return c.turnStore.Start(turnstore.Operation{Records: []*turnpb.Record{fact.Record()}})
 }
 
--- a/gateway/turnrecord.go
+++ b/gateway/turnrecord.go
@@ -110,7 +110,7 @@
 		op.Chain = t.request.PreviousTurn
 	}
 	if t.request.ResumedAttempt != "" {
-		op.FactKey = originKey(t.request.ResumedAttempt)
+		op.FactKey = originKey(t.route, t.request.ResumedAttempt)
 	}
 	if !t.hasBudget && op.Chain == "" && op.FactKey == "" {
 		return turnstore.Result{Verdict: turnstore.Stored}
--- a/soak/roles/check.go
+++ b/soak/roles/check.go
@@ -16,6 +16,7 @@
 	previous string // of a turn: the id of the completely answered turn that it continues
 	prompt   string // the body that the backend server must receive
 	turn     bool
+	after    int // of a turn that the attempt takes up: the number of events before
 	budget   int
 	status   int
 	body     string
@@ -42,6 +43,16 @@
 	return events
 }
 
+// completeEvents is events without one that broke off.
+func (a attempt) completeEvents() []string {
+	end := strings.LastIndex(a.body, "\n\n")
+	if a.status != http.StatusOK || end < 0 {
+		return nil
+	}
+	a.body = a.body[:end]
+	return a.events()
+}
+
 // succeeded reports whether the answer had status 200 and was read to its end.
 func (a attempt) succeeded() bool { return a.err == nil && a.status == http.StatusOK }
 
@@ -115,7 +126,7 @@
 		}
 		return
 	}
-	if got, want := strings.Join(a.events(), " "), strings.Join(expectedEvents(a.id), " "); got != want {
+	if got, want := strings.Join(a.events(), " "), strings.Join(expectedEvents(a.id)[a.after:], " "); got != want {
 		addViolation("%s got the events %q as a complete answer", a.id, got)
 	}
 }
--- a/soak/roles/client.go
+++ b/soak/roles/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -69,19 +70,35 @@
 	}
 }
 
-// runTurn sends a turn until it is answered completely. It returns false if the
+// runTurn sends a turn until it is answered completely. The streams of every second
+// program may be resumed, and are taken up where they broke off. It returns false if the
 // program cannot continue.
 func (c *client) runTurn(ctx context.Context, request usersplatform.Request, prompt string) (id, output string, ok bool) {
+	send := sendTurn
+	if c.resumable() {
+		send = sendResumableTurn
+	}
+	var events []string // of the attempts that the next one takes up
 	for range maxAttempts {
 		request.ID = c.nextID()
-		a := attempt{id: request.ID, program: request.Program, previous: request.Previous, turn: true, prompt: prompt, budget: request.Budget}
-		a.status, a.body, a.err = c.send(ctx, sendTurn, request)
+		a := attempt{id: request.ID, program: request.Program, previous: request.Previous, turn: true, prompt: prompt, budget: request.Budget, after: len(events)}
+		a.status, a.body, a.err = c.send(ctx, send, request)
 		c.recorder.add(a)
+		received := a.completeEvents()
+		events = append(events, received...)
 		switch {
 		case a.succeeded():
-			return request.ID, strings.Join(expectedEvents(request.ID), "\n") + "\n", true
+			return request.ID, strings.Join(events, "\n") + "\n", true
 		case a.err == nil && a.status >= 400 && a.status < 500 && a.status != http.StatusTooManyRequests:
 			return "", "", false
+		case len(received) > 0 && c.resumable():
+			if request.Resumes == "" {
+				request.Resumes = request.ID
+			}
+			request.LastEventID = strconv.Itoa(len(events))
+		case len(received) > 0 || a.saysNotRun():
+			// A front that does not know the stream refuses to take it up.
+			request.Resumes, request.LastEventID, events = "", "", nil
 		}
 		if pause(ctx, retryPause) != nil {
 			return "", "", false
@@ -104,6 +121,9 @@
 	}
 }
 
+// resumable reports whether the streams of the current program may be resumed.
+func (c *client) resumable() bool { return c.programs%2 == 0 }
+
 func (c *client) nextID() string {
 	c.requests++
 	return fmt.Sprintf("%s-r%d", c.name, c.requests)
--- a/soak/roles/deployment.go
+++ b/soak/roles/deployment.go
@@ -264,3 +264,9 @@
 	request.Turn = true
 	return usersplatform.Send(ctx, front, usersplatform.SiteHost, "/turns/x", request)
 }
+
+// sendResumableTurn sends a turn of a program whose stream may be resumed.
+func sendResumableTurn(ctx context.Context, front string, request usersplatform.Request) (int, string, error) {
+	request.Turn = true
+	return usersplatform.Send(ctx, front, usersplatform.SiteHost, usersplatform.ResumableTurnsPath, request)
+}
