turnstore: Note in the log which records arrived when

A store that starts copies what arrived at others since it last wrote. It took that time from its files, and the others knew arrivals since their own start only. In a release, or after a kill of all stores, the others have just started too.

Change: a record with the time of day goes before the first records of a second. It stays on that disk. Read back, it says when the store last wrote, and its own marks of arrivals outlive a restart. The store's logs name one line for each copy that succeeded, and a member that failed once.

--- a/turnlog/log.go
+++ b/turnlog/log.go
@@ -18,7 +18,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -47,10 +46,9 @@
 	file         *os.File
 	current      uint64 // number of the segment that is written
 	currentBytes int64
-	mustRotate   bool      // the last write failed, so the segment may end in a partial record
-	segments     []uint64  // numbers of all segments, ascending
-	lastWrite    time.Time // of the newest segment with records, when the log was opened
-	buffer       []byte    // reused by Append
+	mustRotate   bool     // the last write failed, so the segment may end in a partial record
+	segments     []uint64 // numbers of all segments, ascending
+	buffer       []byte   // reused by Append
 }
 
 // Open opens the log in a folder, calls replay for each durable record, oldest
@@ -90,10 +88,6 @@
 // log was created. A disk that was emptied gets another one.
 func (l *Log) Identity() string { return l.identity }
 
-// LastWrite returns the time of day at which a record was last written before the log
-// was opened, or zero if there was none.
-func (l *Log) LastWrite() time.Time { return l.lastWrite }
-
 // loadIdentity reads the identity, or creates one if the disk has none or only
 // a partially written one. The identity is durable before the first record.
 func (l *Log) loadIdentity() error {
@@ -126,9 +120,6 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	if info, err := os.Stat(l.segmentPath(number)); err == nil && len(content) > 0 {
-		l.lastWrite = info.ModTime()
-	}
 	for len(content) >= headerBytes {
 		length := binary.LittleEndian.Uint32(content)
 		checksum := binary.LittleEndian.Uint32(content[4:])
--- a/turnlog/log_test.go
+++ b/turnlog/log_test.go
@@ -4,7 +4,6 @@
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -45,21 +44,6 @@
 		Expect(reopened.Identity()).To(Equal(l.Identity()))
 	})
 
-	// Guards against a store that takes the time since its last start for the time that
-	// it was away, and so copies too little of what it missed.
-	It("says when the last record was written, also after starts that wrote none", func() {
-		folder := GinkgoT().TempDir()
-		l, _ := openLog(folder)
-		Expect(l.LastWrite()).To(BeZero())
-		Expect(l.Append([][]byte{[]byte("a")})).To(Succeed())
-		written := time.Now().Add(-time.Minute).Truncate(time.Second)
-		Expect(os.Chtimes(segmentFiles(folder)[0], written, written)).To(Succeed())
-		for range 2 {
-			reopened, _ := openLog(folder)
-			Expect(reopened.LastWrite()).To(BeTemporally("==", written))
-		}
-	})
-
 	It("gives an empty disk a new identity", func() {
 		first, _ := openLog(GinkgoT().TempDir())
 		second, _ := openLog(GinkgoT().TempDir())
--- a/turnstore/gaps_test.go
+++ b/turnstore/gaps_test.go
@@ -95,3 +95,18 @@
 		Expect(time.Since(started)).To(BeNumerically("<", exchangeTimeout))
 	})
 })
+
+var _ = Describe("Gaps of a store", func() {
+	It("are due from the second look on, until the turn is here or no store has it", func() {
+		g := gaps{}
+		g.extend("a", 5)
+		g.extend("b", 6)
+		Expect(g.due(9)).To(BeEmpty(), "a turn may arrive shortly after one that continues it")
+		Expect(g.due(9)).To(ConsistOf("a", "b"))
+		Expect(g.due(1)).To(HaveLen(1))
+		g.setAbsent([]string{"a", "unknown"})
+		Expect(g.due(9)).To(ConsistOf("b"))
+		Expect(g.fill("b")).To(BeEquivalentTo(6))
+		Expect(g.fill("b")).To(BeZero())
+	})
+})
--- a/turnstore/repairer.go
+++ b/turnstore/repairer.go
@@ -47,7 +47,15 @@
 	if ago == 0 {
 		return
 	}
-	since := time.Now().Add(-time.Duration(min(ago, maxArrivedWithinMs)) * time.Millisecond)
+	s.noteMissedSince(time.Now().Add(-time.Duration(min(ago, maxArrivedWithinMs)) * time.Millisecond))
+}
+
+// noteMissedSince records that this store may have missed what others have stored since
+// the given time; zero stands for all records.
+func (s *Server) noteMissedSince(since time.Time) {
+	if since.IsZero() {
+		since = time.UnixMilli(0)
+	}
 	if s.missedSince.IsZero() || since.Before(s.missedSince) {
 		s.missedSince = since
 	}
@@ -76,6 +84,7 @@
 
 	// The Run goroutine owns the fields below.
 	missedSince time.Time // as in repairWork, until the records have been copied
+	failing     bool      // the last try to copy them failed
 	progress    repairProgress
 }
 
@@ -131,7 +140,7 @@
 // majority has synced is among them.
 func (r *Repairer) catchUp(ctx context.Context, set copyset.Set) bool {
 	started, within := time.Now(), uint64(0) // 0 means all
-	if missed := time.Since(r.missedSince); missed > 0 {
+	if missed := time.Since(r.missedSince); missed > 0 && missed.Milliseconds() < maxArrivedWithinMs {
 		within = uint64((missed + missedMargin).Milliseconds())
 	}
 	var total copied
@@ -143,15 +152,19 @@
 		listed, err := r.pull(ctx, set, m, &turnpb.PullRequest{ArrivedWithinMs: within})
 		total.records += listed.records
 		total.turnBytes += listed.turnBytes
-		if err != nil {
-			r.log.Info("turnstore: missed records not copied", "from", m.Host, "copy_set", set.Version, "error", err)
-			continue
+		if err == nil {
+			read++
+		} else if !r.failing {
+			r.log.Info("turnstore: missed records not copied from a member", "from", m.Host, "copy_set", set.Version, "error", err)
 		}
-		read++
 	}
-	r.log.Info("turnstore: missed records copied", "within_ms", within, "members_read", read, "members_wanted", wanted,
-		"records", total.records, "turn_bytes", total.turnBytes, "took_ms", time.Since(started).Milliseconds())
-	return read == wanted
+	r.failing = read < wanted
+	if r.failing {
+		return false
+	}
+	r.log.Info("turnstore: missed records copied", "within_ms", within, "members", read, "listed", total.records,
+		"turn_bytes", total.turnBytes, "took_ms", time.Since(started).Milliseconds())
+	return true
 }
 
 // copyTurns copies turns from the members that hold them. Those that a read quorum
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -95,6 +95,9 @@
 		if err := proto.Unmarshal(payload, &record); err != nil {
 			return Error.New("record with a valid checksum cannot be decoded: %v", err)
 		}
+		if clock := record.GetClock(); clock != nil {
+			s.state.arrivals.mark(time.UnixMilli(clock.UnixMs), s.state.nextCursor())
+		}
 		s.state.apply(&record, segment)
 		replayed++
 		return nil
@@ -103,7 +106,9 @@
 		return nil, err
 	}
 	s.turnLog = turnLog
-	s.missedSince = turnLog.LastWrite()
+	if replayed > 0 {
+		s.noteMissedSince(s.state.arrivals.last())
+	}
 	s.updateGauges()
 	log.Info("turnstore: log opened", "disk", turnLog.Identity(), "records", replayed,
 		"turns", len(s.state.turns), "programs", len(s.state.programs))
@@ -221,7 +226,7 @@
 // processBatch applies the requests to the state, appends their records to the
 // log in one write, and replies.
 func (s *Server) processBatch(batch []request) {
-	payloads := s.unwritten
+	payloads, firstCursor := s.unwritten, s.state.nextCursor()
 	diskRefuses := len(s.unwritten) > maxUnwrittenRecords
 	s.unwritten = nil
 	outcomes := make([]outcome, len(batch))
@@ -241,6 +246,7 @@
 		}
 	}
 	if len(payloads) > 0 {
+		payloads = s.stampClock(payloads, firstCursor, time.Now())
 		if err := s.turnLog.Append(payloads); err != nil {
 			s.log.Error("turnstore: records not written, retrying with the next batch", "records", len(payloads), "error", err)
 			s.unwritten = payloads
@@ -335,58 +341,20 @@
 		if !s.state.apply(record, s.turnLog.CurrentSegment()) {
 			continue
 		}
-		payload, err := proto.Marshal(record)
-		if err != nil {
-			panic("turnstore: cannot encode record: " + err.Error())
-		}
-		payloads = append(payloads, payload)
+		payloads = append(payloads, encodeRecord(record))
 	}
 	return payloads
 }
 
-// expireAndCompact drops expired records. If few records of the oldest segment
-// are still live, it appends those to the log again and removes the segment.
-func (s *Server) expireAndCompact(now time.Time) {
-	s.state.expire(now)
-	s.state.arrivals.mark(now, s.state.nextCursor())
-	s.updateGauges()
-	segment, ok := s.turnLog.OldestSegment()
-	if !ok {
-		return
-	}
-	live := s.state.liveThrough(segment)
-	size := 0
-	for _, record := range live {
-		size += proto.Size(record)
-	}
-	if size > maxRewriteBytes {
-		return
-	}
-	payloads := make([][]byte, 0, len(live))
-	for _, record := range live {
-		payload, err := proto.Marshal(record)
-		if err != nil {
-			panic("turnstore: cannot encode record: " + err.Error())
-		}
-		payloads = append(payloads, payload)
-	}
-	if len(payloads) > 0 {
-		if err := s.turnLog.Append(payloads); err != nil {
-			s.log.Error("turnstore: live records of a segment not rewritten", "segment", segment, "error", err)
-			return
-		}
-		s.state.moveTo(s.turnLog.CurrentSegment(), segment)
-	}
-	if err := s.turnLog.RemoveOldestSegment(); err != nil {
-		s.log.Error("turnstore: segment not removed", "segment", segment, "error", err)
+// encodeRecord returns the form in which a record is written to the log.
+func encodeRecord(record *turnpb.Record) []byte {
+	payload, err := proto.Marshal(record)
+	if err != nil {
+		panic("turnstore: cannot encode record: " + err.Error())
 	}
+	return payload
 }
 
-// maxRewriteBytes is how much of a segment may still be live when it is
-// compacted. A quarter of a segment keeps the cost of writing records twice
-// small.
-const maxRewriteBytes = 2 << 20
-
 // updateGauges publishes the size of the state for metrics.
 func (s *Server) updateGauges() {
 	s.recordBytes.Store(s.state.bytes)
