gateway: Show that the heads of all calls at once stay within memory

What no spec had is heads of nearly that length at all 384 call workers at once, each then silent until its deadline. The spec passes on the code as it is; bodies, events, comments and interim answers have theirs (gateway "Answers without end", upstream "that sends a head without end is given up").

--- a/gateway/answerbytes_test.go
+++ b/gateway/answerbytes_test.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,6 +27,25 @@
 	endlessCalls = 200
 )
 
+// frontCallWorkers is how many calls a front makes at once.
+const frontCallWorkers = 384
+
+// longHead returns a handler that sends a head of nearly the greatest length that is read,
+// and then nothing more, not even the end of the head.
+func longHead(begun *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		begun.Add(1)
+		const line = "X-Filler: abcdefgh\r\n"
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+strings.Repeat(line, (63<<10)/len(line))) // the front may have left
+		_, _ = conn.Read(make([]byte, 1))                                                           // until the front leaves
+	}
+}
+
 // endless returns a handler that sends head and then piece until the connection
 // ends for requests below /r/endless, and answers others at once. It stores the
 // paths of the requests that it has begun to run in started.
@@ -126,6 +146,30 @@
 		Entry("of events that are retained", route.Streaming, true, "text/event-stream", "", "data: filler\n\n"),
 	)
 
+	// Guards against heads that fill the memory of a front although each is bounded: as
+	// many as the front has call workers, each as long as it may be and then silent
+	// (report of another operator, issue 32).
+	It("in the heads of as many calls as a front makes stay within the memory of a small host", func() {
+		var begun atomic.Int64
+		r := route.Route{Kind: route.Unsafe, Timeout: 4 * time.Second}
+		s := newFixtureWith(slog.New(slog.DiscardHandler), gateway.Settings{CallWorkers: frontCallWorkers, AnswerBytes: smallHostBytes / 10}, r, longHead(&begun))
+		DeferCleanup(debug.SetMemoryLimit, debug.SetMemoryLimit(smallHostBytes*7/10))
+		var running sync.WaitGroup
+		peak := peakHeap(func() {
+			for i := range frontCallWorkers {
+				running.Go(func() {
+					reply, err := s.send(context.Background(), fmt.Sprint("/r/", i), idHeader, fmt.Sprint("head-", i))
+					if err == nil {
+						reply.Body.Close()
+					}
+				})
+			}
+			running.Wait()
+		})
+		Expect(begun.Load()).To(BeEquivalentTo(frontCallWorkers))
+		Expect(peak).To(BeNumerically("<", smallHostBytes))
+	})
+
 	It("do not count bytes of events that the client has received", func() {
 		s := newFixtureWith(slog.New(slog.DiscardHandler), gateway.Settings{CallWorkers: 8, AnswerBytes: 2 << 20}, route.Route{Kind: route.Streaming},
 			events(strings.Split(strings.Repeat(strings.Repeat("x", 20<<10)+" ", 200), " ")...))
