upstream, gateway: Send resumable streams only to the registered incarnation

Callers would see streams with events of two software versions (ORDER).

Cause: a front takes the software version of a server from the registration that it knows. A server may start again under its ID and address with another version. A front that stood still or was cut off meanwhile goes on with streams of the old version there, and records streams that begin there with it. Ruled out: a front that lacks servers of the new version (it refuses).

Change: before a resumable stream is sent on a new connection, the front asks for the server's state on that connection; the start in it must be that of the registration. Otherwise the call has not run, and goes elsewhere. Nothing is asked where a byte of that incarnation came within 300 ms.

--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -91,6 +91,10 @@
 		ID: j.request.ID, Address: a.backend.Address, Service: a.backend.Service, Method: j.request.Method, Target: j.request.Target,
 		Host: j.request.Host, Body: j.body, Header: c.codec.Encode(j.request, a.backend.ID, left, rank, j.resumeAfter),
 	}
+	if j.route.Resumable {
+		// What is recorded of the stream is the software version of this incarnation.
+		request.Incarnation = a.backend.Incarnation
+	}
 	c.recordOrigin(a)
 	sent := time.Now()
 	exchange, verdict, err := c.pool.Do(j.ctx, request, j.claim)
@@ -101,6 +105,7 @@
 		// backend server; a call that its client canceled does not.
 		result.report.Failed = verdict == call.Unknown && !errors.Is(j.ctx.Err(), context.Canceled)
 		result.report.Unreachable = errors.Is(err, upstream.ErrNotConnected)
+		result.report.Misdirected = errors.Is(err, upstream.ErrOtherIncarnation)
 		c.detectLostServer(&result, a)
 		return result
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,8 @@
 	Dial upstream.Dial
 	// Detour opens connections to backend servers through other fronts; nil for none.
 	Detour Detour
+	// Incarnations reads which incarnation of a backend server answers; nil if none says.
+	Incarnations upstream.Incarnations
 }
 
 // defaultAnswerBytes is the limit of the bytes of all answers if the settings
@@ -78,7 +80,7 @@
 	g.fronts.Store(&[]Front{})
 	g.cutOff.Store(&map[string]bool{})
 	g.answerBudget = newAnswerBudget(cmp.Or(settings.AnswerBytes, defaultAnswerBytes))
-	poolSettings := upstream.Settings{Dial: settings.Dial, Log: log}
+	poolSettings := upstream.Settings{Dial: settings.Dial, Incarnations: settings.Incarnations, Log: log}
 	if settings.Detour != nil {
 		poolSettings.Detour = settings.Detour
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -150,10 +150,13 @@
 	runs      atomic.Int64
 
 	addresses []string // of the backend servers
-	versions  []string // of the backend servers' software; empty for one version
-	zones     []string // of the backend servers; empty for that of the front
-	services  []string // of the backend servers; empty for svc
-	route     route.Route
+	servers   []*httptest.Server
+	// incarnations are those of the backend servers; empty for none
+	incarnations []int64
+	versions     []string // of the backend servers' software; empty for one version
+	zones        []string // of the backend servers; empty for that of the front
+	services     []string // of the backend servers; empty for svc
+	route        route.Route
 }
 
 func newFixture(r route.Route, backends ...http.HandlerFunc) *fixture {
@@ -172,7 +175,7 @@
 			handle(w, r)
 		}))
 		DeferCleanup(server.Close)
-		s.addresses = append(s.addresses, server.Listener.Addr().String())
+		s.addresses, s.servers = append(s.addresses, server.Listener.Addr().String()), append(s.servers, server)
 	}
 	r.Name, r.Host, r.Prefix = "r", "example", "/r/"
 	if r.Shares == nil {
@@ -241,6 +244,9 @@
 	if i < len(s.services) {
 		b.Service = s.services[i]
 	}
+	if i < len(s.incarnations) {
+		b.Incarnation = s.incarnations[i]
+	}
 	if i < len(s.zones) {
 		b.AvailabilityZone = s.zones[i]
 	}
--- a/role/front.go
+++ b/role/front.go
@@ -54,7 +54,7 @@
 		Address: p.host.FrontAddress, Zone: p.host.AvailabilityZone, CallWorkers: callWorkers,
 		AnswerBytes: int64(answerMemoryShare * float64(p.host.MemoryBytes)),
 		AddressTTL:  min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
-		Detour: detour,
+		Detour: detour, Incarnations: platform.Incarnations{},
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
 	batchDelay := func() time.Duration {
--- /dev/null
+++ b/upstream/incarnation_test.go
@@ -0,0 +1,169 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/call"
+	"dogwoodline.example/duty"
+	"dogwoodline.example/upstream"
+)
+
+const statePath = "/state"
+
+// plainIncarnations reads a number.
+type plainIncarnations struct{}
+
+func (plainIncarnations) StatePath() string { return statePath }
+
+func (plainIncarnations) DecodeIncarnation(body []byte) (int64, bool) {
+	incarnation, err := strconv.ParseInt(string(body), 10, 64)
+	return incarnation, err == nil
+}
+
+// statingBackend answers requests, and says which incarnation it is.
+type statingBackend struct {
+	asked, ran atomic.Int64
+	state      func(w io.Writer) // its answer; nil for the incarnation 7
+}
+
+func (b *statingBackend) serve(conn net.Conn, reader *bufio.Reader) {
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		switch {
+		case request.URL.Path != statePath:
+			b.ran.Add(1)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", request.Header.Get("Id"))
+		case b.state != nil:
+			b.asked.Add(1)
+			b.state(conn)
+		default:
+			b.asked.Add(1)
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7")
+		}
+	}
+}
+
+var _ = Describe("A request for one incarnation of a backend server", func() {
+	var b *statingBackend
+	var p *upstream.Pool
+	var address string
+	var accepted *atomic.Int64
+	BeforeEach(func() {
+		group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
+		DeferCleanup(group.Stop)
+		p = upstream.NewPool(group, decoder{}, upstream.Settings{Incarnations: plainIncarnations{}})
+		b = &statingBackend{}
+		address, accepted = startBackend(b.serve)
+	})
+	sendFor := func(incarnation int64) (call.Verdict, error) {
+		request := upstream.Request{
+			ID: "r", Address: address, Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {"r"}}, Incarnation: incarnation,
+		}
+		exchange, verdict, err := p.Do(context.Background(), request, always)
+		if err != nil {
+			return verdict, err
+		}
+		defer exchange.Close()
+		_, err = io.ReadAll(exchange)
+		return verdict, err
+	}
+
+	It("is sent to that one, which is asked once for each connection", func() {
+		for range 3 {
+			Expect(sendFor(7)).To(Equal(call.Answered))
+		}
+		Expect(b.asked.Load()).To(BeEquivalentTo(1))
+		Expect(accepted.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against a stream that goes on at another software version because its
+	// server has started again under its id, and this host does not know it yet (ORDER,
+	// issue 32).
+	It("is not sent to another one", func() {
+		verdict, err := sendFor(6)
+		Expect(verdict).To(Equal(call.NotRun))
+		Expect(err).To(MatchError(upstream.ErrOtherIncarnation))
+		Expect(b.ran.Load()).To(BeZero())
+	})
+
+	It("asks nothing if any incarnation may answer", func() {
+		Expect(sendFor(0)).To(Equal(call.Answered))
+		Expect(b.asked.Load()).To(BeZero())
+	})
+
+	DescribeTable("is sent to a server that does not say which one it is", func(state string) {
+		b.state = func(w io.Writer) { fmt.Fprint(w, state) }
+		Expect(sendFor(7)).To(Equal(call.Answered))
+		Expect(sendFor(7)).To(Equal(call.Answered))
+		Expect(b.asked.Load()).To(BeEquivalentTo(1))
+	},
+		Entry("at all", "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"),
+		Entry("in this form", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+	)
+
+	// Guards against status checks for each new connection of a busy front, which are
+	// priced, and against trust in a server that may have started again.
+	It("asks on a further connection only if the server has been silent for longer than a restart takes", func() {
+		overlapping := func() {
+			request := upstream.Request{ID: "r", Address: address, Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {"r"}}, Incarnation: 7}
+			first, _, err := p.Do(context.Background(), request, always)
+			Expect(err).NotTo(HaveOccurred())
+			defer first.Close()
+			second, _, err := p.Do(context.Background(), request, always) // on a connection of its own
+			Expect(err).NotTo(HaveOccurred())
+			second.Close()
+		}
+		overlapping()
+		Expect(accepted.Load()).To(BeEquivalentTo(2))
+		Expect(b.asked.Load()).To(BeEquivalentTo(1))
+		p.CloseIdle(address)
+		time.Sleep(400 * time.Millisecond)
+		Expect(sendFor(7)).To(Equal(call.Answered))
+		Expect(b.asked.Load()).To(BeEquivalentTo(2))
+	})
+
+	// Guards against a server in trouble that is taken for the expected one, or holds a
+	// request.
+	DescribeTable("is not sent if the state", func(state func(w io.Writer)) {
+		b.state = state
+		start := time.Now()
+		verdict, err := sendFor(7)
+		Expect(verdict).To(Equal(call.NotRun))
+		Expect(err).To(MatchError(upstream.ErrNotConnected))
+		Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
+		Expect(b.ran.Load()).To(BeZero())
+	},
+		Entry("does not come", func(io.Writer) {}),
+		Entry("is cut off", func(w io.Writer) {
+			fmt.Fprint(w, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n7")
+			w.(net.Conn).Close()
+		}),
+		Entry("is no answer", func(w io.Writer) { fmt.Fprint(w, "7\r\n\r\n") }),
+		Entry("has no end", func(w io.Writer) {
+			fmt.Fprint(w, "HTTP/1.1 200 OK\r\n\r\n")
+			for {
+				if _, err := io.WriteString(w, strings.Repeat("7", 4<<10)); err != nil {
+					return
+				}
+			}
+		}),
+	)
+})
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -29,6 +29,8 @@
 	detour        Detour
 	dial          Dial
 	paths         *paths
+	incarnations  Incarnations
+	heard         heardIncarnations
 	pendingWrites *ring.Ring[func()]
 
 	mu         sync.Mutex
@@ -44,7 +46,9 @@
 	Detour Detour
 	// Dial opens a direct connection; nil for one over TCP.
 	Dial Dial
-	Log  *slog.Logger
+	// Incarnations reads which incarnation of a backend server answers; nil if none says.
+	Incarnations Incarnations
+	Log          *slog.Logger
 }
 
 // Dial opens a direct connection to a backend server within the limit.
@@ -58,7 +62,8 @@
 // NewPool returns a pool whose background goroutines run in group.
 func NewPool(group *duty.Group, decoder Decoder, settings Settings) *Pool {
 	p := &Pool{
-		decoder: decoder, log: settings.Log, detour: settings.Detour, dial: settings.Dial, paths: newPaths(), pendingWrites: ring.New[func()](writerCount),
+		decoder: decoder, log: settings.Log, detour: settings.Detour, dial: settings.Dial, paths: newPaths(),
+		incarnations: settings.Incarnations, heard: heardIncarnations{byAddress: map[string]heardIncarnation{}}, pendingWrites: ring.New[func()](writerCount),
 		idle: map[string][]*conn{}, openConns: map[string]int{}, idleLimits: idleLimits{},
 	}
 	if p.log == nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -89,6 +89,8 @@
 	writeResult chan error    // the result of the write in progress; capacity 1, so that a writer never blocks
 	framed      bool          // the response marks its own end, by length or chunks
 	detour      bool          // it leads through another host, and is not used again
+	asked       bool          // the incarnation is known, or the backend server states none
+	incarnation int64         // of the backend server; 0 if it is not known
 }
 
 // Request is a request to a backend server.
@@ -103,6 +105,8 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
+	// Incarnation is the one that must answer; 0 if any may.
+	Incarnation int64
 }
 
 // encode returns the request line, header and body as they are sent.
@@ -134,6 +138,10 @@
 	if err != nil {
 		return nil, call.NotRun, err
 	}
+	if err := p.checkIncarnation(ctx, c, request); err != nil {
+		p.discard(c)
+		return nil, call.NotRun, err
+	}
 	if !beforeSend() {
 		if c.detour {
 			p.discard(c)
@@ -254,6 +262,9 @@
 // Read reads from the body and notes when it is complete.
 func (e *Exchange) Read(into []byte) (int, error) {
 	count, err := e.Body.Read(into)
+	if count > 0 && e.conn.incarnation != 0 {
+		e.pool.heard.note(e.conn.address, e.conn.incarnation, time.Now())
+	}
 	if err == io.EOF {
 		e.bodyRead = true
 	}
