turnstore, gateway: Keep nothing of turns for which a budget has no room

Cause: each try left a reservation and a settlement in the program's ledger for as long as the program went on, and every store sent all of them with each reservation.

Change: a reservation carries the budget, and a store whose settled tokens leave no room keeps nothing and says so. That holds for good, so one answer suffices. The ledger is kept as long as before, also over restarts. Settlements without tokens are kept for 30 s. Old stores ignore the budget, old fronts name none.

--- a/gateway/beginturn.go
+++ b/gateway/beginturn.go
@@ -34,7 +34,7 @@
 	start := time.Now()
 	result := e.turn.begin(ctx, start)
 	e.log(slog.LevelInfo, "gateway: turn begun", "verdict", result.Verdict.String(), "program", e.request.Program,
-		"previous", e.request.PreviousTurn, "budget", e.request.TokenBudget, "spent", result.Spent, "reserved", result.Reserved,
+		"previous", e.request.PreviousTurn, "budget", e.request.TokenBudget, "spent", result.Spent, "reserved", result.Reserved, "ledger_entries", result.LedgerEntries,
 		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation), "missing_turn", result.MissingTurn, "resumed_attempt", e.request.ResumedAttempt,
 		"took_ms", time.Since(start).Milliseconds())
 	e.startsProgram = e.turn.hasBudget && result.Spent == 0 && result.Reserved == 0
--- a/gateway/turnrecord.go
+++ b/gateway/turnrecord.go
@@ -28,6 +28,10 @@
 	// is retained, because a stopped program may continue until its last turn
 	// expires. Turns get half of it.
 	budgetRetentionMargin = time.Minute
+	// withdrawalRetention is how long stores keep the settlement of an attempt that
+	// generated nothing. It is longer than a reservation can be on its way, or be missing
+	// at a store that was away.
+	withdrawalRetention = 30 * time.Second
 	// defaultRetention applies if the route sets no retention.
 	defaultRetention = 2 * time.Minute
 )
@@ -91,14 +95,17 @@
 func (t *turnRecord) reservation(now time.Time) *turnpb.Record {
 	return &turnpb.Record{Kind: &turnpb.Record_Reservation{Reservation: &turnpb.Reservation{
 		Program: t.request.Program, Attempt: t.attempt, Tokens: int64(t.request.MaxOutputTokens),
-		ExpiresUnixMs: now.Add(t.retention() + budgetRetentionMargin).UnixMilli(),
+		ExpiresUnixMs: now.Add(t.retention() + budgetRetentionMargin).UnixMilli(), Budget: int64(t.request.TokenBudget),
 	}}}
 }
 
 func (t *turnRecord) settlement(now time.Time) *turnpb.Record {
+	retention := t.retention() + budgetRetentionMargin
+	if t.tokens == 0 {
+		retention = min(retention, withdrawalRetention)
+	}
 	return &turnpb.Record{Kind: &turnpb.Record_Settlement{Settlement: &turnpb.Settlement{
-		Program: t.request.Program, Attempt: t.attempt, Tokens: t.tokens,
-		ExpiresUnixMs: now.Add(t.retention() + budgetRetentionMargin).UnixMilli(),
+		Program: t.request.Program, Attempt: t.attempt, Tokens: t.tokens, ExpiresUnixMs: now.Add(retention).UnixMilli(),
 	}}}
 }
 
--- a/turnstore/arrivals_test.go
+++ b/turnstore/arrivals_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"dogwoodline.example/duty"
 	"dogwoodline.example/turnlog"
 	"dogwoodline.example/turnstore/turnpb"
 )
@@ -68,13 +65,7 @@
 	// before, for ones that it has only just missed.
 	It("is asked for from the last time in the log on, or else for all", func() {
 		folder := GinkgoT().TempDir()
-		open := func() *Server {
-			group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-			server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, 64<<20)
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(group.Stop)
-			return server
-		}
+		open := func() *Server { return openServer(folder) }
 		first := open()
 		Expect(first.missedSince).To(BeZero(), "an empty disk pulls everything when it joins")
 		before := time.Now().Truncate(time.Millisecond)
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -97,6 +97,16 @@
 	return result.repair.turns
 }
 
+// openServer opens the server of a disk without a cluster.
+func openServer(folder string) *Server {
+	GinkgoHelper()
+	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
+	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, 64<<20)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(group.Stop)
+	return server
+}
+
 func dialTest(address string) (grpc.ClientConnInterface, func(), error) {
 	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
--- /dev/null
+++ b/turnstore/ledger.go
@@ -0,0 +1,168 @@
+package turnstore
+
+import (
+	"time"
+
+	"dogwoodline.example/turnstore/turnpb"
+)
+
+// ledgerRenewal is how much longer a ledger must be kept, in ms, before that is written
+// to the log again.
+const ledgerRenewal = 10_000
+
+// withdrawalReplyTime is for how long replies have the settlement of an attempt that
+// generated nothing. Other members that lack it then have been told that they do.
+const withdrawalReplyTime = 5 * time.Second
+
+// entry is the reservation or settlement of one attempt.
+type entry struct {
+	tokens  int64
+	settled bool
+	segment uint64 // the newest log segment that has it
+	cursor  uint64 // of its arrival
+	expires int64  // Unix ms; when a settlement without tokens is dropped
+}
+
+// withdrawn reports whether the attempt generated nothing. Its settlement is kept for a
+// while only, so that a reservation that arrives late is known to be over.
+func (e *entry) withdrawn() bool { return e.settled && e.tokens == 0 }
+
+// ledger holds the entries of one program.
+type ledger struct {
+	entries       map[string]*entry // by attempt
+	settledTokens int64
+	expires       int64 // Unix ms
+	loggedExpires int64 // the latest expiry in the log
+	// refusing says that the last reservation was refused.
+	refusing bool
+}
+
+// add adds a reservation or settlement. A reservation does not replace the settlement of
+// its attempt. It reports whether the entry is new or changed, and whether it is the
+// first one of its attempt.
+func (l *ledger) add(attempt string, added entry) (changed, first bool) {
+	known := l.entries[attempt]
+	if known != nil && (known.settled || !added.settled) {
+		return false, false
+	}
+	l.entries[attempt] = &added
+	if added.settled {
+		l.settledTokens += added.tokens
+	} else {
+		l.refusing = false
+	}
+	return true, known == nil
+}
+
+// leavesNoRoom reports whether the tokens that have been settled leave no room for a
+// reservation. They never become fewer.
+func (l *ledger) leavesNoRoom(r *turnpb.Reservation) bool {
+	return r.Budget > 0 && l.settledTokens+r.Tokens > r.Budget
+}
+
+// dropWithdrawn drops settlements without tokens that have expired, and returns their
+// number.
+func (l *ledger) dropWithdrawn(limit int64) int {
+	dropped := 0
+	for attempt, e := range l.entries {
+		if e.withdrawn() && e.expires < limit {
+			delete(l.entries, attempt)
+			dropped++
+		}
+	}
+	return dropped
+}
+
+// applyEntry adds a reservation or settlement whose record expires at the given time,
+// in Unix ms.
+func (s *state) applyEntry(program, attempt string, added entry, expires int64) bool {
+	l := s.programs[program]
+	if l == nil {
+		l = &ledger{entries: map[string]*entry{}}
+		s.programs[program] = l
+	}
+	l.expires = max(l.expires, expires)
+	added.expires, added.cursor = expires, s.nextCursor()
+	changed, first := l.add(attempt, added)
+	if !changed {
+		return false
+	}
+	l.loggedExpires = max(l.loggedExpires, expires)
+	if first {
+		s.bytes += recordOverhead
+	}
+	s.applied = append(s.applied, recordRef{program: program, attempt: attempt})
+	return true
+}
+
+// refuseReservation reports whether there is certainly no room for a reservation, which
+// is then not kept: a program that loops without end would add one with each try. Its
+// ledger is kept as long as if it were.
+func (s *state) refuseReservation(r *turnpb.Reservation) bool {
+	l := s.programs[r.Program]
+	if l == nil || !l.leavesNoRoom(r) {
+		return false
+	}
+	l.expires = max(l.expires, r.ExpiresUnixMs)
+	l.refusing = true
+	return true
+}
+
+// withdrawsRefused reports whether a settlement ends a reservation that was refused here,
+// so that there is nothing to settle.
+func (s *state) withdrawsRefused(r *turnpb.Settlement) bool {
+	l := s.programs[r.Program]
+	return r.Tokens == 0 && l != nil && l.refusing && l.entries[r.Attempt] == nil
+}
+
+// renewal returns a settlement of the program to write again, with the expiry that its
+// ledger has now, if the one in the log is much earlier; else nil.
+func (s *state) renewal(program string, segment uint64) *turnpb.Record {
+	l := s.programs[program]
+	if l.expires-l.loggedExpires < ledgerRenewal {
+		return nil
+	}
+	for attempt, e := range l.entries {
+		if e.settled && !e.withdrawn() {
+			e.segment, l.loggedExpires = segment, l.expires
+			return l.record(program, attempt)
+		}
+	}
+	return nil
+}
+
+// record returns the record of an entry.
+func (l *ledger) record(program, attempt string) *turnpb.Record {
+	e, expires := l.entries[attempt], l.expires
+	if e.withdrawn() {
+		expires = e.expires
+	}
+	if e.settled {
+		return &turnpb.Record{Kind: &turnpb.Record_Settlement{Settlement: &turnpb.Settlement{
+			Program: program, Attempt: attempt, Tokens: e.tokens, ExpiresUnixMs: expires,
+		}}}
+	}
+	return &turnpb.Record{Kind: &turnpb.Record_Reservation{Reservation: &turnpb.Reservation{
+		Program: program, Attempt: attempt, Tokens: e.tokens, ExpiresUnixMs: expires,
+	}}}
+}
+
+// ledger returns the entries of a program for a reply. Settlements without tokens that
+// arrived before the given cursor are left out.
+func (s *state) ledger(program string, withdrawnSince uint64) *turnpb.Ledger {
+	out := &turnpb.Ledger{Program: program}
+	if l := s.programs[program]; l != nil {
+		for attempt, e := range l.entries {
+			if e.withdrawn() && e.cursor < withdrawnSince {
+				continue
+			}
+			out.Entries = append(out.Entries, &turnpb.LedgerEntry{Attempt: attempt, Tokens: e.tokens, Settled: e.settled})
+		}
+	}
+	return out
+}
+
+// refusal returns the reply to a reservation that was refused.
+func (s *state) refusal(program string) *turnpb.Ledger {
+	return &turnpb.Ledger{Program: program, Refused: true, SettledTokens: s.programs[program].settledTokens}
+}
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -315,14 +315,20 @@
 		out.Status = turnpb.Status_STATUS_FAILED
 		return payloads
 	}
-	payloads = s.applyRecords(in.Records, payloads)
+	payloads, refused := s.applyBudgeted(in.Records, payloads)
 	if !s.ready.Load() {
 		out.Status = turnpb.Status_STATUS_NOT_READY
 		return payloads
 	}
+	withdrawnSince := s.state.arrivals.since(time.Now().Add(-withdrawalReplyTime))
 	for _, record := range in.Records {
-		if r := record.GetReservation(); r != nil {
-			out.Ledgers = append(out.Ledgers, s.state.ledger(r.Program))
+		r := record.GetReservation()
+		switch {
+		case r == nil:
+		case refused[r.Attempt]:
+			out.Ledgers = append(out.Ledgers, s.state.refusal(r.Program))
+		default:
+			out.Ledgers = append(out.Ledgers, s.state.ledger(r.Program, withdrawnSince))
 		}
 	}
 	for _, id := range in.Chains {
@@ -334,6 +340,28 @@
 	return payloads
 }
 
+// applyBudgeted applies records of a front. It keeps no reservation for which a budget
+// has certainly no room, and returns the attempts of those.
+func (s *Server) applyBudgeted(records []*turnpb.Record, payloads [][]byte) (_ [][]byte, refused map[string]bool) {
+	for _, record := range records {
+		reservation, settlement := record.GetReservation(), record.GetSettlement()
+		switch {
+		case reservation != nil && s.state.refuseReservation(reservation):
+			if refused == nil {
+				refused = map[string]bool{}
+			}
+			refused[reservation.Attempt] = true
+			if renewed := s.state.renewal(reservation.Program, s.turnLog.CurrentSegment()); renewed != nil {
+				payloads = append(payloads, encodeRecord(renewed))
+			}
+		case settlement != nil && s.state.withdrawsRefused(settlement):
+		default:
+			payloads = s.applyRecords([]*turnpb.Record{record}, payloads)
+		}
+	}
+	return payloads, refused
+}
+
 // applyRecords applies records to the state and appends the encoding of the new
 // ones to payloads.
 func (s *Server) applyRecords(records []*turnpb.Record, payloads [][]byte) [][]byte {
--- a/turnstore/state.go
+++ b/turnstore/state.go
@@ -22,20 +22,6 @@
 // bytes.
 const recordOverhead = 400
 
-// entry is the reservation or settlement of one attempt.
-type entry struct {
-	attempt string
-	tokens  int64
-	settled bool
-	segment uint64 // the newest log segment that has it
-}
-
-// ledger holds the entries of one program.
-type ledger struct {
-	entries []entry
-	expires int64 // Unix ms
-}
-
 // turn is a stored turn.
 type turn struct {
 	record  *turnpb.Turn
@@ -75,10 +61,10 @@
 	switch kind := record.Kind.(type) {
 	case *turnpb.Record_Reservation:
 		r := kind.Reservation
-		return s.applyEntry(r.Program, entry{r.Attempt, r.Tokens, false, segment}, r.ExpiresUnixMs)
+		return s.applyEntry(r.Program, r.Attempt, entry{tokens: r.Tokens, segment: segment}, r.ExpiresUnixMs)
 	case *turnpb.Record_Settlement:
 		r := kind.Settlement
-		return s.applyEntry(r.Program, entry{r.Attempt, r.Tokens, true, segment}, r.ExpiresUnixMs)
+		return s.applyEntry(r.Program, r.Attempt, entry{tokens: r.Tokens, settled: true, segment: segment}, r.ExpiresUnixMs)
 	case *turnpb.Record_Turn:
 		return s.applyTurn(kind.Turn, segment)
 	case *turnpb.Record_Fence:
@@ -105,33 +91,6 @@
 	return false
 }
 
-// applyEntry adds a reservation or settlement. A reservation does not replace
-// the settlement of its attempt.
-func (s *state) applyEntry(program string, e entry, expires int64) bool {
-	l := s.programs[program]
-	if l == nil {
-		l = &ledger{}
-		s.programs[program] = l
-	}
-	l.expires = max(l.expires, expires)
-	for i := range l.entries {
-		known := &l.entries[i]
-		if known.attempt != e.attempt {
-			continue
-		}
-		if known.settled || !e.settled {
-			return false
-		}
-		*known = e
-		s.applied = append(s.applied, recordRef{program: program, attempt: e.attempt})
-		return true
-	}
-	l.entries = append(l.entries, e)
-	s.bytes += recordOverhead
-	s.applied = append(s.applied, recordRef{program: program, attempt: e.attempt})
-	return true
-}
-
 // applyTurn adds a turn and extends the expiry of those that it continues.
 func (s *state) applyTurn(record *turnpb.Turn, segment uint64) bool {
 	known := s.turns[record.Id]
@@ -182,23 +141,12 @@
 		}
 	}
 	for _, l := range s.programs {
-		for i := range l.entries {
-			if l.entries[i].segment <= segment {
-				l.entries[i].segment = current
-			}
-		}
-	}
-}
-
-// ledger returns the entries of a program for a reply.
-func (s *state) ledger(program string) *turnpb.Ledger {
-	out := &turnpb.Ledger{Program: program}
-	if l := s.programs[program]; l != nil {
 		for _, e := range l.entries {
-			out.Entries = append(out.Entries, &turnpb.LedgerEntry{Attempt: e.attempt, Tokens: e.tokens, Settled: e.settled})
+			if e.segment <= segment {
+				e.segment = current
+			}
 		}
 	}
-	return out
 }
 
 // chain returns the conversation that ends with the given turn, as far as this
@@ -240,29 +188,12 @@
 		}
 		return nil
 	}
-	l := s.programs[r.program]
-	if l == nil {
-		return nil
-	}
-	for _, e := range l.entries {
-		if e.attempt == r.attempt {
-			return entryRecord(r.program, e, l.expires)
-		}
+	if l := s.programs[r.program]; l != nil && l.entries[r.attempt] != nil {
+		return l.record(r.program, r.attempt)
 	}
 	return nil
 }
 
-func entryRecord(program string, e entry, expires int64) *turnpb.Record {
-	if e.settled {
-		return &turnpb.Record{Kind: &turnpb.Record_Settlement{Settlement: &turnpb.Settlement{
-			Program: program, Attempt: e.attempt, Tokens: e.tokens, ExpiresUnixMs: expires,
-		}}}
-	}
-	return &turnpb.Record{Kind: &turnpb.Record_Reservation{Reservation: &turnpb.Reservation{
-		Program: program, Attempt: e.attempt, Tokens: e.tokens, ExpiresUnixMs: expires,
-	}}}
-}
-
 // page returns the live records from a cursor on, up to about limit bytes, and
 // the cursor of the next page.
 func (s *state) page(cursor uint64, limit int, omitContent bool) (records []*turnpb.Record, next uint64, done bool) {
@@ -329,6 +260,7 @@
 	}
 	s.gaps.expire(limit)
 	for program, l := range s.programs {
+		s.bytes -= recordOverhead * int64(l.dropWithdrawn(limit))
 		if l.expires < limit {
 			s.bytes -= recordOverhead * int64(len(l.entries))
 			delete(s.programs, program)
@@ -351,9 +283,9 @@
 		}
 	}
 	for program, l := range s.programs {
-		for _, e := range l.entries {
+		for attempt, e := range l.entries {
 			if e.segment <= segment {
-				records = append(records, entryRecord(program, e, l.expires))
+				records = append(records, l.record(program, attempt))
 			}
 		}
 	}
--- a/turnstore/state_test.go
+++ b/turnstore/state_test.go
@@ -55,8 +55,8 @@
 		s := newState()
 		s.apply(settle("a", 7), 1)
 		s.apply(reserve("a", 100), 1)
-		Expect(s.ledger("p").Entries).To(HaveLen(1))
-		Expect(s.ledger("p").Entries[0].Tokens).To(BeEquivalentTo(7))
+		Expect(s.ledger("p", 0).Entries).To(HaveLen(1))
+		Expect(s.ledger("p", 0).Entries[0].Tokens).To(BeEquivalentTo(7))
 	})
 
 	It("keeps a turn as long as a turn that continues it", func() {
--- a/turnstore/tally.go
+++ b/turnstore/tally.go
@@ -60,6 +60,8 @@
 	// Spent and Reserved are the tokens that other attempts of the program have
 	// settled and still reserve.
 	Spent, Reserved int64
+	// LedgerEntries is the number of entries of the program that were read.
+	LedgerEntries int
 	// Synced is the number of ready members that have stored the records.
 	Synced int
 	// Fact is the newest fact that the members know of FactKey.
@@ -83,6 +85,8 @@
 	turns        map[string]*turnpb.Turn        // by id
 	lacking      map[turnAtDisk]bool            // turns that members have said they lack
 	fact         *turnpb.Fact                   // the newest one; nil if none was read
+	refused      bool                           // a member has certainly no room for the reservation
+	settled      int64                          // the most tokens that such a member knows to be settled
 }
 
 // turnAtDisk names a turn and a member.
@@ -103,6 +107,8 @@
 		t.fact = fact
 	}
 	if ledger != nil {
+		t.refused = t.refused || ledger.Refused
+		t.settled = max(t.settled, ledger.SettledTokens)
 		for _, e := range ledger.Entries {
 			known := t.entries[e.Attempt]
 			if known == nil || (e.Settled && !known.Settled) {
@@ -176,7 +182,11 @@
 // result returns the conclusion so far. Outstanding is the number of members
 // that may still answer.
 func (t *tally) result(outstanding int) Result {
-	out := Result{Synced: len(t.synced), CopySet: t.set.Version}
+	out := Result{Synced: len(t.synced), LedgerEntries: len(t.entries), CopySet: t.set.Version}
+	if t.refused { // what one member knows to be settled, all will
+		out.Verdict, out.Spent = OverBudget, t.settled
+		return out
+	}
 	majority := t.set.Majority()
 	if len(t.synced) < majority {
 		if len(t.synced)+outstanding < majority {
