gateway, upstream: Hold the bodies of all requests within a quarter of the memory

Cause: each body was bounded, their sum was not. Buffers that double and a second copy for the exchange doubled the need. Ruled out: answers (they have a budget) and the turn stores (the case has no turns).

Change: a budget of request bytes, a quarter of the process's memory, in which a body counts above 32 KiB from before it is read until its request ends. Bodies of known length have one buffer and are not copied for the exchange; one over the limit is refused unread. A conversation put before a body counts too.

--- a/gateway/beginturn.go
+++ b/gateway/beginturn.go
@@ -46,11 +46,30 @@
 		e.turn.settle(start)
 		return nil, false
 	}
-	if len(result.Conversation) == 0 {
+	body, held := e.withConversation(ctx, result.Conversation)
+	if !held {
+		e.turn.settle(start)
+		e.refuse("no memory for the conversation", retryAfterFull)
+		return nil, false
+	}
+	return body, true
+}
+
+// withConversation returns the turns before, followed by the request's own body. It
+// reports false if there is no memory for them.
+func (e *clientExchange) withConversation(ctx context.Context, turns [][]byte) ([]byte, bool) {
+	if len(turns) == 0 {
 		return e.request.Body, true
 	}
-	var body []byte
-	for _, content := range result.Conversation {
+	size := len(e.request.Body)
+	for _, content := range turns {
+		size += len(content)
+	}
+	if !e.holdBytes(ctx, int64(size)-uncountedRequestBytes) {
+		return nil, false
+	}
+	body := make([]byte, 0, size)
+	for _, content := range turns {
 		body = append(body, content...)
 	}
 	return append(body, e.request.Body...), true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,9 @@
 	// AnswerBytes is the limit of the bytes that the answers of all calls hold in
 	// memory; 0 means defaultAnswerBytes.
 	AnswerBytes int64
+	// RequestBytes is the limit of the bytes that the bodies of all requests hold in
+	// memory; 0 means defaultRequestBytes.
+	RequestBytes int64
 	// AddressTTL is how long a client may cache the list of fronts.
 	AddressTTL time.Duration
 	// MaxAddresses is the maximum length of that list.
@@ -52,6 +55,10 @@
 // have none.
 const defaultAnswerBytes = 16 << 20
 
+// defaultRequestBytes is the limit of the bytes of all requests if the settings
+// have none.
+const defaultRequestBytes = 32 << 20
+
 // Gateway is the HTTP handler that serves client requests.
 type Gateway struct {
 	settings  Settings
@@ -63,6 +70,7 @@
 	pool      *upstream.Pool
 
 	answerBudget   *answerBudget
+	requestBudget  *requestBudget
 	table          atomic.Pointer[route.Table]
 	fronts         atomic.Pointer[[]Front]
 	cutOff         atomic.Pointer[map[string]bool] // addresses of fronts that are cut off from backend servers
@@ -80,6 +88,7 @@
 	g.fronts.Store(&[]Front{})
 	g.cutOff.Store(&map[string]bool{})
 	g.answerBudget = newAnswerBudget(cmp.Or(settings.AnswerBytes, defaultAnswerBytes))
+	g.requestBudget = newRequestBudget(cmp.Or(settings.RequestBytes, defaultRequestBytes))
 	poolSettings := upstream.Settings{Dial: settings.Dial, Incarnations: settings.Incarnations, Log: log}
 	if settings.Detour != nil {
 		poolSettings.Detour = settings.Detour
@@ -98,6 +107,7 @@
 	group.RegisterGauge("dogwoodline_upstream_dials_total", func() int { _, dialled := g.pool.ConnCounts(); return dialled })
 	group.RegisterGauge("dogwoodline_answer_bytes", func() int { used, _ := g.answerBudget.counts(); return int(used) })
 	group.RegisterGauge("dogwoodline_answers_given_up_total", func() int { _, stopped := g.answerBudget.counts(); return stopped })
+	group.RegisterGauge("dogwoodline_request_bytes", func() int { return int(g.requestBudget.held.Load()) })
 	group.RegisterGauge("dogwoodline_config_version", func() int { return int(g.version()) })
 	return g
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -159,8 +159,9 @@
 	route        route.Route
 }
 
+// newFixture returns a fixture whose gateway's log is printed if the spec fails.
 func newFixture(r route.Route, backends ...http.HandlerFunc) *fixture {
-	return newFixtureWith(slog.New(slog.DiscardHandler), gateway.Settings{CallWorkers: 8}, r, backends...)
+	return newFixtureWith(slog.New(slog.NewTextHandler(GinkgoWriter, nil)), gateway.Settings{CallWorkers: 8}, r, backends...)
 }
 
 // newFixtureWith is newFixture with a log, and with settings of the gateway that
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -45,6 +43,7 @@
 	origin        *streamOrigin // of the stream that the client takes up; nil for a new one
 	pieces        *turnPieces   // of a turn that can be taken up; nil for none
 	headWritten   bool          // the response header was sent
+	heldBytes     int64         // of the budget of request bytes
 }
 
 // ServeHTTP serves one client request.
@@ -55,6 +54,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	e := &clientExchange{gateway: g, w: w, r: r, request: g.decode(r, time.Now())}
+	defer e.releaseBytes(0)
 	e.request.ClientHost, _, _ = net.SplitHostPort(r.RemoteAddr) // empty if it is not known
 	if e.accept() {
 		e.serve()
@@ -93,25 +93,6 @@
 	return e.readBody()
 }
 
-func (e *clientExchange) readBody() bool {
-	limit := e.table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = 4 << 20
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		e.writeError(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body has more than %d bytes", limit))
-		return false
-	case err != nil:
-		e.log(slog.LevelInfo, "gateway: reading the request body failed", "error", err)
-		panic(http.ErrAbortHandler)
-	}
-	e.request.Body = body
-	return true
-}
-
 // serve passes the request to the scheduler and responds within its timeout.
 func (e *clientExchange) serve() {
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.request.Arrived.Add(e.request.Timeout))
--- a/role/front.go
+++ b/role/front.go
@@ -35,6 +35,9 @@
 	// answerMemoryShare is the fraction of the process's memory that answers of
 	// backend servers may hold, above the few KiB that each may hold anyway.
 	answerMemoryShare = 0.1
+	// requestMemoryShare is the fraction that the bodies of requests may hold, above
+	// the few KiB that each may hold anyway.
+	requestMemoryShare = 0.25
 	// addressTTL is how long clients may cache the list of fronts. It is short so
 	// that clients soon stop using a front that was lost.
 	addressTTL = time.Second
@@ -52,8 +55,9 @@
 	defer detour.Close()
 	g := gateway.New(p.group, p.log, p.metricSet, gateway.Settings{
 		Address: p.host.FrontAddress, Zone: p.host.AvailabilityZone, CallWorkers: callWorkers,
-		AnswerBytes: int64(answerMemoryShare * float64(p.host.MemoryBytes)),
-		AddressTTL:  min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
+		AnswerBytes:  int64(answerMemoryShare * float64(p.host.MemoryBytes)),
+		RequestBytes: int64(requestMemoryShare * float64(p.host.MemoryBytes)),
+		AddressTTL:   min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
 		Detour: detour, Incarnations: platform.Incarnations{},
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -109,10 +109,10 @@
 	Incarnation int64
 }
 
-// encode returns the request line, header and body as they are sent.
-func (r Request) encode() ([]byte, error) {
+// encode returns the request line, header and body as they are sent. A long body is a
+// buffer of its own, which is not copied.
+func (r Request) encode() (net.Buffers, error) {
 	var out bytes.Buffer
-	out.Grow(512 + len(r.Body))
 	out.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
 		out.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
@@ -121,8 +121,11 @@
 		return nil, err
 	}
 	out.WriteString("\r\n")
+	if out.Len()+len(r.Body) > maxInlineWrite {
+		return net.Buffers{out.Bytes(), r.Body}, nil
+	}
 	out.Write(r.Body)
-	return out.Bytes(), nil
+	return net.Buffers{out.Bytes()}, nil
 }
 
 // Do sends a request and reads the status and header of its response. The verdict
@@ -183,12 +186,12 @@
 
 // write sends a message. A long message is sent by another goroutine while this
 // one reads, since a backend server may respond before it has read everything.
-func (p *Pool) write(c *conn, message []byte) {
+func (p *Pool) write(c *conn, message net.Buffers) {
 	send := func() {
-		_, err := c.Write(message)
+		_, err := message.WriteTo(c.Conn)
 		c.writeResult <- err
 	}
-	if len(message) <= maxInlineWrite {
+	if len(message) == 1 {
 		send()
 		return
 	}
