gateway: Let waiting calls keep their places when calls are sent late

What callers saw: a call that had waited 1.2 s for the limits of backend servers was refused, with Retry-After 0.2, when it was the next to be sent.

Cause: a waiting call is judged anew each time that another is sent. One that had been let wait with 1,398 of 1,400 ms was 200 ms from its turn after 1,200 ms and some hundred microseconds.

Change: a call that was let wait is refused only if more calls go before it than then, or if the limits let fewer calls through.

--- a/gateway/job.go
+++ b/gateway/job.go
@@ -59,8 +59,8 @@
 	// before its first event.
 	origin       *streamOrigin
 	originRecord originRecord
-	pieces       *turnPieces // of a turn that can be taken up; nil for none
-	waits        bool        // it has been let wait for the limits of the backend servers
+	pieces       *turnPieces   // of a turn that can be taken up; nil for none
+	waits        *waitingPlace // its place among those that wait for the limits of the backend servers; nil if it has none yet
 }
 
 // fleetRequest describes which backend servers may get the call.
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -56,13 +56,25 @@
 	return a.request.Arrived.Compare(b.request.Arrived)
 }
 
+// waitingPlace is where a job was, when it was last let wait.
+type waitingPlace struct {
+	before int     // jobs that went before it
+	rate   float64 // of the calls that the limits let through, in calls per second; 0 if a server had no limit
+}
+
+// stillHolds reports whether a job that waits is no worse off than when it was let
+// wait. Its turn then comes later only by what each call before it was late.
+func (p *waitingPlace) stillHolds(before int, rate float64) bool {
+	return p != nil && p.rate > 0 && before <= p.before && rate >= p.rate
+}
+
 // maxWait returns how long a job may still wait.
 func (j *job) maxWait(now time.Time) time.Duration {
 	part := patience
 	if j.startsProgram {
 		part = startPatience
 	}
-	if j.waits {
+	if j.waits != nil {
 		part *= keptPatience
 	}
 	return time.Duration(part*float64(j.deadline.Sub(j.request.Arrived))) - now.Sub(j.request.Arrived)
@@ -100,16 +112,16 @@
 		case allLimited:
 			wait += time.Duration(float64(len(kept)) / rate * float64(time.Second))
 		}
-		if wait > j.maxWait(now) {
+		if wait > j.maxWait(now) && !j.waits.stillHolds(len(kept), rate) {
 			s.failJob(j, fmt.Sprintf("the limits of the backend servers let it through in %d ms, %d calls go before it", wait.Milliseconds(), len(kept)),
 				max(wait, minRetryAfterLimit), now)
 			continue
 		}
-		if !j.waits {
+		if j.waits == nil {
 			s.log.Info("gateway: call waits for the limits of the backend servers", "request", j.request.ID, "route", j.route.Name,
 				"expected_ms", wait.Milliseconds(), "before_it", len(kept), "starts_program", j.startsProgram, "rate", rate, "all_limited", allLimited)
 		}
-		j.waits = true
+		j.waits = &waitingPlace{before: len(kept), rate: rate}
 		kept = append(kept, j)
 	}
 	s.setWaiting(service, kept)
