kvstore/budgeted: Advance the test clock only once the timer is set

The bucket grants a write, which the test sees, and then sets the timer for the next one. An advance of the test's clock in between is not seen by that timer, which counts from when it is set, so that the next write never comes. With the real clock the gap is part of the time that passes; nothing in the product changes.

The spec demands the same as before, and that the timer is set.

--- a/kvstore/budgeted/budgeted_test.go
+++ b/kvstore/budgeted/budgeted_test.go
@@ -51,11 +51,20 @@
 		return done
 	}
 
+	// awaitTimer returns once the timer for the next write is set. Its time counts from
+	// then, so that an advance before it would not reach it.
+	awaitTimer := func() {
+		limited, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		Expect(clock.BlockUntilContext(limited, 1)).To(Succeed())
+	}
+
 	It("runs a lease write that arrived last before journal and status writes", func() {
 		status := put(ctx, budgeted.Status, "status")
 		journal := put(ctx, budgeted.Journal, "journal")
 		lease := put(ctx, budgeted.Lease, "lease")
 		for _, next := range []chan error{lease, journal, status} {
+			awaitTimer()
 			clock.Advance(time.Second + time.Millisecond)
 			Eventually(next).Should(Receive(BeNil()))
 		}
