upstream, platform: Send streams to servers that answer the question with a stream

Each turn was refused with 503 ("no backend server is left for this call"), at servers that run whatever they get, the question which incarnation they are included, and answer it with a stream.

Cause: asks each server before a resumable stream and waits for the whole answer. Its end did not come within half a second, which counted as a server in trouble, though a server that states no incarnation is to pass. Ruled out: the request budget and the counting of crashes; the record has the questions as runs without id and body.

Change: a 200 of another media type than the state's says at once that the server states none. That is noted for its registration and forgotten when its connections are, and the request goes on a new connection.

The new entry of "is sent to a server that does not say which one it is" fails without it.

--- a/gateway/reborn_test.go
+++ b/gateway/reborn_test.go
@@ -25,6 +25,8 @@
 
 func (plainIncarnations) StatePath() string { return serverStatePath }
 
+func (plainIncarnations) StateType() string { return "text/plain" }
+
 func (plainIncarnations) DecodeIncarnation(body []byte) (int64, bool) {
 	incarnation, err := strconv.ParseInt(string(body), 10, 64)
 	return incarnation, err == nil
--- a/upstream/incarnation.go
+++ b/upstream/incarnation.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -17,6 +18,8 @@
 type Incarnations interface {
 	// StatePath is the path at which backend servers state it.
 	StatePath() string
+	// StateType is the media type of the response there.
+	StateType() string
 	// DecodeIncarnation returns what a response body states. It reports false if it
 	// states none.
 	DecodeIncarnation(body []byte) (int64, bool)
@@ -32,11 +35,46 @@
 	minRestartTime = 300 * time.Millisecond
 )
 
+// errNoState reports that a backend server answers the question which incarnation it
+// is with something else. It runs anything that it gets, whatever the path.
+var errNoState = Error.New("the backend server has answered with something else than its state")
+
 // heardIncarnations tells when which incarnation was last heard at an address, on
 // connections on which it had been stated. Its lock is held for a few instructions only.
 type heardIncarnations struct {
 	mu        sync.Mutex
 	byAddress map[string]heardIncarnation
+	// stateless holds the registered incarnation of the backend servers that state none.
+	stateless map[string]int64
+}
+
+func newHeardIncarnations() heardIncarnations {
+	return heardIncarnations{byAddress: map[string]heardIncarnation{}, stateless: map[string]int64{}}
+}
+
+// noteStateless notes that the backend server registered as the given incarnation
+// states none.
+func (h *heardIncarnations) noteStateless(address string, registered int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stateless[address] = registered
+}
+
+// isStateless reports whether the backend server registered as the given incarnation
+// is known to state none.
+func (h *heardIncarnations) isStateless(address string, registered int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known, ok := h.stateless[address]
+	return ok && known == registered
+}
+
+// forget forgets a backend server that is gone.
+func (h *heardIncarnations) forget(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.byAddress, address)
+	delete(h.stateless, address)
 }
 
 type heardIncarnation struct {
@@ -66,24 +104,32 @@
 
 // checkIncarnation makes sure that the incarnation that the request expects answers on
 // the connection. It asks once for each connection. A backend server that does not
-// state its incarnation passes.
-func (p *Pool) checkIncarnation(ctx context.Context, c *conn, request Request) error {
+// state its incarnation passes. It returns the connection to use, which is another one
+// if the answer to the question occupies the first.
+func (p *Pool) checkIncarnation(ctx context.Context, c *conn, request Request) (*conn, error) {
 	if request.Incarnation == 0 || p.incarnations == nil {
-		return nil
+		return c, nil
 	}
 	if !c.asked {
 		c.incarnation = p.heard.recent(c.address, time.Now())
 	}
-	if !c.asked && c.incarnation == 0 {
-		if err := p.askIncarnation(ctx, c, request.Host); err != nil {
-			return errors.Join(ErrNotConnected, err)
+	if !c.asked && c.incarnation == 0 && !p.heard.isStateless(c.address, request.Incarnation) {
+		err := p.askIncarnation(ctx, c, request.Host)
+		if errors.Is(err, errNoState) {
+			p.log.Warn("upstream: the incarnation of a backend server is not known", "address", c.address, "registered", request.Incarnation, "error", err)
+			p.heard.noteStateless(c.address, request.Incarnation)
+			p.discard(c)
+			return p.connect(ctx, request.Address)
+		}
+		if err != nil {
+			return c, errors.Join(ErrNotConnected, err)
 		}
 	}
 	c.asked = true
 	if c.incarnation != 0 && c.incarnation != request.Incarnation {
-		return ErrOtherIncarnation
+		return c, ErrOtherIncarnation
 	}
-	return nil
+	return c, nil
 }
 
 // askIncarnation asks the backend server on a connection which incarnation it is.
@@ -100,6 +146,9 @@
 	if err != nil {
 		return err
 	}
+	if kind := reply.Header.Get("Content-Type"); kind != "" && !strings.HasPrefix(kind, p.incarnations.StateType()) && reply.StatusCode == http.StatusOK {
+		return errNoState // the body may be without end
+	}
 	defer reply.Body.Close()
 	body, err := io.ReadAll(reply.Body)
 	if err != nil {
--- a/upstream/incarnation_test.go
+++ b/upstream/incarnation_test.go
@@ -29,6 +29,8 @@
 
 func (plainIncarnations) StatePath() string { return statePath }
 
+func (plainIncarnations) StateType() string { return "text/plain" }
+
 func (plainIncarnations) DecodeIncarnation(body []byte) (int64, bool) {
 	incarnation, err := strconv.ParseInt(string(body), 10, 64)
 	return incarnation, err == nil
@@ -109,6 +111,8 @@
 		Expect(b.asked.Load()).To(BeZero())
 	})
 
+	// Guards against requests that no server gets because the servers answer the question
+	// with something else.
 	DescribeTable("is sent to a server that does not say which one it is", func(state string) {
 		b.state = func(w io.Writer) { fmt.Fprint(w, state) }
 		Expect(sendFor(7)).To(Equal(call.Answered))
@@ -117,6 +121,7 @@
 	},
 		Entry("at all", "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"),
 		Entry("in this form", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+		Entry("but answers all requests alike, with a stream", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n"),
 	)
 
 	// Guards against status checks for each new connection of a busy front, which are
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -63,7 +63,7 @@
 func NewPool(group *duty.Group, decoder Decoder, settings Settings) *Pool {
 	p := &Pool{
 		decoder: decoder, log: settings.Log, detour: settings.Detour, dial: settings.Dial, paths: newPaths(),
-		incarnations: settings.Incarnations, heard: heardIncarnations{byAddress: map[string]heardIncarnation{}}, pendingWrites: ring.New[func()](writerCount),
+		incarnations: settings.Incarnations, heard: newHeardIncarnations(), pendingWrites: ring.New[func()](writerCount),
 		idle: map[string][]*conn{}, openConns: map[string]int{}, idleLimits: idleLimits{},
 	}
 	if p.log == nil {
@@ -210,8 +210,10 @@
 	}
 }
 
-// CloseIdle closes the idle connections to a backend server that is gone.
+// CloseIdle closes the idle connections to a backend server that is gone, and forgets
+// what it has stated.
 func (p *Pool) CloseIdle(address string) {
+	p.heard.forget(address)
 	p.mu.Lock()
 	list := p.idle[address]
 	delete(p.idle, address)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -141,8 +141,11 @@
 	if err != nil {
 		return nil, call.NotRun, err
 	}
-	if err := p.checkIncarnation(ctx, c, request); err != nil {
-		p.discard(c)
+	c, err = p.checkIncarnation(ctx, c, request)
+	if err != nil {
+		if c != nil {
+			p.discard(c)
+		}
 		return nil, call.NotRun, err
 	}
 	if !beforeSend() {
