gateway, upstream: State the shortest restart of a server once

Two packages had the same constant, and the fields of a reported crash were copied in two places. One constant and one function serve both; nothing that the code does changes. The suites of gateway and upstream pass, and the linter finds nothing in them.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -33,6 +33,11 @@
 	expires           time.Time
 }
 
+// crashOf returns what a report says of a crash.
+func crashOf(report turnstore.Crash) crash {
+	return crash{sent: report.Sent, interrupted: report.Interrupted, expires: report.Expires}
+}
+
 // crashRecords holds the backend server crashes that each call may have caused.
 // It maps an identity of the call and the end of the backend server that ran it to
 // the crash. Only the scheduler goroutine may use it.
@@ -219,7 +224,7 @@
 		return
 	}
 	report := turnstore.Crash{Calls: suspects, ServerEnd: end, Sent: c.sent, Interrupted: c.at, Expires: now.Add(crashTTL)}
-	s.crashes.add(suspects, end, crash{sent: report.Sent, interrupted: report.Interrupted, expires: report.Expires})
+	s.crashes.add(suspects, end, crashOf(report))
 	s.log.Warn("gateway: backend server ended while it ran a call", "request", c.requestID, "route", c.route, "backend", c.backend.ID,
 		"end", end, "calls", suspects, "ran_ms", c.at.Sub(c.sent).Milliseconds(), "crashes", s.crashes.count(suspects, now), "told", s.reportCrash(report))
 }
@@ -236,7 +241,7 @@
 func (s *Scheduler) receiveCrashes(now time.Time) {
 	for report, ok := s.reportedCrashes.TryPop(); ok; report, ok = s.reportedCrashes.TryPop() {
 		suspects := s.answered.without(report.Calls, now)
-		s.crashes.add(suspects, report.ServerEnd, crash{sent: report.Sent, interrupted: report.Interrupted, expires: report.Expires})
+		s.crashes.add(suspects, report.ServerEnd, crashOf(report))
 		if count := s.crashes.count(suspects, now); count >= maxCrashes {
 			s.log.Info("gateway: call is held", "calls", suspects, "end", report.ServerEnd, "crashes", count)
 		}
--- a/gateway/serverends.go
+++ b/gateway/serverends.go
@@ -6,6 +6,7 @@
 
 	"dogwoodline.example/call"
 	"dogwoodline.example/fleet"
+	"dogwoodline.example/upstream"
 )
 
 const (
@@ -17,9 +18,6 @@
 	// it ran may still be interrupted. A server that leaves without notice is
 	// removed while it serves for two seconds or more.
 	lateInterruption = 1500 * time.Millisecond
-	// minRestartTime is how soon after its end a server may run calls again. A call
-	// that was sent sooner found it ended.
-	minRestartTime = 300 * time.Millisecond
 )
 
 // interruptedCall is a call that a backend server may have begun to run and whose
@@ -61,8 +59,8 @@
 	switch {
 	case ended && c.sent.Before(known.at) && c.at.Sub(known.at) < lateInterruption:
 		return known.name(c.backend.ID)
-	case ended && !c.sent.Before(known.at) && c.sent.Sub(known.at) < minRestartTime:
-		return "" // the server had ended before
+	case ended && !c.sent.Before(known.at) && c.sent.Sub(known.at) < upstream.MinRestartTime:
+		return "" // the call found the server ended
 	}
 	e.interrupted = append(e.interrupted, c)
 	return ""
@@ -73,7 +71,7 @@
 // between them are different ends of a server whose registration is old.
 func (e *serverEnds) refused(backend fleet.Backend, now time.Time) (string, []interruptedCall) {
 	known, ended := e.noticed[backend.ID]
-	if ended && known.incarnation == backend.Incarnation && now.Sub(known.at) >= minRestartTime {
+	if ended && known.incarnation == backend.Incarnation && now.Sub(known.at) >= upstream.MinRestartTime {
 		known.count, known.at = known.count+1, now
 		e.noticed[backend.ID] = known
 	}
--- a/upstream/incarnation.go
+++ b/upstream/incarnation.go
@@ -30,11 +30,12 @@
 	incarnationTimeout = 500 * time.Millisecond
 	// maxStateBytes bounds the answer.
 	maxStateBytes = 256 << 10
-	// minRestartTime is how long after its last byte another incarnation may take a
-	// backend server's address at the earliest.
-	minRestartTime = 300 * time.Millisecond
 )
 
+// MinRestartTime is how soon after its end a backend server may run calls again, at the
+// earliest.
+const MinRestartTime = 300 * time.Millisecond
+
 // errNoState reports that a backend server answers the question which incarnation it
 // is with something else. It runs anything that it gets, whatever the path.
 var errNoState = Error.New("the backend server has answered with something else than its state")
@@ -95,7 +96,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	known, ok := h.byAddress[address]
-	if !ok || now.Sub(known.at) > minRestartTime {
+	if !ok || now.Sub(known.at) > MinRestartTime {
 		delete(h.byAddress, address)
 		return 0
 	}
