--- a/cmd/dogwoodline/main.go
+++ b/cmd/dogwoodline/main.go
@@ -35,6 +35,7 @@
 	Demo        demoCommand        `cmd:"" help:"Run example programs on a small deployment in one process, with one node killed and one drained."`
 	Load        loadCommand        `cmd:"" help:"Generate load on a deployment and measure it, or check a deployment under injected faults."`
 	Soak        soakCommand        `cmd:"" help:"Run fronts and stores as processes under random faults and check their guarantees."`
+	SoakStops   soakStopsCommand   `cmd:"" help:"Stop fronts as planned under a load that never pauses, and check that each request is answered."`
 	Explain     explainCommand     `cmd:"" help:"Show the log lines of a request or program on the users' platform, and why each request ended as it did. Exit code 1 if the logs do not say."`
 	Apply       applyCommand       `cmd:"" help:"Create or update the resources in a TOML file."`
 	Get         getCommand         `cmd:"" help:"Show resources. Example: dogwoodline get backend engine-1"`
--- a/cmd/dogwoodline/soak.go
+++ b/cmd/dogwoodline/soak.go
@@ -35,22 +35,16 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	binary := s.Binary
-	if binary == "" {
-		own, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		binary = own
-	}
-	if s.From == 0 {
-		s.From = uint64(time.Now().UnixMilli())
+	binary, err := binaryOrOwn(s.Binary)
+	if err != nil {
+		return err
 	}
 	violations := 0
+	from := seedOrTime(s.From)
 	for i := range s.Seeds {
 		result, err := roles.Run(ctx, roles.Config{
 			Binary: binary, Fronts: s.Fronts, Stores: s.Stores, Programs: s.Programs, Duration: s.Duration,
-			Seed: s.From + uint64(i), SecondOctet: s.Net, Limit: s.Limit, Log: newLogger(c.stderr, settings.Default().Log),
+			Seed: from + uint64(i), SecondOctet: s.Net, Limit: s.Limit, Log: newLogger(c.stderr, settings.Default().Log),
 		})
 		if err != nil {
 			return err
@@ -60,9 +54,31 @@
 		}
 		violations += len(result.Violations)
 	}
-	if violations > 0 {
-		c.printStderr(fmt.Sprintf("dogwoodline: %d violations", violations))
-		return errReported
+	return c.reportViolations(violations)
+}
+
+// binaryOrOwn returns the path of the binary of the processes; an empty one stands for
+// this binary.
+func binaryOrOwn(binary string) (string, error) {
+	if binary != "" {
+		return binary, nil
+	}
+	return os.Executable()
+}
+
+// seedOrTime returns the first seed; 0 stands for one from the current time.
+func seedOrTime(seed uint64) uint64 {
+	if seed == 0 {
+		return uint64(time.Now().UnixMilli())
+	}
+	return seed
+}
+
+// reportViolations returns an error if there are violations.
+func (c *console) reportViolations(violations int) error {
+	if violations == 0 {
+		return nil
 	}
-	return nil
+	c.printStderr(fmt.Sprintf("dogwoodline: %d violations", violations))
+	return errReported
 }
--- a/emulator/usersplatform/client.go
+++ b/emulator/usersplatform/client.go
@@ -138,7 +138,8 @@
 
 // Configure registers the backend server at the address and writes a
 // configuration that routes the paths /turns/, ResumableTurnsPath and /calls/ to its
-// service, the path /fragile/ to FragileService and StreamPath to StreamService.
+// service, the path /fragile/ to FragileService, StreamPath to StreamService and
+// WorkPath to WorkService.
 func (s *Store) Configure(ctx context.Context, b *Backend, address string) error {
 	err := s.Put(ctx, "servers/"+b.ID, map[string]any{
 		"Service": "llm", "Version": "v1", "Address": address, "Zone": "a", "Slots": 8, "State": "ready",
@@ -151,6 +152,7 @@
 		{"Name":"resumable-turns","Host":"site.example","PathPrefix":"/resumable-turns/","Kind":"streaming","TimeoutMs":5000,"Service":"llm","Attempts":1,"Retain":true,"RetentionS":60,"Resumable":true},
 		{"Name":"calls","Host":"site.example","PathPrefix":"/calls/","Kind":"unsafe","TimeoutMs":5000,"Service":"llm"},
 		{"Name":"streams","Host":"site.example","PathPrefix":"/streams/","Kind":"streaming","TimeoutMs":5000,"Service":"streams","Attempts":1,"Resumable":true},
+		{"Name":"work","Host":"site.example","PathPrefix":"/work/","Kind":"unsafe","TimeoutMs":6000,"Service":"work"},
 		{"Name":"fragile","Host":"site.example","PathPrefix":"/fragile/","Kind":"safe","TimeoutMs":1500,"Service":"fragile","Attempts":1}],
-		"Services":[{"Name":"llm","MaxConns":50,"Engine":{"Slots":8,"TokensPerEvent":5}},{"Name":"fragile","MaxConns":50},{"Name":"streams","MaxConns":50}],"Limits":{"MaxBodyBytes":100000}}`))
+		"Services":[{"Name":"llm","MaxConns":50,"Engine":{"Slots":8,"TokensPerEvent":5}},{"Name":"fragile","MaxConns":50},{"Name":"streams","MaxConns":50},{"Name":"work","MaxConns":100}],"Limits":{"MaxBodyBytes":100000}}`))
 }
