--- a/emulator/usersplatform/work.go
+++ b/emulator/usersplatform/work.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// WorkService is the service of the WorkBackends, and WorkPath the path of its
-	// route, whose calls may not be repeated and have a long timeout.
+	// WorkService is the service of the WorkBackends.
 	WorkService = "work"
-	WorkPath    = "/work/"
+	// WorkPath is the path of its route, whose calls may not be repeated and have a
+	// long timeout.
+	WorkPath = "/work/"
 	// workSlots and workQueue are how many requests a WorkBackend runs at a time and
 	// how many more wait there.
 	workSlots = 6
