Add the types and messages that the parts of the hard-load work share

The functions that the parts fill in behave as before: nobody is authenticated, no quota is counted, ranks and choices are the same. No measured change is expected.

--- a/call/call.go
+++ b/call/call.go
@@ -27,8 +27,18 @@
 	// Timeout is how long the client waits for the response; 0 if it did not say.
 	Timeout time.Duration
 
+	// Organisation is the name of the organisation that the client's key belongs to;
+	// empty if the deployment has no organisations or the route is public.
+	Organisation string
+
 	Program string
 	Session string
+	// FinishWithin is the time that was left at the arrival until the program should be
+	// finished; 0 if the client did not say.
+	FinishWithin time.Duration
+	// LengthHint is the client's estimate of the number of output tokens, which is often
+	// far off; 0 if the client did not say.
+	LengthHint int
 	// TokenBudget bounds the tokens that all turns of the program generate
 	// together; 0 if the request states none.
 	TokenBudget int
--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -82,10 +82,7 @@
 	}
 	rank := -1
 	if j.service.Engine != nil {
-		rank = 2 * j.route.Priority // calls of started programs go before calls that start one
-		if j.startsProgram {
-			rank++
-		}
+		rank = rankOf(j)
 	}
 	request := upstream.Request{
 		ID: j.request.ID, Address: a.backend.Address, Service: a.backend.Service, Method: j.request.Method, Target: j.request.Target,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,10 @@
 	Detour Detour
 	// Incarnations reads which incarnation of a backend server answers; nil if none says.
 	Incarnations upstream.Incarnations
+	// Quota bounds the requests of organisations over all fronts; nil for no bound.
+	Quota Quota
+	// ContendedCapacity says that callers compete for places at backend servers.
+	ContendedCapacity bool
 }
 
 // defaultAnswerBytes is the limit of the bytes of all answers if the settings
@@ -96,6 +100,7 @@
 	g.pool = upstream.NewPool(group, codec, poolSettings)
 	attempts := ring.New[attempt](settings.CallWorkers)
 	g.scheduler = newScheduler(group, log, settings.Address, settings.Zone, attempts, g.pool, turnStore)
+	g.scheduler.contendedCapacity = settings.ContendedCapacity
 	for range settings.CallWorkers {
 		c := &callWorker{attempts: attempts, messages: g.scheduler.messages, pool: g.pool, codec: codec, turnStore: turnStore, log: log}
 		group.Go("caller", c.run)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -80,6 +80,9 @@
 		e.writeError(http.StatusBadRequest, "the request has no id")
 		return false
 	}
+	if !e.authenticate() || !e.withinQuota() {
+		return false
+	}
 	if e.request.Timeout == 0 || (e.route.Timeout > 0 && e.request.Timeout > e.route.Timeout) {
 		e.request.Timeout = e.route.Timeout
 	}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -103,6 +103,7 @@
 	dropConnections func(address string)
 	// hasIdleConnection reports whether an idle connection to an address is open.
 	hasIdleConnection func(address string) bool
+	contendedCapacity bool // the settings say that callers compete for places
 	backendCount      atomic.Int64
 	slotCount         atomic.Int64
 	addresses         atomic.Pointer[map[string]bool] // of the registered backend servers
--- a/role/front.go
+++ b/role/front.go
@@ -58,7 +58,7 @@
 		AnswerBytes:  int64(answerMemoryShare * float64(p.host.MemoryBytes)),
 		RequestBytes: int64(requestMemoryShare * float64(p.host.MemoryBytes)),
 		AddressTTL:   min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
-		Detour: detour, Incarnations: platform.Incarnations{},
+		Detour: detour, Incarnations: platform.Incarnations{}, ContendedCapacity: p.host.ContendedCapacity,
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
 	batchDelay := func() time.Duration {
--- a/route/route.go
+++ b/route/route.go
@@ -60,6 +60,8 @@
 	Sticky bool
 	// Resumable allows a stream to continue on another backend server.
 	Resumable bool
+	// Public says that requests need no key of an organisation.
+	Public bool
 	// MaxEventGap is the longest pause between two events of a stream that still
 	// counts as on time.
 	MaxEventGap time.Duration
@@ -130,6 +132,9 @@
 	Version  int64
 	Services map[string]Service
 	Limits   Limits
+	// Organisations are the customer organisations by name; nil if the configuration has
+	// none.
+	Organisations map[string]*Organisation
 
 	byHost map[string][]Route // longest prefix first
 }
