role: Serve the exchange between fronts

Cause: module coordination needs the fronts, a connection and a gRPC server.

Change: the server at which other fronts ask for connections also takes their reports. The exchange reads the fronts of the platform's store, draining ones included, with those marked that clients are sent to. It has no topics yet, so nothing is sent.

Ruled out: one more port; hosts have a fixed range, and a front of the previous release answers Unimplemented at the port that it has.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -128,3 +128,12 @@
 	}
 	return slices.Clip(all[:min(len(all), g.settings.MaxAddresses)]), g.settings.AddressTTL
 }
+
+// ListedFronts returns the addresses of the fronts that clients are sent to.
+func (g *Gateway) ListedFronts() map[string]bool {
+	listed := map[string]bool{}
+	for _, f := range selectFronts(g.servingFronts(), g.scheduler.slots()) {
+		listed[f.Address] = true
+	}
+	return listed
+}
--- a/role/front.go
+++ b/role/front.go
@@ -14,6 +14,8 @@
 	"github.com/go-chi/chi/v5"
 	"google.golang.org/grpc"
 
+	"dogwoodline.example/coordination"
+	"dogwoodline.example/coordination/coordinationpb"
 	"dogwoodline.example/copyset"
 	"dogwoodline.example/gateway"
 	"dogwoodline.example/kvstore"
@@ -60,6 +62,8 @@
 		AddressTTL:   min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
 		Detour: detour, Incarnations: platform.Incarnations{}, ContendedCapacity: p.host.ContendedCapacity,
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
+	fronts := &frontList{}
+	exchange := p.coordinate(g, fronts)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
 	batchDelay := func() time.Duration {
 		if reader.FollowsFeed() {
@@ -78,7 +82,7 @@
 		backendsSubscription(g),
 		copySetSubscription(p.log, func(ctx context.Context, set copyset.Set) { _ = turnStores.SetCopySet(ctx, set) }),
 		membersSubscription(p.log, func(ctx context.Context, members map[string]membership.Member) {
-			_ = g.SetFronts(ctx, activeFronts(members)) // fails only when the process stops
+			fronts.followFronts(ctx, g, members)
 			reader.SetFeeds(feedAddresses(members, p.host))
 		}),
 	}})
@@ -87,7 +91,7 @@
 	}
 	tunnels := tunnel.NewServer(p.group, p.log, dial, g.KnowsBackend, g.CutOff)
 	p.member.HTTP, p.member.Cores = p.host.FrontAddress, p.host.Cores
-	p.member.GRPC = p.serveTunnels(ctx, tunnels)
+	p.member.GRPC = p.servePeers(ctx, tunnels, exchange)
 	if err := p.listenFront(ctx, g); err != nil {
 		return err
 	}
@@ -98,10 +102,10 @@
 	return nil
 }
 
-// serveTunnels starts the gRPC server at which other fronts ask for connections to
-// backend servers. It returns its address, or an empty text if no port is free:
-// another process of the host may use the first ones.
-func (p *process) serveTunnels(ctx context.Context, tunnels *tunnel.Server) string {
+// servePeers starts the gRPC server at which other fronts ask for connections to
+// backend servers and report to this one. It returns its address, or an empty text if
+// no port is free: another process of the host may use the first ones.
+func (p *process) servePeers(ctx context.Context, tunnels *tunnel.Server, exchange *coordination.Exchange) string {
 	for port := p.host.PeerPorts[0]; port <= p.host.PeerPorts[1]; port++ {
 		address := net.JoinHostPort(p.host.IP, strconv.Itoa(port))
 		listener, err := netdial.Listen(ctx, address)
@@ -111,11 +115,12 @@
 		}
 		server := grpc.NewServer()
 		tunnelpb.RegisterTunnelServer(server, tunnels)
+		coordinationpb.RegisterCoordinationServer(server, exchange)
 		p.group.Go("grpc-accept", func(context.Context) error { return server.Serve(listener) })
 		p.onStop = append(p.onStop, server.Stop)
 		return address
 	}
-	p.log.Error("role: no port for other fronts is free, no connections are opened for them")
+	p.log.Error("role: no port for other fronts is free, they get no connections and cannot report")
 	return ""
 }
 
