--- /dev/null
+++ b/quota/fleet_sim_test.go
@@ -0,0 +1,337 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dogwoodline.example/coordination"
+	"dogwoodline.example/quota"
+)
+
+const (
+	step        = time.Millisecond
+	callTimeout = coordination.CallTimeout
+	askLimit    = 120 * time.Millisecond
+)
+
+// simulation runs fronts with their coordinators in steps of simulated time, and stands in
+// for the exchange and the network between them.
+type simulation struct {
+	random  *rand.Rand
+	bounds  quota.Bounds
+	limits  map[string]quota.Limit
+	fronts  []*simulatedFront
+	now     time.Time
+	epochs  uint64
+	loss    float64                // of each message
+	drift   float64                // largest relative error of a clock
+	cut     func(a, b int) bool    // between two fronts; nil for no cut
+	flights map[time.Time][]func() // by time of arrival
+	ran     map[string][]time.Time // when requests were sent that run
+	refused map[string]int
+	asked   int
+	total   int
+	reports int
+}
+
+// simulatedFront is one process.
+type simulatedFront struct {
+	index       int
+	address     string
+	listed      bool
+	dead        bool
+	frozen      time.Time // until then
+	rate        float64   // of its clock
+	started     time.Time
+	front       *quota.Front
+	coordinator *quota.Coordinator
+	links       map[int]*simulatedLink
+	members     []coordination.Front
+	membersRead time.Time
+	pending     []pendingRequest
+	backlog     []func() // what arrived while it was frozen
+}
+
+// simulatedLink is the state of the exchange for one coordinator.
+type simulatedLink struct {
+	due, sent      time.Time
+	inFlight, lost bool
+	number         int
+	left           time.Time
+}
+
+type pendingRequest struct {
+	organisation string
+	ticket       int64
+	until        time.Time
+}
+
+func newSimulation(seed uint64, count int, limits map[string]quota.Limit) *simulation {
+	s := &simulation{
+		random: rand.New(rand.NewPCG(seed, 7)), bounds: quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, limits: limits,
+		now: time.Unix(1_000_000, 0), flights: map[time.Time][]func(){}, ran: map[string][]time.Time{}, refused: map[string]int{},
+	}
+	for i := range count {
+		f := &simulatedFront{index: i, address: fmt.Sprint("front-", i), listed: true}
+		s.fronts = append(s.fronts, f)
+		s.start(f)
+	}
+	return s
+}
+
+// start starts the process of a front, which knows nothing.
+func (s *simulation) start(f *simulatedFront) {
+	s.epochs += 1 << 32
+	f.rate = 1 + s.drift*(2*s.random.Float64()-1)
+	f.started, f.dead, f.links, f.pending, f.membersRead = s.now, false, map[int]*simulatedLink{}, nil, time.Time{}
+	f.front = quota.NewFront(f.address, s.bounds, s.epochs, s.clock(f))
+	f.coordinator = quota.NewCoordinator(s.bounds)
+	s.setLimits(f)
+}
+
+func (s *simulation) setLimits(f *simulatedFront) {
+	f.front.SetLimits(s.limits)
+	f.coordinator.SetLimits(s.limits, s.clock(f))
+}
+
+// clock returns the time that a front's clock shows.
+func (s *simulation) clock(f *simulatedFront) time.Time {
+	return s.now.Add(time.Duration(float64(s.now.Sub(f.started)) * (f.rate - 1)))
+}
+
+func (f *simulatedFront) runs(now time.Time) bool { return !f.dead && !now.Before(f.frozen) }
+
+// reachable reports whether messages pass between two fronts.
+func (s *simulation) reachable(a, b int) bool { return s.cut == nil || a == b || !s.cut(a, b) }
+
+// deliver runs something at a front after the time that a message takes, unless it is lost.
+func (s *simulation) deliver(from, to *simulatedFront, do func()) {
+	if s.random.Float64() < s.loss || !s.reachable(from.index, to.index) {
+		return
+	}
+	arrives := s.now.Add(time.Duration(1+s.random.IntN(5)) * step)
+	process := to.front
+	s.flights[arrives] = append(s.flights[arrives], func() {
+		switch {
+		case to.dead || to.front != process:
+		case !to.runs(s.now):
+			to.backlog = append(to.backlog, do)
+		default:
+			do()
+		}
+	})
+}
+
+// advance simulates one step.
+func (s *simulation) advance() {
+	s.now = s.now.Add(step)
+	arrived := s.flights[s.now]
+	delete(s.flights, s.now)
+	for _, do := range arrived {
+		do()
+	}
+	for _, f := range s.fronts {
+		if !f.runs(s.now) {
+			continue
+		}
+		backlog := f.backlog
+		f.backlog = nil
+		for _, do := range backlog {
+			do()
+		}
+		s.exchange(f)
+		s.expireRequests(f)
+	}
+}
+
+// exchange does what the coordination duty does.
+func (s *simulation) exchange(f *simulatedFront) {
+	if s.now.Sub(f.membersRead) >= time.Second {
+		f.membersRead = s.now.Add(-time.Duration(s.random.IntN(200)) * step)
+		f.members = nil
+		for _, other := range s.fronts {
+			if !other.dead {
+				f.members = append(f.members, coordination.Front{Address: other.address, PeerAddress: other.address, Listed: other.listed})
+			}
+		}
+		s.choose(f)
+	}
+	for _, to := range sortedKeys(f.links) {
+		l := f.links[to]
+		switch {
+		case l.inFlight && s.now.Sub(l.sent) >= callTimeout:
+			l.inFlight, l.lost, l.due = false, true, s.now.Add(time.Second)
+			s.choose(f)
+		case l.inFlight:
+		case !l.left.IsZero() && s.now.Sub(l.left) > 2*time.Second && !l.lost:
+			delete(f.links, to)
+		case l.lost && !s.now.Before(l.due): // a probe
+			l.due = s.now.Add(time.Second)
+			s.call(f, s.fronts[to], l, nil)
+		case !l.lost && (!s.now.Before(l.due) || f.front.Urgent(s.fronts[to].address)):
+			l.due = s.now.Add(coordination.ReportInterval)
+			if report, ok := f.front.Report(s.fronts[to].address, s.clock(f)); ok {
+				s.call(f, s.fronts[to], l, &report)
+			}
+		}
+	}
+}
+
+// choose chooses the coordinators of a front.
+func (s *simulation) choose(f *simulatedFront) {
+	index := map[string]int{}
+	for i, other := range s.fronts {
+		index[other.address] = i
+	}
+	chosen := coordination.Coordinators(f.members, func(address string) bool {
+		l := f.links[index[address]]
+		return l == nil || !l.lost
+	})
+	for _, address := range chosen {
+		if f.links[index[address]] == nil {
+			f.links[index[address]] = &simulatedLink{due: s.now}
+		}
+	}
+	for to, l := range f.links {
+		if slices.Contains(chosen, s.fronts[to].address) {
+			l.left = time.Time{}
+		} else if l.left.IsZero() {
+			l.left = s.now
+		}
+	}
+	var members []quota.Member
+	for _, m := range f.members {
+		members = append(members, quota.Member{Address: m.Address, Listed: m.Listed, Draining: m.Draining})
+	}
+	var owners [quota.Partitions]string
+	for i := range owners {
+		owners[i] = coordination.Owner(chosen, fmt.Sprint(i))
+	}
+	f.front.SetFronts(members, &owners, s.clock(f))
+}
+
+// call sends a report, or a probe without one, and brings back the answer.
+func (s *simulation) call(f, to *simulatedFront, l *simulatedLink, report *quota.Report) {
+	l.inFlight, l.sent = true, s.now
+	l.number++
+	number, sent := l.number, s.now
+	s.reports++
+	s.deliver(f, to, func() {
+		if s.now.Sub(sent) > callTimeout {
+			return // the caller has withdrawn it
+		}
+		var reply quota.Reply
+		known := false
+		if report != nil {
+			reply, known = to.coordinator.Answer(f.address, *report, s.clock(to))
+		}
+		s.deliver(to, f, func() {
+			if l.number != number || !l.inFlight || s.now.Sub(sent) >= callTimeout {
+				return
+			}
+			l.inFlight = false
+			if l.lost {
+				l.lost, l.due = false, s.now
+				s.choose(f)
+			} else if known {
+				f.front.Learn(to.address, reply, s.clock(f))
+				s.retryRequests(f)
+			}
+		})
+	})
+}
+
+// request brings a request of an organisation to a front.
+func (s *simulation) request(f *simulatedFront, organisation string) {
+	if !f.runs(s.now) {
+		return
+	}
+	s.total++
+	decision, after := f.front.Take(organisation, s.clock(f))
+	switch decision {
+	case quota.Admitted:
+		s.admit(f, organisation)
+	case quota.Ask:
+		s.asked++
+		f.pending = append(f.pending, pendingRequest{organisation, f.front.Ticket(organisation), s.now.Add(askLimit)})
+	default:
+		s.refuse(organisation, after)
+	}
+}
+
+func (s *simulation) refuse(organisation string, after time.Duration) {
+	if after <= 0 {
+		panic("a refusal without a time to come back")
+	}
+	s.refused[organisation]++
+}
+
+// admit lets a request run, except for a few that are refused later.
+func (s *simulation) admit(f *simulatedFront, organisation string) {
+	if s.random.IntN(20) > 0 {
+		s.ran[organisation] = append(s.ran[organisation], s.now)
+		return
+	}
+	process := f.front
+	at := s.now.Add(time.Duration(1+s.random.IntN(1000)) * step)
+	s.flights[at] = append(s.flights[at], func() {
+		if f.runs(s.now) && f.front == process {
+			f.front.GiveBack(organisation, s.clock(f))
+		}
+	})
+}
+
+// retryRequests lets the requests that wait try again.
+func (s *simulation) retryRequests(f *simulatedFront) {
+	pending := f.pending
+	f.pending = nil
+	for _, r := range pending {
+		if f.front.Answered(r.organisation, r.ticket) || !s.now.Before(r.until) {
+			s.retry(f, r)
+		} else {
+			f.pending = append(f.pending, r)
+		}
+	}
+}
+
+func (s *simulation) expireRequests(f *simulatedFront) {
+	if len(f.pending) > 0 && !s.now.Before(f.pending[0].until) {
+		s.retryRequests(f)
+	}
+}
+
+func (s *simulation) retry(f *simulatedFront, r pendingRequest) {
+	if decision, after := f.front.TakeAgain(r.organisation, s.clock(f)); decision == quota.Admitted {
+		s.admit(f, r.organisation)
+	} else {
+		s.refuse(r.organisation, after)
+	}
+}
+
+// worst returns how many of the requests of an organisation ran at most in one window,
+// relative to the bound under a limit, from a time on.
+func (s *simulation) worst(organisation string, limit quota.Limit, from time.Time) float64 {
+	bound := (limit.RatePerSecond*s.bounds.Window.Seconds()+limit.Burst)*(1+s.bounds.Overage) + s.bounds.Slack
+	all := s.ran[organisation]
+	first, most := 0, 0
+	for i, at := range all {
+		for at.Sub(all[first]) >= s.bounds.Window || all[first].Before(from) && first < i {
+			first++
+		}
+		if !all[first].Before(from) {
+			most = max(most, i-first+1)
+		}
+	}
+	return float64(most) / bound
+}
+
+func sortedKeys[T any](m map[int]T) []int {
+	var keys []int
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
