quota: Refuse only when nothing is left, and take back stock sooner

Cause: with 72 and 300 fronts, fronts that got no stock because half of the capacity was leased counted as having found the pool empty, and refused requests until the time they were told, although tokens were left. Stock of fronts whose load had moved elsewhere came back only after a second or two.

Change: a front is told to wait only if the pool has no token. Demand is measured every 250 ms, and what exceeds twice the need is handed back. 0.8 instead of 0.75 of the allowance may be unspent.

Ruled out: a larger stock; tokens that lie at fronts are missing elsewhere.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -64,16 +64,24 @@
 // Coordinators returns the addresses of the coordinators among the fronts, in the order
 // of their hashes: of the listed fronts that usable accepts, those with the highest.
 func Coordinators(fronts []Front, usable func(address string) bool) []string {
-	var found []string
+	type candidate struct {
+		address string
+		rank    uint64
+	}
+	var found []candidate
 	for _, f := range fronts {
 		if f.Listed && !f.Draining && f.PeerAddress != "" && usable(f.Address) {
-			found = append(found, f.Address)
+			found = append(found, candidate{f.Address, xxhash.Sum64String(f.Address)})
 		}
 	}
-	slices.SortFunc(found, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(b), xxhash.Sum64String(a)), cmp.Compare(a, b))
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.address, b.address))
 	})
-	return found[:min(len(found), MaxCoordinators)]
+	var chosen []string
+	for _, c := range found[:min(len(found), MaxCoordinators)] {
+		chosen = append(chosen, c.address)
+	}
+	return chosen
 }
 
 // Owner returns which of the coordinators a subject belongs to; empty if there is none.
--- a/quota/account.go
+++ b/quota/account.go
@@ -13,8 +13,9 @@
 	demandMemory = 0.5 // seconds
 	// idleTime is how long a front keeps a token for an organisation that sends nothing.
 	idleTime = 10 * time.Second
-	// sweepInterval is how often a front looks for accounts that are idle.
-	sweepInterval = time.Second
+	// sweepInterval is how often a front looks for accounts that are idle or hold more
+	// than they need.
+	sweepInterval = 250 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound what refused clients are told. Those beyond
 	// the bound are spread over the second half of the time up to it.
 	minRetryAfter = 50 * time.Millisecond
@@ -41,8 +42,8 @@
 	tickets     int64 // of requests that have waited; the last one that was reported, and answered
 	reported    int64
 	answered    int64
-	asked       bool  // more tokens, and not been answered yet
-	unknown     bool  // to the coordinator
+	asked       bool // more tokens, and not been answered yet
+	unknown     bool // to the coordinator
 	emptyUntil  time.Time
 	rate        float64 // tokens per second that this front may expect
 	nextRetry   time.Time
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -10,6 +10,10 @@
 // takes longer to accrue, which is to the organisation's disadvantage only once.
 const idlePool = time.Minute
 
+// expireInterval is how often a coordinator looks for fronts that have not reported. It
+// is within the tenth by which reclaimDelay is longer than needed.
+const expireInterval = 10 * time.Millisecond
+
 // Coordinator leases tokens to the fronts that report to it. It spends only the shares
 // that fronts have delegated to it.
 type Coordinator struct {
@@ -18,6 +22,7 @@
 	partitions [Partitions]partition
 	pools      map[uint64]*pool
 	members    map[memberKey]*member
+	expired    time.Time // when expire last looked at the fronts
 	swept      time.Time
 }
 
@@ -114,7 +119,7 @@
 	}
 	tokens := c.grant(p, part, use, m.held[key])
 	m.held[key] += tokens
-	hungry := tokens < use.Waiting || m.held[key] == 0 && use.Wanted > 0
+	hungry := tokens < use.Waiting || m.held[key] == 0 && use.Wanted > 0 && p.level < 1-tolerance
 	next, rate := c.outlook(p, part, front, hungry, now)
 	return Grant{Organisation: key, Tokens: tokens, Next: next, Rate: rate}, true
 }
@@ -152,6 +157,10 @@
 // expire ends what the fronts have delegated and hold that have not reported for
 // coordinatorLease, in the order in which that passed.
 func (c *Coordinator) expire(now time.Time) {
+	if now.Sub(c.expired) < expireInterval {
+		return
+	}
+	c.expired = now
 	var silent []memberKey
 	for key, m := range c.members {
 		if now.Sub(m.reported) > coordinatorLease {
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -33,7 +33,7 @@
 	// unspentShare is the part of what a window allows beyond rate and burst that may lie
 	// about unspent, and initialShare the part with which a pool begins. The rest is for
 	// clocks that drift and for shares that change hands.
-	unspentShare = 0.75
+	unspentShare = 0.8
 	initialShare = 0.1
 	// stockShare is the part of the capacity that may be leased in advance. The rest is for
 	// fronts that have a request waiting.
--- a/quota/report.go
+++ b/quota/report.go
@@ -114,7 +114,9 @@
 		l := f.links[a.coordinator]
 		switch {
 		case l != nil:
-			l.dirty[a] = true
+			if a.measure(now); a.tokens > 2*a.wanted || now.Sub(a.lastUse) >= idleTime {
+				l.dirty[a] = true
+			}
 		case now.Sub(a.lastUse) >= idleTime && a.waiting == 0:
 			delete(f.accounts, name)
 			delete(f.byKey, a.key)
