gateway, role, platform: Count the requests of organisations against their quotas

Change: quota/limiter applies the decisions of module quota to the requests of a front and exchanges them as the topic "quota". A request whose organisation has no token gets 429 with the time at which there is room again. One that is refused later and has not run gives its token back. The settings name the window, the overage and the slack. Nothing is sent while no organisation has a limit.

Ruled out: a duty that owns the decision; each request would wait for two rings. The lock is held for one decision.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,17 +124,17 @@
 
 // SetTable puts a configuration into effect. A version that is not newer than
 // the current one is ignored, so that a running process never reverts to an
-// older configuration.
-func (g *Gateway) SetTable(table *route.Table) {
+// older configuration. It reports whether the table is in effect.
+func (g *Gateway) SetTable(table *route.Table) bool {
 	for {
 		current := g.table.Load()
 		if current != nil && table.Version <= current.Version {
 			g.log.Info("gateway: configuration ignored, it is not newer", "version", table.Version, "in_force", current.Version)
-			return
+			return false
 		}
 		if g.table.CompareAndSwap(current, table) {
 			g.log.Info("gateway: configuration in force", "version", table.Version, "routes", table.RouteCount())
-			return
+			return true
 		}
 	}
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -44,6 +44,7 @@
 	pieces        *turnPieces   // of a turn that can be taken up; nil for none
 	headWritten   bool          // the response header was sent
 	heldBytes     int64         // of the budget of request bytes
+	counted       bool          // against the quota of its organisation
 }
 
 // ServeHTTP serves one client request.
@@ -168,6 +169,9 @@
 	notRun := j.abandon()
 	e.turn.settle(time.Now())
 	stopping := e.gateway.ended.Err() != nil
+	if notRun {
+		e.giveBack()
+	}
 	switch {
 	case e.r.Context().Err() != nil:
 		e.abortClientLeft("while it was served")
@@ -266,6 +270,9 @@
 func (e *clientExchange) writeError(status int, reason string) {
 	e.log(slog.LevelWarn, "gateway: request ended without a backend server's answer", "status", status, "reason", reason,
 		"age_ms", time.Since(e.request.Arrived).Milliseconds())
+	if neverRan(status) {
+		e.giveBack()
+	}
 	e.headWritten = true
 	http.Error(e.w, reason, status)
 	e.countOutcome(strconv.Itoa(status))
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -61,8 +61,8 @@
 }
 
 // capacity returns how many tokens of an organisation may be unspent at all processes
-// together.
-func (b Bounds) capacity(l Limit) float64 { return l.Burst + unspentShare*b.allowance(l) }
+// together. With less than one, no request could ever be admitted.
+func (b Bounds) capacity(l Limit) float64 { return max(1, l.Burst+unspentShare*b.allowance(l)) }
 
 // organisationKey identifies an organisation in messages.
 func organisationKey(name string) uint64 { return xxhash.Sum64String(name) }
--- a/role/coordinate.go
+++ b/role/coordinate.go
@@ -11,7 +11,9 @@
 
 // frontList holds the fronts that the platform's store lists, draining ones included.
 // The goroutine that follows the store replaces it, and the coordination duty reads it.
-type frontList struct{ fronts atomic.Pointer[[]coordination.Front] }
+type frontList struct {
+	fronts atomic.Pointer[[]coordination.Front]
+}
 
 func (l *frontList) set(members map[string]membership.Member) {
 	var fronts []coordination.Front
--- a/role/front.go
+++ b/role/front.go
@@ -55,15 +55,17 @@
 	turnStores := turnstore.NewClient(p.group, p.log, p.host.AvailabilityZone, p.host.ToleratedHostLosses, connect)
 	detour := tunnel.NewClient(p.log, connect)
 	defer detour.Close()
+	quotas := p.newQuotas()
 	g := gateway.New(p.group, p.log, p.metricSet, gateway.Settings{
 		Address: p.host.FrontAddress, Zone: p.host.AvailabilityZone, CallWorkers: callWorkers,
 		AnswerBytes:  int64(answerMemoryShare * float64(p.host.MemoryBytes)),
 		RequestBytes: int64(requestMemoryShare * float64(p.host.MemoryBytes)),
 		AddressTTL:   min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
-		Detour: detour, Incarnations: platform.Incarnations{}, ContendedCapacity: p.host.ContendedCapacity,
+		Detour: detour, Incarnations: platform.Incarnations{}, Quota: quotas, ContendedCapacity: p.host.ContendedCapacity,
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
 	fronts := &frontList{}
-	exchange := p.coordinate(g, fronts)
+	exchange := p.coordinate(g, fronts, quotas)
+	quotas.SetWake(exchange.Wake)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
 	batchDelay := func() time.Duration {
 		if reader.FollowsFeed() {
@@ -74,8 +76,8 @@
 	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay, StaleFirstList: true}, &follower{subscriptions: []subscription{
 		configSubscription(p.log, func(value []byte) error {
 			table, err := platform.DecodeConfig(value)
-			if err == nil {
-				g.SetTable(table)
+			if err == nil && g.SetTable(table) {
+				quotas.SetLimits(quotaLimits(table))
 			}
 			return err
 		}),
