gateway, platform, route: Authenticate requests by the key of an organisation (the thin path works)

Cause: keys reached backend servers, and no front knew organisations.

Change: the list of organisations is decoded into an index by name and by the hash of each key; a list that did not change is not decoded again. authenticate() names the organisation in the request, or answers 401 unless the route is public. Credentials are taken out of the forwarded header when the request is decoded, and are sent on only if the configuration has no organisations. The name goes to backend servers in the header that clients cannot set.

Ruled out: keys in the index (they would appear in dumps); leaving the credentials in the forwarded header until the configuration is known (a path that forgets to remove them would leak them).

Result: go test ./call ./route ./platform, and the new specs of ./gateway, pass.

--- a/call/call.go
+++ b/call/call.go
@@ -28,8 +28,16 @@
 	Timeout time.Duration
 
 	// Organisation is the name of the organisation that the client's key belongs to;
-	// empty if the deployment has no organisations or the route is public.
+	// empty if the deployment has no organisations, or if the route is public and the key
+	// is missing or not known.
 	Organisation string
+	// Key is the key that the client sent; empty if it sent none, or several.
+	Key Secret
+	// Credentials are the header lines that may contain keys. They are not in Header, and
+	// are forwarded only if ForwardCredentials is set, because a deployment with
+	// organisations passes no key on.
+	Credentials        []Secret
+	ForwardCredentials bool
 
 	Program string
 	Session string
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -54,6 +54,9 @@
 func (codec) Encode(request *call.Request, backend string, left time.Duration, _ int, after string) http.Header {
 	header := request.Header.Clone()
 	header.Set(serverHeader, backend)
+	if request.Organisation != "" {
+		header.Set(organisationHeader, request.Organisation)
+	}
 	header.Set(leftHeader, strconv.FormatInt(left.Milliseconds(), 10))
 	if after != "" {
 		header.Set(resumeHeader, after)
@@ -79,6 +82,8 @@
 		ID: header.Get(idHeader), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Arrived: arrived,
 		Program: header.Get("Test-Program"), PreviousTurn: header.Get("Test-Previous"), MaxOutputTokens: 50,
 	}
+	request.Key = call.Secret(header.Get(keyHeader))
+	header.Del(keyHeader)
 	request.LastEventID, request.ResumedAttempt = header.Get(resumeHeader), header.Get(resumesHeader)
 	request.TokenBudget, _ = strconv.Atoi(header.Get("Test-Budget"))
 	return request
--- a/gateway/organisation.go
+++ b/gateway/organisation.go
@@ -1,7 +1,33 @@
 package gateway
 
+import "net/http"
+
+const (
+	reasonNoKey      = "the request has no key"
+	reasonUnknownKey = "unknown key"
+)
+
 // authenticate finds the organisation of the request by its key. If it reports false, it
-// has already written an error response.
+// has already written an error response. Without organisations in the configuration, the
+// request's credentials are passed on as any other header.
 func (e *clientExchange) authenticate() bool {
-	return true
+	if !e.table.HasOrganisations() {
+		e.request.ForwardCredentials = true
+		return true
+	}
+	organisation, known := e.table.OrganisationOfKey(string(e.request.Key))
+	switch {
+	case known:
+		e.request.Organisation = organisation.Name
+		return true
+	case e.route.Public:
+		return true
+	}
+	reason := reasonUnknownKey
+	if e.request.Key == "" {
+		reason = reasonNoKey
+	}
+	e.w.Header().Set("WWW-Authenticate", "Bearer")
+	e.writeError(http.StatusUnauthorized, reason)
+	return false
 }
--- /dev/null
+++ b/gateway/organisation_test.go
@@ -0,0 +1,76 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dogwoodline.example/route"
+)
+
+const (
+	keyHeader          = "Test-Key"
+	organisationHeader = "Test-Organisation"
+)
+
+// keyTable returns a configuration with a route and the keys of organisations a and b.
+func keyTable(version int64, r route.Route, keysOfA ...string) *route.Table {
+	r.Name, r.Host, r.Prefix, r.Timeout = "r", "example", "/r/", 5*time.Second
+	r.Shares = []route.Share{{Service: "svc", Weight: 1}}
+	table := route.NewTable(version, []route.Route{r}, []route.Service{{Name: "svc"}}, route.Limits{MaxBodyBytes: 1 << 20})
+	table.SetOrganisations(route.NewOrganisationIndex([]route.KeyedOrganisation{
+		{Organisation: route.Organisation{Name: "a"}, Keys: keysOfA},
+		{Organisation: route.Organisation{Name: "b", Priority: 1}, Keys: []string{"key-b"}},
+	}))
+	return table
+}
+
+var _ = Describe("Requests of organisations", func() {
+	plain := route.Route{Kind: route.Unsafe}
+	var s *fixture
+	var seen http.Header // of the last request that ran
+	BeforeEach(func() {
+		s = newFixture(plain, func(w http.ResponseWriter, r *http.Request) {
+			seen = r.Header.Clone()
+			w.WriteHeader(http.StatusOK)
+		})
+		s.gateway.SetTable(keyTable(2, plain, "key-1"))
+	})
+	status := func(id string, header ...string) int {
+		GinkgoHelper()
+		reply, err := s.send(context.Background(), "/r/x", append([]string{idHeader, id}, header...)...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Body.Close()).To(Succeed())
+		return reply.StatusCode
+	}
+
+	// Guards against requests that run without a key of the configuration in force.
+	It("run with a known key only", func() {
+		Expect(status("1", keyHeader, "key-1")).To(Equal(http.StatusOK))
+		Expect(seen.Get(organisationHeader)).To(Equal("a"))
+		Expect(status("2", keyHeader, "key-2")).To(Equal(http.StatusUnauthorized))
+		Expect(status("3")).To(Equal(http.StatusUnauthorized))
+		Expect(seen.Get(idHeader)).To(Equal("1"))
+	})
+	// Guards against keys that stay in force, or come back with a configuration that
+	// arrives late.
+	It("run with the keys of the newest configuration", func() {
+		s.gateway.SetTable(keyTable(3, plain, "key-2"))
+		Expect(status("1", keyHeader, "key-1")).To(Equal(http.StatusUnauthorized))
+		Expect(status("2", keyHeader, "key-2")).To(Equal(http.StatusOK))
+		s.gateway.SetTable(keyTable(2, plain, "key-1"))
+		Expect(status("3", keyHeader, "key-1")).To(Equal(http.StatusUnauthorized))
+	})
+	// Guards against public routes that ask for keys.
+	It("need no key on a public route", func() {
+		public := plain
+		public.Public = true
+		s.gateway.SetTable(keyTable(3, public, "key-1"))
+		Expect(status("1")).To(Equal(http.StatusOK))
+		Expect(status("2", keyHeader, "key-9")).To(Equal(http.StatusOK))
+		Expect(seen).NotTo(HaveKey(organisationHeader))
+	})
+})
--- a/role/front.go
+++ b/role/front.go
@@ -67,9 +67,10 @@
 		}
 		return frontBatchDelay(p.currentHost())
 	}
+	var configs platform.ConfigDecoder // only the duty that follows the store uses it
 	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay, StaleFirstList: true}, &follower{subscriptions: []subscription{
 		configSubscription(p.log, func(value []byte) error {
-			table, err := platform.DecodeConfig(value)
+			table, err := configs.Decode(value)
 			if err == nil {
 				g.SetTable(table)
 			}
--- a/route/route.go
+++ b/route/route.go
@@ -5,6 +5,7 @@
 package route
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -136,7 +137,9 @@
 	// none.
 	Organisations map[string]*Organisation
 
-	byHost map[string][]Route // longest prefix first
+	index           *OrganisationIndex // nil if the configuration has no organisations
+	routePriorities []int              // that occur, the most urgent first
+	byHost          map[string][]Route // longest prefix first
 }
 
 // NewTable returns a table with the given routes, services and limits.
@@ -147,7 +150,10 @@
 	}
 	for _, r := range routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		t.routePriorities = append(t.routePriorities, r.Priority)
 	}
+	slices.Sort(t.routePriorities)
+	t.routePriorities = slices.Compact(t.routePriorities)
 	for _, hostRoutes := range t.byHost {
 		sort.SliceStable(hostRoutes, func(a, b int) bool { return len(hostRoutes[a].Prefix) > len(hostRoutes[b].Prefix) })
 	}
