gateway, turnstore: Let each conversation and stream belong to its organisation

Cause: any client that knew the id of a turn could continue it, and learned from the answer whether it exists.

Change: turns, the pieces of turns that may be taken up, and the facts about the origin of streams carry the organisation (StreamOrigin has a new field for it). A turn of another organisation is answered like one that does not exist. A stream of another organisation is answered like one whose origin is not known. Stores keep the field when they write a turn again or pass it on; until now they dropped it.

Ruled out: 404 for a foreign stream that is taken up (a stream that is not known is refused as not run today, and the two must not differ); the organisation in the ledger's key (fronts of the previous release would count a budget twice).

Result: go test ./gateway with focus on organisations and take-ups, ./turnstore with focus on state and tally, pass.

--- a/gateway/beginturn.go
+++ b/gateway/beginturn.go
@@ -33,9 +33,13 @@
 	}
 	start := time.Now()
 	result := e.turn.begin(ctx, start)
+	owner := "" // another organisation to which the turn before belongs
+	if !e.owns(result.Organisation) {
+		owner, result.Verdict = result.Organisation, turnstore.TurnMissing
+	}
 	e.log(slog.LevelInfo, "gateway: turn begun", "verdict", result.Verdict.String(), "program", e.request.Program,
 		"previous", e.request.PreviousTurn, "budget", e.request.TokenBudget, "spent", result.Spent, "reserved", result.Reserved, "ledger_entries", result.LedgerEntries,
-		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation), "missing_turn", result.MissingTurn, "resumed_attempt", e.request.ResumedAttempt,
+		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation), "missing_turn", result.MissingTurn, "turn_of", owner, "resumed_attempt", e.request.ResumedAttempt,
 		"took_ms", time.Since(start).Milliseconds())
 	e.startsProgram = e.turn.hasBudget && result.Spent == 0 && result.Reserved == 0
 	if result.Verdict != turnstore.Stored {
@@ -123,7 +127,7 @@
 // that is not known: the client can begin anew at once.
 func (e *clientExchange) useOrigin(ctx context.Context, fact turnstore.Fact) bool {
 	origin, known := decodeOrigin(fact)
-	if !known || !e.route.Allows(origin.Service) {
+	if !known || !e.route.Allows(origin.Service) || !e.owns(origin.Organisation) {
 		e.refuse("the origin of the stream that is taken up is not known", retryAfterUnknownStream)
 		return false
 	}
--- a/gateway/organisation.go
+++ b/gateway/organisation.go
@@ -31,3 +31,10 @@
 	e.writeError(http.StatusUnauthorized, reason)
 	return false
 }
+
+// owns reports whether the request may continue a turn or a stream of the given
+// organisation. Those without one were stored by a front of an earlier release, or while
+// the configuration had no organisations; to refuse them would end programs in an upgrade.
+func (e *clientExchange) owns(organisation string) bool {
+	return organisation == "" || organisation == e.request.Organisation || !e.table.HasOrganisations()
+}
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -53,7 +53,7 @@
 // originFact returns the fact that another front needs to resume the stream that the
 // call begins. A later fact of the same attempt has a higher version.
 func originFact(j *job, origin streamOrigin, version uint64) turnstore.Fact {
-	value := &turnpb.StreamOrigin{Service: origin.service, SoftwareVersion: origin.version}
+	value := &turnpb.StreamOrigin{Service: origin.service, SoftwareVersion: origin.version, Organisation: j.request.Organisation}
 	if j.pieces != nil {
 		value.Attempt = j.pieces.attempt
 	}
--- a/gateway/turnpieces.go
+++ b/gateway/turnpieces.go
@@ -66,7 +66,10 @@
 	if sent.id == "" {
 		return
 	}
-	piece := &turnpb.Turn{Id: pieceID(p.attempt, sent.id), Previous: p.last, Content: p.data, ExpiresUnixMs: j.deadline.Add(originRetention).UnixMilli()}
+	piece := &turnpb.Turn{
+		Id: pieceID(p.attempt, sent.id), Previous: p.last, Content: p.data, ExpiresUnixMs: j.deadline.Add(originRetention).UnixMilli(),
+		Organisation: j.request.Organisation,
+	}
 	p.last, p.data = piece.Id, nil
 	p.unstored = append(p.unstored, &turnpb.Record{Kind: &turnpb.Record_Turn{Turn: piece}})
 	started := time.Now()
@@ -103,9 +106,9 @@
 		last = origin.AfterPiece // that attempt has sent no event
 	}
 	events := e.gateway.decide(ctx, turnstore.Operation{Chain: last})
-	claimed := events.Verdict == turnstore.Stored && e.claimTurn(ctx, fact, &turnpb.StreamOrigin{
+	claimed := events.Verdict == turnstore.Stored && e.owns(events.Organisation) && e.claimTurn(ctx, fact, &turnpb.StreamOrigin{
 		Service: origin.Service, SoftwareVersion: origin.SoftwareVersion,
-		Attempt: e.request.ID, AfterEvent: e.request.LastEventID, AfterPiece: last,
+		Attempt: e.request.ID, AfterEvent: e.request.LastEventID, AfterPiece: last, Organisation: e.request.Organisation,
 	})
 	e.log(slog.LevelInfo, "gateway: turn taken up", "verdict", events.Verdict.String(), "claimed", claimed, "attempt_before", origin.Attempt,
 		"last_event", e.request.LastEventID, "events", len(events.Conversation), "copy_set", events.CopySet)
--- a/gateway/turnpieces_test.go
+++ b/gateway/turnpieces_test.go
@@ -54,6 +54,9 @@
 			return turnstore.Result{Verdict: turnstore.TurnMissing, MissingTurn: id}
 		}
 		result.Conversation = append([][]byte{t.turns[id].Content}, result.Conversation...)
+		if result.Organisation == "" {
+			result.Organisation = t.turns[id].Organisation
+		}
 	}
 	return result
 }
@@ -109,9 +112,9 @@
 
 // try sends an attempt, whose response ends after count events. It returns the status, and
 // whether the response is whole.
-func (c *turnClient) try(s *fixture, id string, count int) (status int, whole bool) {
+func (c *turnClient) try(s *fixture, id string, count int, header ...string) (status int, whole bool) {
 	GinkgoHelper()
-	header := []string{idHeader, id, "Test-Program", "p", "Test-Budget", "1000"}
+	header = append(header, idHeader, id, "Test-Program", "p", "Test-Budget", "1000")
 	if c.last != "" {
 		header = append(header, resumeHeader, c.last, resumesHeader, c.first)
 	}
--- a/gateway/turnrecord.go
+++ b/gateway/turnrecord.go
@@ -179,7 +179,7 @@
 	}
 	content := append(append(make([]byte, 0, len(t.input)+len(t.output)), t.input...), t.output...)
 	op := turnstore.Operation{Records: []*turnpb.Record{{Kind: &turnpb.Record_Turn{Turn: &turnpb.Turn{
-		Id: t.request.ID, Previous: t.request.PreviousTurn, Content: content,
+		Id: t.request.ID, Previous: t.request.PreviousTurn, Content: content, Organisation: t.request.Organisation,
 		ExpiresUnixMs: now.Add(t.retention() + budgetRetentionMargin/2).UnixMilli(),
 	}}}}}
 	if t.hasBudget {
--- a/turnstore/state.go
+++ b/turnstore/state.go
@@ -181,6 +181,7 @@
 		if t := s.turns[r.turn]; t != nil {
 			return &turnpb.Record{Kind: &turnpb.Record_Turn{Turn: &turnpb.Turn{
 				Id: t.record.Id, Previous: t.record.Previous, Content: t.record.Content, ExpiresUnixMs: t.expires,
+				Organisation: t.record.Organisation, BackendServer: t.record.BackendServer,
 			}}}
 		}
 		return nil
--- a/turnstore/state_test.go
+++ b/turnstore/state_test.go
@@ -52,6 +52,21 @@
 		Expect(s.liveThrough(5)).To(BeEmpty())
 	})
 
+	// Guards against conversations that lose their organisation when a store writes their
+	// turns again, or passes them on to another store.
+	It("keeps the organisation and the backend server of a turn", func() {
+		s := newState()
+		r := turnRecord("a", "", "one", time.Hour)
+		r.GetTurn().Organisation, r.GetTurn().BackendServer = "org", "i-1"
+		s.apply(r, 1)
+		pulled, _, _ := s.page(0, 1<<20, false)
+		for _, copied := range append(s.liveThrough(1), pulled...) {
+			Expect(copied.GetTurn().Organisation).To(Equal("org"))
+			Expect(copied.GetTurn().BackendServer).To(Equal("i-1"))
+		}
+		Expect(pulled).To(HaveLen(1))
+	})
+
 	It("does not let a reservation that arrives late undo its settlement", func() {
 		s := newState()
 		s.apply(settle("a", 7), 1)
--- a/turnstore/tally.go
+++ b/turnstore/tally.go
@@ -57,6 +57,9 @@
 	Verdict Verdict
 	// Conversation holds the contents of the turns, oldest first.
 	Conversation [][]byte
+	// Organisation is the one that the conversation belongs to, by the newest turn that
+	// says so; empty if none does.
+	Organisation string
 	// Spent and Reserved are the tokens that other attempts of the program have
 	// settled and still reserve.
 	Spent, Reserved int64
@@ -163,6 +166,17 @@
 	return contents
 }
 
+// organisation returns the organisation of the newest turn of the chain that has one. All
+// turns must be known.
+func (t *tally) organisation() string {
+	for id := t.op.Chain; id != ""; id = t.turns[id].Previous {
+		if owner := t.turns[id].Organisation; owner != "" {
+			return owner
+		}
+	}
+	return ""
+}
+
 // otherTokens returns the tokens that other attempts of the program have
 // settled and still reserve.
 func (t *tally) otherTokens() (spent, reserved int64) {
@@ -211,7 +225,7 @@
 	out.MissingTurn = t.missingTurn()
 	switch {
 	case out.MissingTurn == "":
-		out.Verdict, out.Conversation = Stored, t.conversation()
+		out.Verdict, out.Conversation, out.Organisation = Stored, t.conversation(), t.organisation()
 	case len(t.chainReaders) >= t.set.ReadQuorum() && t.turns[t.op.Chain] == nil:
 		out.Verdict = TurnMissing
 	case outstanding == 0:
--- a/turnstore/tally_test.go
+++ b/turnstore/tally_test.go
@@ -64,6 +64,17 @@
 		Expect(t.result(1).Verdict).To(Equal(Stored))
 	})
 
+	// Guards against a conversation that anyone can continue because a front of an earlier
+	// release has stored its last turn.
+	It("names the organisation of the newest turn that has one", func() {
+		t := newTally(Operation{Chain: "z"}, set)
+		chain := &turnpb.Chain{Id: "z", Whole: true, Turns: []*turnpb.Turn{{Id: "z", Previous: "y"}, {Id: "y", Previous: "x", Organisation: "org"}, {Id: "x"}}}
+		for _, disk := range []string{"a", "b", "c"} {
+			t.addAnswer(disk, true, nil, chain, nil)
+		}
+		Expect(t.result(0).Organisation).To(Equal("org"))
+	})
+
 	It("reports a turn as missing only after a read quorum has answered", func() {
 		t := newTally(Operation{Chain: "x"}, set)
 		t.addAnswer("a", true, nil, &turnpb.Chain{Id: "x"}, nil)
