gateway, route: Rank organisations before routes, and admit programs fairly among them

Cause: the order of calls and the admission of programs read the route's priority alone, and an organisation that sends many times its usual load took the places of the others.

Change: a job has one priority, that of its organisation and then of its route; ranks at model servers, waiting calls, admission and lateness read it. route/fairshare counts which organisations were offered and admitted programs within about 10 s. Where model servers are full, one that has had more than 1.5 times its share leaves a margin to the others, and one that is served less than half as often as all goes first.

Result: go test ./route/... ./gateway pass.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/route"
+	"dogwoodline.example/route/fairshare"
 )
 
 const (
@@ -41,15 +42,41 @@
 // an equal share of the calls: the calls of this front are multiplied by the
 // number of fronts.
 func (a *admission) utilization(f *fleet.Fleet, service route.Service, fronts int) float64 {
+	utilization, _ := a.load(f, service, fronts)
+	return utilization
+}
+
+// load returns the utilization, and how much of it one call of this front stands for.
+func (a *admission) load(f *fleet.Fleet, service route.Service, fronts int) (utilization, step float64) {
 	callsPerServer := 0.0 // calls that fit into the KV cache; 0 if unknown
 	if size := a.meanCallTokens[service.Name]; size > 0 {
 		callsPerServer = float64(service.Engine.KVCacheTokens) / size
 	}
 	running, capacity := f.Occupancy(service.Name, callsPerServer)
 	if capacity == 0 {
-		return 0
+		return 0, 0
+	}
+	step = float64(max(1, fronts)) / capacity
+	return float64(running) * step, step
+}
+
+// fairnessMargin is the part of the utilization that is left free for other organisations
+// by one that has had more than its share, at least one call of this front.
+const fairnessMargin = 0.1
+
+// adjust returns the utilization and the priority with which an organisation of the given
+// standing is admitted. One that is served much less often than all goes before the most
+// urgent ones, or their demand alone could keep it out.
+func adjust(utilization, step float64, priority int, standing fairshare.Standing) (float64, int) {
+	margin := max(step, fairnessMargin*utilization)
+	switch standing {
+	case fairshare.Over:
+		return utilization + margin, priority
+	case fairshare.Under:
+		return utilization - margin, 0
+	default:
+		return utilization, priority
 	}
-	return float64(running*max(1, fronts)) / capacity
 }
 
 // admits reports whether a route of the given priority may start a program.
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -9,6 +9,7 @@
 
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/route"
+	"dogwoodline.example/route/fairshare"
 )
 
 var _ = Describe("The admission of programs", func() {
@@ -52,4 +53,33 @@
 		Expect(admits(1.15, 1)).To(BeFalse())
 		Expect(admits(1.25, 0)).To(BeFalse())
 	})
+
+	// Guards against organisations that fill the model servers although they have had more
+	// than their share, and against less urgent ones that never get a place.
+	It("puts an organisation that has had its share after the others, and one that is hardly served first", func() {
+		Expect(admits(adjust(1.1, 0.05, 0, fairshare.Within))).To(BeTrue())
+		Expect(admits(adjust(1.1, 0.05, 0, fairshare.Over))).To(BeFalse())
+		Expect(admits(adjust(0.8, 0.25, 2, fairshare.Over))).To(BeTrue(), "one more call fits")
+		Expect(admits(adjust(0.9, 0.25, 2, fairshare.Over))).To(BeFalse())
+		Expect(admits(adjust(1.2, 0.05, 3, fairshare.Within))).To(BeFalse())
+		Expect(admits(adjust(1.2, 0.05, 3, fairshare.Under))).To(BeTrue())
+	})
+})
+
+var _ = Describe("The rank of a call", func() {
+	// Guards against routes or organisations that overtake more urgent ones because a
+	// model server has fewer ranks than there are priorities.
+	It("keeps the order of organisations and routes within the ranks that there are", func() {
+		for _, levels := range []int{0, 3, 5, 6, 10, 12, 40} {
+			last := -1
+			for priority := range max(levels, 3) {
+				for _, starts := range []bool{false, true} {
+					rank := rankOf(&job{priority: priority, priorityLevels: levels, startsProgram: starts})
+					Expect(rank).To(And(BeNumerically(">=", last), BeNumerically("<", rankValues)))
+					last = rank
+				}
+			}
+		}
+		Expect(rankOf(&job{priority: 1})).To(Equal(2))
+	})
 })
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -111,6 +111,7 @@
 	deadline, _ := ctx.Deadline()
 	j := &job{
 		ctx: ctx, request: &e.request, route: e.route, service: e.service, body: body, deadline: deadline, startsProgram: e.startsProgram, origin: e.origin,
+		priority: e.table.Priority(e.request.Organisation, e.route), priorityLevels: e.table.PriorityLevels(), organisationLimit: e.organisationLimit(),
 		parts: ring.New[responsePart](partRingSize), resumeAfter: e.request.LastEventID,
 		answer: &answerBytes{budget: e.gateway.answerBudget}, pieces: e.pieces,
 	}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -40,9 +40,15 @@
 	body          []byte
 	deadline      time.Time
 	startsProgram bool // it starts a program
-	parts         *ring.Ring[responsePart]
-	answer        *answerBytes // what is held in memory of its answer
-	phase         atomic.Int32
+	// priority is that of the organisation and the route, of priorityLevels values; 0 is
+	// the most urgent. priorityLevels is 0 if the configuration has no organisations.
+	priority       int
+	priorityLevels int
+	// organisationLimit is the limit of its organisation, in requests per second; 0 for none.
+	organisationLimit float64
+	parts             *ring.Ring[responsePart]
+	answer            *answerBytes // what is held in memory of its answer
+	phase             atomic.Int32
 
 	// The fields below are not synchronized: only the goroutine that currently
 	// processes the job (scheduler or call worker) may use them.
--- a/gateway/organisation.go
+++ b/gateway/organisation.go
@@ -38,3 +38,12 @@
 func (e *clientExchange) owns(organisation string) bool {
 	return organisation == "" || organisation == e.request.Organisation || !e.table.HasOrganisations()
 }
+
+// organisationLimit returns the limit of the request's organisation, in requests per
+// second; 0 for none.
+func (e *clientExchange) organisationLimit() float64 {
+	if organisation := e.table.Organisations[e.request.Organisation]; organisation != nil {
+		return organisation.RatePerSecond
+	}
+	return 0
+}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -12,6 +12,7 @@
 	"dogwoodline.example/duty"
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/ring"
+	"dogwoodline.example/route/fairshare"
 	"dogwoodline.example/turnstore"
 	"dogwoodline.example/upstream"
 )
@@ -111,6 +112,7 @@
 	waiting           waitingCalls
 	admission         admission
 	lateness          lateness
+	shares            *fairshare.Shares // of organisations in the programs that may begin
 	crashes           crashRecords
 	answered          answeredCalls
 	ends              *serverEnds
@@ -121,7 +123,7 @@
 func newScheduler(group *duty.Group, log *slog.Logger, self, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool, turnStore TurnStore) *Scheduler {
 	s := &Scheduler{
 		log: log, self: self, waiting: newWaitingCalls(), messages: ring.New[schedulerMessage](schedulerRingSize), attempts: attempts, fleet: fleet.New(zone),
-		admission: admission{meanCallTokens: map[string]float64{}}, lateness: lateness{}, dropConnections: pool.CloseIdle, hasIdleConnection: pool.HasIdle,
+		admission: admission{meanCallTokens: map[string]float64{}}, lateness: lateness{}, shares: fairshare.New(time.Now()), dropConnections: pool.CloseIdle, hasIdleConnection: pool.HasIdle,
 		crashes: crashRecords{}, ends: newServerEnds(), reportedCrashes: turnStore.Crashes(), reportCrash: turnStore.ReportCrash,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -243,23 +245,45 @@
 	}
 	if j.service.Engine != nil && j.tries == 0 {
 		s.admission.observe(j.service.Name, j.request.UnsharedTokens())
-		utilization := s.admission.utilization(s.fleet, j.service, int(s.listedFronts.Load()))
-		if j.startsProgram && !admits(utilization, j.route.Priority) {
-			s.failJob(j, fmt.Sprintf("model servers are full (%.2f), programs under way go first", utilization), retryAfterNotAdmitted, now)
+		if j.startsProgram && !s.admitProgram(j, now) {
 			return
 		}
 		// Slots do not tell how much more the servers without limits can take of what
 		// the others do not.
-		late, refuse := s.lateness.tooLate(j.service.Name, j.route.Priority, now)
+		late, refuse := s.lateness.tooLate(j.service.Name, j.priority, now)
 		if j.startsProgram && refuse && s.fleet.HasLimited(j.service.Name) {
 			s.failJob(j, fmt.Sprintf("backend servers name limits and first events take %.2f times their objective, programs under way go first", late),
 				retryAfterNotAdmitted, now)
 			return
 		}
+		if j.startsProgram && j.priorityLevels > 0 {
+			s.shares.Admit(j.request.Organisation, now)
+		}
 	}
 	s.place(j, now)
 }
 
+// admitProgram reports whether the utilization of the model servers lets a program begin,
+// and fails the job if not. While they are full, organisations that have had more than
+// their share go after the others.
+func (s *Scheduler) admitProgram(j *job, now time.Time) bool {
+	utilization, step := s.admission.load(s.fleet, j.service, int(s.listedFronts.Load()))
+	standing := fairshare.Within
+	if j.priorityLevels > 0 {
+		standing = s.shares.Offer(j.request.Organisation, j.organisationLimit, now)
+	}
+	adjusted, priority := adjust(utilization, step, j.priority, standing)
+	if admits(adjusted, priority) {
+		return true
+	}
+	reason := fmt.Sprintf("model servers are full (%.2f), programs under way go first", utilization)
+	if standing == fairshare.Over {
+		reason = fmt.Sprintf("model servers are full (%.2f), and the organisation has had more than its share", utilization)
+	}
+	s.failJob(j, reason, retryAfterNotAdmitted, now)
+	return false
+}
+
 // place chooses a backend server for a job that may be sent. The job waits, or
 // fails, if none may get it now.
 func (s *Scheduler) place(j *job, now time.Time) {
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -42,7 +42,8 @@
 }
 
 // compareUrgency orders jobs: first those of programs under way, whose work so far
-// would be lost, then by the priority of their routes, then by their arrival.
+// would be lost, then by the priority of their organisations and routes, then by their
+// arrival.
 func compareUrgency(a, b *job) int {
 	switch {
 	case a.startsProgram != b.startsProgram:
@@ -50,8 +51,8 @@
 			return -1
 		}
 		return 1
-	case a.route.Priority != b.route.Priority:
-		return a.route.Priority - b.route.Priority
+	case a.priority != b.priority:
+		return a.priority - b.priority
 	}
 	return a.request.Arrived.Compare(b.request.Arrived)
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -50,3 +51,37 @@
 		}
 	})
 })
+
+var _ = Describe("Organisations", func() {
+	table := func(priorities ...int) *route.Table {
+		t := route.NewTable(1, []route.Route{{Name: "x", Priority: 0}, {Name: "y", Priority: 2}}, nil, route.Limits{})
+		var list []route.KeyedOrganisation
+		for i, p := range priorities {
+			list = append(list, route.KeyedOrganisation{Organisation: route.Organisation{Name: fmt.Sprint(i), Priority: p, RatePerSecond: float64(i + 1)}, Keys: []string{fmt.Sprint("k", i)}})
+		}
+		t.SetOrganisations(route.NewOrganisationIndex(list))
+		return t
+	}
+	first, last := &route.Route{Priority: 0}, &route.Route{Priority: 2}
+
+	// Guards against a route's priority that counts for more than its organisation's.
+	It("rank before routes", func() {
+		t := table(7, 3, 7)
+		Expect([]int{t.Priority("1", first), t.Priority("1", last), t.Priority("0", first), t.Priority("2", last)}).To(Equal([]int{0, 1, 2, 3}))
+		Expect(t.Priority("", last)).To(Equal(3), "requests without organisation go last")
+		Expect(t.PriorityLevels()).To(Equal(4))
+	})
+	It("leave the priorities of routes as they are where there are none", func() {
+		t := route.NewTable(1, []route.Route{{Priority: 2}}, nil, route.Limits{})
+		Expect(t.Priority("", last)).To(Equal(2))
+		Expect(t.PriorityLevels()).To(BeZero())
+		_, known := t.OrganisationOfKey("")
+		Expect(known).To(BeFalse())
+	})
+	It("with the highest limits are the same at all fronts", func() {
+		t := table(make([]int, 50)...)
+		Expect(t.IsLarge("49")).To(BeTrue())
+		Expect(t.IsLarge("30")).To(BeTrue())
+		Expect(t.IsLarge("29")).To(BeFalse())
+	})
+})
