gateway, explain: Log and count requests by organisation, and explain 401 and 429

Cause: an operator could not tell whose requests were refused, or why a request without a known key was.

Change: each line about a request names its organisation. Counters are kept of the 20 organisations with the highest limits and of the rest together; counters of organisations that leave the 20 are removed. Lines about requests without a known key are limited to 10 per second, with a count of those left out. explain names an unknown key, a quota, and a turn that belongs to another organisation.

Ruled out: the 20 with the most requests at each front (fronts would count different ones, so that no sum over all fronts exists).

Result: the specs of ./gateway about organisations and lines, ./explain and ./route pass.

--- a/explain/cause.go
+++ b/explain/cause.go
@@ -65,6 +65,13 @@
 	case status == 402:
 		return fmt.Sprintf("The program's budget of %.0f tokens has no room for %.0f more: %.0f are spent and %.0f reserved.",
 			begun.number("budget"), begun.number("most"), begun.number("spent"), begun.number("reserved")), true
+	case status == 401:
+		return fmt.Sprintf("The front answered 401: %s; no organisation of configuration %.0f has the key that the request came with.", reason, end.number("config")), true
+	case status == 429:
+		return fmt.Sprintf("Organisation %s was over its quota: %s.", end.text("organisation"), reason), true
+	case reason == "no such turn" && begun.text("turn_of") != "":
+		return fmt.Sprintf("The turn %s that the request of organisation %s continues belongs to organisation %s.",
+			begun.text("previous"), end.text("organisation"), begun.text("turn_of")), true
 	case reason == "no such turn":
 		return fmt.Sprintf("No store has the turn %s that the request continues.", begun.text("previous")), true
 	case begun.text("verdict") == "uncertain" && begun.text("missing_turn") != "":
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,7 @@
 	ended          context.Context // done at the end of a planned stop
 	end            context.CancelFunc
 	activeRequests atomic.Int64
+	keyLines       lineLimit // of requests without a known key
 }
 
 // New returns a gateway whose scheduler and call workers run in group.
@@ -133,7 +134,8 @@
 			return
 		}
 		if g.table.CompareAndSwap(current, table) {
-			g.log.Info("gateway: configuration in force", "version", table.Version, "routes", table.RouteCount())
+			g.log.Info("gateway: configuration in force", "version", table.Version, "routes", table.RouteCount(), "organisations", len(table.Organisations))
+			g.dropOrganisationCounters(current, table)
 			return
 		}
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -263,10 +263,18 @@
 	e.writeError(http.StatusServiceUnavailable, reason)
 }
 
-// writeError responds with a status of the gateway itself.
+// writeError responds with a status of the gateway itself, and logs it.
 func (e *clientExchange) writeError(status int, reason string) {
-	e.log(slog.LevelWarn, "gateway: request ended without a backend server's answer", "status", status, "reason", reason,
-		"age_ms", time.Since(e.request.Arrived).Milliseconds())
+	attributes := []any{"status", status, "reason", reason, "age_ms", time.Since(e.request.Arrived).Milliseconds()}
+	if e.table != nil && e.table.HasOrganisations() {
+		attributes = append(attributes, "program", e.request.Program)
+	}
+	e.log(slog.LevelWarn, "gateway: request ended without a backend server's answer", attributes...)
+	e.sendError(status, reason)
+}
+
+// sendError responds with a status of the gateway itself.
+func (e *clientExchange) sendError(status int, reason string) {
 	e.headWritten = true
 	http.Error(e.w, reason, status)
 	e.countOutcome(strconv.Itoa(status))
@@ -297,8 +305,11 @@
 	if e.table != nil {
 		version = e.table.Version
 	}
-	e.gateway.log.Log(context.Background(), level, message,
-		append([]any{"request", e.request.ID, "route", name, "config", version}, attributes...)...)
+	common := []any{"request", e.request.ID, "route", name, "config", version}
+	if e.request.Organisation != "" {
+		common = append(common, "organisation", e.request.Organisation)
+	}
+	e.gateway.log.Log(context.Background(), level, message, append(common, attributes...)...)
 }
 
 // countOutcome updates the request metrics.
@@ -308,5 +319,6 @@
 		kind = string(e.route.Kind)
 	}
 	e.gateway.set.GetOrCreateCounter(fmt.Sprintf(`dogwoodline_requests_total{kind=%q,outcome=%q}`, kind, outcome)).Inc()
+	e.countOrganisation(outcome)
 	e.gateway.set.GetOrCreateHistogram(fmt.Sprintf(`dogwoodline_request_seconds{kind=%q}`, kind)).UpdateDuration(e.request.Arrived)
 }
--- a/gateway/organisation.go
+++ b/gateway/organisation.go
@@ -1,8 +1,26 @@
 package gateway
 
-import "net/http"
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"dogwoodline.example/route"
+)
 
 const (
+	// organisationCounter counts requests by organisation and outcome.
+	organisationCounter = "dogwoodline_organisation_requests_total"
+	// otherOrganisations and noOrganisation stand for the organisations that are not
+	// counted one by one, and for requests without a known key.
+	otherOrganisations = "(others)"
+	noOrganisation     = "(none)"
+	// maxKeyLines bounds the lines per second about requests without a known key, because
+	// anyone can send such requests.
+	maxKeyLines = 10
+
 	reasonNoKey      = "the request has no key"
 	reasonUnknownKey = "unknown key"
 )
@@ -28,7 +46,15 @@
 		reason = reasonNoKey
 	}
 	e.w.Header().Set("WWW-Authenticate", "Bearer")
-	e.writeError(http.StatusUnauthorized, reason)
+	logged, leftOut := e.gateway.keyLines.allow(e.request.Arrived)
+	if leftOut > 0 {
+		e.gateway.log.Warn("gateway: requests without a known key were not logged", "count", leftOut)
+	}
+	if logged {
+		e.writeError(http.StatusUnauthorized, reason)
+	} else {
+		e.sendError(http.StatusUnauthorized, reason)
+	}
 	return false
 }
 
@@ -47,3 +73,50 @@
 	}
 	return 0
 }
+
+// countOrganisation updates the metrics of the request's organisation.
+func (e *clientExchange) countOrganisation(outcome string) {
+	if e.table == nil || !e.table.HasOrganisations() {
+		return
+	}
+	name := e.request.Organisation
+	switch {
+	case name == "":
+		name = noOrganisation
+	case !e.table.IsLarge(name):
+		name = otherOrganisations
+	}
+	e.gateway.set.GetOrCreateCounter(fmt.Sprintf("%s{organisation=%q,outcome=%q}", organisationCounter, name, outcome)).Inc()
+}
+
+// dropOrganisationCounters removes the counters of organisations that are no longer among
+// the largest, so that their number stays bounded.
+func (g *Gateway) dropOrganisationCounters(before, now *route.Table) {
+	if before == nil {
+		return
+	}
+	for _, name := range before.LargeOrganisations() {
+		if now.IsLarge(name) {
+			continue
+		}
+		prefix := fmt.Sprintf("%s{organisation=%q,", organisationCounter, name)
+		for _, metric := range g.set.ListMetricNames() {
+			if strings.HasPrefix(metric, prefix) {
+				g.set.UnregisterMetric(metric)
+			}
+		}
+	}
+}
+
+// lineLimit bounds the log lines per second about one cause.
+type lineLimit struct{ second, lines atomic.Int64 }
+
+// allow reports whether a line may be written, and how many were left out in the last
+// second that had any, if this is the first line since.
+func (l *lineLimit) allow(now time.Time) (allowed bool, leftOut int64) {
+	second := now.Unix()
+	if before := l.second.Load(); before != second && l.second.CompareAndSwap(before, second) {
+		leftOut = max(0, l.lines.Swap(0)-maxKeyLines)
+	}
+	return l.lines.Add(1) <= maxKeyLines, leftOut
+}
--- a/gateway/organisation_test.go
+++ b/gateway/organisation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -64,6 +65,19 @@
 		s.gateway.SetTable(keyTable(2, plain, "key-1"))
 		Expect(status("3", keyHeader, "key-1")).To(Equal(http.StatusUnauthorized))
 	})
+	// Guards against refusals whose organisation an operator cannot find, and against keys in
+	// logs and answers.
+	It("are logged with their organisation and without their key", func() {
+		logged, out := newLoggedFixture(plain, refuse)
+		logged.gateway.SetTable(keyTable(2, plain, "key-1"))
+		for id, key := range map[string]string{"known": "key-1", "unknown": "key-9"} {
+			_, body, header := logged.post("/r/x", idHeader, id, keyHeader, key)
+			Expect(fmt.Sprint(body, header)).NotTo(ContainSubstring(key))
+		}
+		Expect(out.String()).To(MatchRegexp(`ended without.*request=known.*organisation=a.*status=503`))
+		Expect(out.String()).To(MatchRegexp(`ended without.*request=unknown.*status=401 reason="unknown key"`))
+		Expect(out.String()).NotTo(ContainSubstring("key-"))
+	})
 	// Guards against public routes that ask for keys.
 	It("need no key on a public route", func() {
 		public := plain
--- a/route/organisation.go
+++ b/route/organisation.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"maps"
 	"slices"
 )
 
@@ -127,6 +128,14 @@
 	return t.index != nil && t.index.largest[organisation]
 }
 
+// LargeOrganisations returns the names for which IsLarge is true.
+func (t *Table) LargeOrganisations() []string {
+	if t.index == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(t.index.largest))
+}
+
 // Priority returns the priority of an organisation's requests on a route: first that of
 // the organisation, then that of the route. 0 is the most urgent; without organisations
 // it is the route's. Requests of no organisation rank with those of the least urgent ones.
