--- a/gateway/organisation_test.go
+++ b/gateway/organisation_test.go
@@ -22,9 +22,9 @@
 	r.Name, r.Host, r.Prefix, r.Timeout = "r", "example", "/r/", 5*time.Second
 	r.Shares = []route.Share{{Service: "svc", Weight: 1}}
 	table := route.NewTable(version, []route.Route{r}, []route.Service{{Name: "svc"}}, route.Limits{MaxBodyBytes: 1 << 20})
-	table.SetOrganisations(route.NewOrganisationIndex([]route.KeyedOrganisation{
-		{Organisation: route.Organisation{Name: "a"}, Keys: keysOfA},
-		{Organisation: route.Organisation{Name: "b", Priority: 1}, Keys: []string{"key-b"}},
+	table.SetOrganisations(route.NewOrganisationIndex([]*route.OrganisationEntry{
+		route.NewOrganisationEntry(route.Organisation{Name: "a"}, keysOfA),
+		route.NewOrganisationEntry(route.Organisation{Name: "b", Priority: 1}, []string{"key-b"}),
 	}))
 	return table
 }
--- a/gateway/organisationlines_test.go
+++ b/gateway/organisationlines_test.go
@@ -14,9 +14,9 @@
 
 var _ = Describe("The counters of organisations", func() {
 	table := func(first int) *route.Table {
-		var list []route.KeyedOrganisation
+		var list []*route.OrganisationEntry
 		for i := range 30 {
-			list = append(list, route.KeyedOrganisation{Organisation: route.Organisation{Name: fmt.Sprint("o", first+i), RatePerSecond: float64(i + 1)}})
+			list = append(list, route.NewOrganisationEntry(route.Organisation{Name: fmt.Sprint("o", first+i), RatePerSecond: float64(i + 1)}, nil))
 		}
 		t := route.NewTable(1, nil, nil, route.Limits{})
 		t.SetOrganisations(route.NewOrganisationIndex(list))
--- a/route/organisation.go
+++ b/route/organisation.go
@@ -18,12 +18,6 @@
 	Burst         float64
 }
 
-// KeyedOrganisation is an organisation with the keys that its clients send.
-type KeyedOrganisation struct {
-	Organisation
-	Keys []string
-}
-
 // keyDigest is the hash of a key. An index holds no keys, so that none can appear in what
 // is printed of it, and a comparison does not depend on how much of a key is right.
 type keyDigest [16]byte
@@ -33,6 +27,23 @@
 	return keyDigest(sum[:])
 }
 
+// OrganisationEntry is an organisation with the hashes of its keys. It is immutable.
+type OrganisationEntry struct {
+	organisation Organisation
+	keys         []keyDigest
+}
+
+// NewOrganisationEntry returns an organisation with the keys that its clients send.
+func NewOrganisationEntry(organisation Organisation, keys []string) *OrganisationEntry {
+	entry := &OrganisationEntry{organisation: organisation}
+	for _, key := range keys {
+		if key != "" {
+			entry.keys = append(entry.keys, digestOf(key))
+		}
+	}
+	return entry
+}
+
 // OrganisationIndex finds organisations by name and by key. It is immutable, so that
 // successive tables can share it.
 type OrganisationIndex struct {
@@ -48,47 +59,53 @@
 // NewOrganisationIndex returns an index of the given organisations. Those without a name
 // and empty keys are left out. Of two organisations with one name or with one key in
 // common, the first counts; both sets of keys belong to the first one of a name.
-func NewOrganisationIndex(organisations []KeyedOrganisation) *OrganisationIndex {
+func NewOrganisationIndex(entries []*OrganisationEntry) *OrganisationIndex {
+	keys := 0
+	for _, entry := range entries {
+		keys += len(entry.keys)
+	}
 	index := &OrganisationIndex{
-		byName: make(map[string]*Organisation, len(organisations)), byKey: make(map[keyDigest]*Organisation, len(organisations)),
+		byName: make(map[string]*Organisation, len(entries)), byKey: make(map[keyDigest]*Organisation, keys),
 	}
-	for i := range organisations {
-		listed := &organisations[i]
-		if listed.Name == "" {
+	var largest []*Organisation
+	for _, entry := range entries {
+		if entry.organisation.Name == "" {
 			continue
 		}
-		organisation := index.byName[listed.Name]
+		organisation := index.byName[entry.organisation.Name]
 		if organisation == nil {
-			organisation = &Organisation{Name: listed.Name, Priority: listed.Priority, RatePerSecond: listed.RatePerSecond, Burst: listed.Burst}
-			index.byName[listed.Name] = organisation
+			organisation = &entry.organisation
+			index.byName[organisation.Name] = organisation
+			index.addPriority(organisation.Priority)
+			largest = addLargest(largest, organisation)
 		}
-		for _, key := range listed.Keys {
-			if _, taken := index.byKey[digestOf(key)]; key != "" && !taken {
-				index.byKey[digestOf(key)] = organisation
+		for _, key := range entry.keys {
+			if _, taken := index.byKey[key]; !taken {
+				index.byKey[key] = organisation
 			}
 		}
 	}
-	index.rank()
+	index.largest = make(map[string]bool, len(largest))
+	for _, organisation := range largest {
+		index.largest[organisation.Name] = true
+	}
 	return index
 }
 
-// rank finds the priorities that occur and the largest organisations.
-func (x *OrganisationIndex) rank() {
-	occurring := map[int]bool{}
-	bySize := make([]*Organisation, 0, len(x.byName))
-	for _, organisation := range x.byName {
-		bySize = append(bySize, organisation)
-		if !occurring[organisation.Priority] {
-			occurring[organisation.Priority] = true
-			x.priorities = append(x.priorities, organisation.Priority)
-		}
+// addPriority adds a priority to those that occur.
+func (x *OrganisationIndex) addPriority(priority int) {
+	if at, known := slices.BinarySearch(x.priorities, priority); !known {
+		x.priorities = slices.Insert(x.priorities, at, priority)
 	}
-	slices.Sort(x.priorities)
-	slices.SortFunc(bySize, compareSize)
-	x.largest = map[string]bool{}
-	for _, organisation := range bySize[:min(largestCount, len(bySize))] {
-		x.largest[organisation.Name] = true
+}
+
+// addLargest adds an organisation to the largest ones, the largest first.
+func addLargest(largest []*Organisation, organisation *Organisation) []*Organisation {
+	if len(largest) == largestCount && compareSize(largest[largestCount-1], organisation) < 0 {
+		return largest
 	}
+	at, _ := slices.BinarySearchFunc(largest, organisation, compareSize)
+	return slices.Insert(largest, at, organisation)[:min(len(largest)+1, largestCount)]
 }
 
 // compareSize orders organisations by their limit, the largest first. Those without a
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -55,9 +55,9 @@
 var _ = Describe("Organisations", func() {
 	table := func(priorities ...int) *route.Table {
 		t := route.NewTable(1, []route.Route{{Name: "x", Priority: 0}, {Name: "y", Priority: 2}}, nil, route.Limits{})
-		var list []route.KeyedOrganisation
+		var list []*route.OrganisationEntry
 		for i, p := range priorities {
-			list = append(list, route.KeyedOrganisation{Organisation: route.Organisation{Name: fmt.Sprint(i), Priority: p, RatePerSecond: float64(i + 1)}, Keys: []string{fmt.Sprint("k", i)}})
+			list = append(list, route.NewOrganisationEntry(route.Organisation{Name: fmt.Sprint(i), Priority: p, RatePerSecond: float64(i + 1)}, []string{fmt.Sprint("k", i)}))
 		}
 		t.SetOrganisations(route.NewOrganisationIndex(list))
 		return t
