newsfeed: Bound the history by bytes

Cause: a store keeps the last 4096 changes of the platform's store for fronts. A configuration with 39,000 organisations is 5.8 MB, so 27 changes of it exceed the memory of a store with 154 MB.

Change: values of 16 MB at most are kept, and the newest event whatever its size. A front that is further behind watches the platform's store itself, as before.

Result: go test ./newsfeed passes; the new spec fails without the bound, since the feed then has all 30 changes.

--- a/newsfeed/hub.go
+++ b/newsfeed/hub.go
@@ -28,6 +28,9 @@
 	// maxHistoryEvents bounds the history. A reader that is further behind
 	// watches the platform's store directly.
 	maxHistoryEvents = 4096
+	// maxHistoryBytes bounds its values, except for the newest event: a configuration with
+	// 39,000 organisations is 5.8 MB, so 4096 changes of it would exceed any memory.
+	maxHistoryBytes = 16 << 20
 	// StaleAfter is the age of the platform store's last answer above which the
 	// hub refuses watches. It is two thirds of the time within which a host must
 	// act on a change, so that a refused reader can still watch the store
@@ -139,7 +142,14 @@
 		h.history, h.historyStart = nil, u.revision
 	}
 	h.history = append(h.history, u.events...)
-	if surplus := len(h.history) - maxHistoryEvents; surplus > 0 {
+	surplus := max(0, len(h.history)-maxHistoryEvents)
+	size := 0
+	for i := len(h.history) - 1; i >= surplus; i-- {
+		if size += len(h.history[i].Value); size > maxHistoryBytes && i < len(h.history)-1 {
+			surplus = i + 1
+		}
+	}
+	if surplus > 0 {
 		h.historyStart = h.history[surplus-1].Version
 		h.history = slices.Clone(h.history[surplus:])
 	}
--- a/newsfeed/newsfeed_test.go
+++ b/newsfeed/newsfeed_test.go
@@ -75,7 +75,8 @@
 		DeferCleanup(func() { server.Stop(); <-done })
 		store = &countingStore{Store: memstore.New(clockwork.NewRealClock())}
 		reader = newsfeed.NewReader(store, slog.New(slog.DiscardHandler), func(address string) (grpc.ClientConnInterface, func(), error) {
-			conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+			conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+				grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64<<20)))
 			return conn, func() { conn.Close() }, err
 		})
 		reader.SetFeeds([]string{address})
@@ -124,6 +125,24 @@
 		Expect(store.watches).To(Equal(1))
 	})
 
+	// Guards against a store that keeps thousands of versions of a large configuration in
+	// memory.
+	It("finds only the newest changes at the feed when they are large", func() {
+		Expect(hub.Listed(ctx, 0)).To(Succeed())
+		for revision := range 30 {
+			event := putEvent("config", kvstore.Version(revision+1))
+			event.Value = make([]byte, 1<<20)
+			Expect(hub.Changed(ctx, []kvstore.Event{event}, event.Version)).To(Succeed())
+		}
+		events, _, err := reader.Watch(ctx, "", 14, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(events).To(HaveLen(16))
+		Expect(store.watches).To(BeZero())
+		_, _, err = reader.Watch(ctx, "", 13, 50*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.watches).To(Equal(1), "the feed has forgotten change 14")
+	})
+
 	// Guards against a front that can reach the platform's store but keeps
 	// following a feed that cannot.
 	It("watches the store directly when the feed has had no answer from it for a while", func() {
