--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,7 +26,7 @@
 	admitted, after := quota.Take(e.request.Organisation, time.Now())
 	if !admitted {
 		e.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-		e.writeError(http.StatusTooManyRequests, "organisation "+e.request.Organisation+" is over its quota")
+		e.writeError(http.StatusTooManyRequests, fmt.Sprintf("more than %g requests per second over all fronts", e.organisationLimit()))
 		return false
 	}
 	e.counted = true
