--- a/quota/account.go
+++ b/quota/account.go
@@ -9,6 +9,9 @@
 	// stockTime is the demand, in time, that a front wants to hold in advance: two regular
 	// reports and the time of an answer.
 	stockTime = 0.6 // seconds
+	// prefetchFrom is the number of wanted tokens from which a front asks for more before it
+	// has spent the last one. With fewer, regular reports come in time.
+	prefetchFrom = 4
 	// demandMemory is the time constant of the moving average of the demand.
 	demandMemory = 0.5 // seconds
 	// idleTime is how long a front keeps a token for an organisation that sends nothing.
--- a/quota/front.go
+++ b/quota/front.go
@@ -179,7 +179,7 @@
 		a.tokens--
 		a.spent++
 		l.dirty[a] = true
-		if a.tokens <= a.wanted/4 && !a.asked && !now.Before(a.emptyUntil) {
+		if a.wanted >= prefetchFrom && a.tokens <= a.wanted/4 && !a.asked && !now.Before(a.emptyUntil) {
 			a.asked, l.urgent = true, true
 		}
 		return true
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -33,11 +33,11 @@
 	// unspentShare is the part of what a window allows beyond rate and burst that may lie
 	// about unspent, and initialShare the part with which a pool begins. The rest is for
 	// clocks that drift and for shares that change hands.
-	unspentShare = 0.8
+	unspentShare = 0.6
 	initialShare = 0.1
 	// stockShare is the part of the capacity that may be leased in advance. The rest is for
 	// fronts that have a request waiting.
-	stockShare = 0.5
+	stockShare = 0.75
 )
 
 // Bounds are the same for all organisations: in any Window, requests may exceed the rate
