--- a/role/store.go
+++ b/role/store.go
@@ -30,7 +30,7 @@
 	if p.host.DataDir == "" {
 		return Error.New("DataDir is empty: a store needs a host with a disk")
 	}
-	server, err := turnstore.NewServer(p.group, p.log, p.host.DataDir, p.host.MemoryBytes)
+	server, err := turnstore.NewServer(p.group, p.log, p.host.DataDir, turnstore.Limits{MemoryBytes: p.host.MemoryBytes, DiskBytes: p.host.DiskBytes})
 	if err != nil {
 		return err
 	}
--- a/turnlog/log_test.go
+++ b/turnlog/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,7 +19,7 @@
 
 func openLog(folder string) (*turnlog.Log, []string) {
 	var records []string
-	l, err := turnlog.Open(folder, func(_ uint64, payload []byte) error {
+	l, err := turnlog.Open(folder, func(_ turnlog.Position, payload []byte) error {
 		records = append(records, string(payload))
 		return nil
 	})
@@ -27,6 +28,18 @@
 	return l, records
 }
 
+// appendTo appends records and returns their positions.
+func appendTo(l *turnlog.Log, records ...string) []turnlog.Position {
+	GinkgoHelper()
+	var payloads [][]byte
+	for _, record := range records {
+		payloads = append(payloads, []byte(record))
+	}
+	positions, err := l.Append(payloads)
+	Expect(err).NotTo(HaveOccurred())
+	return slices.Clone(positions)
+}
+
 func segmentFiles(folder string) []string {
 	names, err := filepath.Glob(filepath.Join(folder, "*.log"))
 	Expect(err).NotTo(HaveOccurred())
@@ -37,8 +50,8 @@
 	It("replays what was appended before a restart, in order", func() {
 		folder := GinkgoT().TempDir()
 		l, _ := openLog(folder)
-		Expect(l.Append([][]byte{[]byte("a"), []byte("b")})).To(Succeed())
-		Expect(l.Append([][]byte{[]byte("c")})).To(Succeed())
+		appendTo(l, "a", "b")
+		appendTo(l, "c")
 		reopened, records := openLog(folder)
 		Expect(records).To(Equal([]string{"a", "b", "c"}))
 		Expect(reopened.Identity()).To(Equal(l.Identity()))
@@ -53,15 +66,15 @@
 	It("keeps the records before a partial one, and starts a new segment after it", func() {
 		folder := GinkgoT().TempDir()
 		l, _ := openLog(folder)
-		Expect(l.Append([][]byte{[]byte("kept")})).To(Succeed())
-		Expect(l.Append([][]byte{[]byte("torn record")})).To(Succeed())
+		appendTo(l, "kept")
+		appendTo(l, "torn record")
 		path := segmentFiles(folder)[0]
 		info, err := os.Stat(path)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(os.Truncate(path, info.Size()-3)).To(Succeed())
 		reopened, records := openLog(folder)
 		Expect(records).To(Equal([]string{"kept"}))
-		Expect(reopened.Append([][]byte{[]byte("later")})).To(Succeed())
+		appendTo(reopened, "later")
 		_, records = openLog(folder)
 		Expect(records).To(Equal([]string{"kept", "later"}))
 	})
@@ -69,7 +82,7 @@
 	It("replays no record whose bytes changed", func() {
 		folder := GinkgoT().TempDir()
 		l, _ := openLog(folder)
-		Expect(l.Append([][]byte{[]byte("first"), []byte("second")})).To(Succeed())
+		appendTo(l, "first", "second")
 		path := segmentFiles(folder)[0]
 		content, err := os.ReadFile(path)
 		Expect(err).NotTo(HaveOccurred())
@@ -89,14 +102,55 @@
 	It("removes the oldest segment and keeps the current one", func() {
 		folder := GinkgoT().TempDir()
 		l, _ := openLog(folder)
-		Expect(l.Append([][]byte{make([]byte, 9<<20)})).To(Succeed())
-		Expect(l.Append([][]byte{[]byte("next segment")})).To(Succeed())
-		_, removable := l.OldestSegment()
+		appendTo(l, string(make([]byte, 9<<20)))
+		appendTo(l, "next segment")
+		_, _, removable := l.OldestSegment()
 		Expect(removable).To(BeTrue())
 		Expect(l.RemoveOldestSegment()).To(Succeed())
-		_, removable = l.OldestSegment()
+		_, _, removable = l.OldestSegment()
 		Expect(removable).To(BeFalse())
 		_, records := openLog(folder)
 		Expect(records).To(Equal([]string{"next segment"}))
 	})
+
+	// Guards against a conversation that is read back with the content of another record.
+	It("reads each record at the position where it was appended, also after a restart", func() {
+		folder := GinkgoT().TempDir()
+		l, _ := openLog(folder)
+		positions := append(appendTo(l, "a", "", "third"), appendTo(l, string(make([]byte, 9<<20)))...)
+		positions = append(positions, appendTo(l, "in the next segment")...)
+		Expect(positions[4].Segment).NotTo(Equal(positions[0].Segment))
+		var replayed []turnlog.Position
+		reopened, err := turnlog.Open(folder, func(at turnlog.Position, _ []byte) error {
+			replayed = append(replayed, at)
+			return nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(reopened.Close)
+		Expect(replayed).To(Equal(positions))
+		Expect(reopened.Size()).To(Equal(l.Size()))
+		for i, want := range map[int]string{0: "a", 1: "", 2: "third", 4: "in the next segment"} {
+			payload, err := reopened.Read(positions[i])
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(payload)).To(Equal(want))
+		}
+	})
+
+	// Guards against damaged bytes that are taken for a turn, and against a store that ends
+	// or waits because a segment is gone.
+	It("returns an error for a record that is damaged or removed", func() {
+		folder := GinkgoT().TempDir()
+		l, _ := openLog(folder)
+		at := appendTo(l, "first", string(make([]byte, 9<<20)))
+		appendTo(l, "next segment")
+		content, err := os.ReadFile(segmentFiles(folder)[0])
+		Expect(err).NotTo(HaveOccurred())
+		content[len(content)-1] ^= 1
+		Expect(os.WriteFile(segmentFiles(folder)[0], content, 0o644)).To(Succeed())
+		_, err = l.Read(at[1])
+		Expect(err).To(MatchError(turnlog.ErrNotReadable))
+		Expect(l.RemoveOldestSegment()).To(Succeed())
+		_, err = l.Read(at[0])
+		Expect(err).To(MatchError(turnlog.ErrNotReadable))
+	})
 })
--- a/turnstore/arrivals.go
+++ b/turnstore/arrivals.go
@@ -58,11 +58,11 @@
 // stampClock adds the time before records that arrived in this batch, from the cursor
 // on, if the last time in the log is old. After a restart, the store knows by it since
 // when it may have missed records, and which of its own arrived when.
-func (s *Server) stampClock(payloads [][]byte, cursor uint64, now time.Time) [][]byte {
+func (s *Server) stampClock(payloads []pendingRecord, cursor uint64, now time.Time) []pendingRecord {
 	if !s.state.arrivals.due(now) {
 		return payloads
 	}
 	s.state.arrivals.mark(now, cursor)
 	clock := &turnpb.Record{Kind: &turnpb.Record_Clock{Clock: &turnpb.Clock{UnixMs: now.UnixMilli()}}}
-	return append([][]byte{encodeRecord(clock)}, payloads...)
+	return append([]pendingRecord{{payload: encodeRecord(clock)}}, payloads...)
 }
--- a/turnstore/arrivals_test.go
+++ b/turnstore/arrivals_test.go
@@ -73,9 +73,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(open().missedSince).To(BeTemporally("~", before, time.Second))
 		folder = GinkgoT().TempDir()
-		log, err := turnlog.Open(folder, func(uint64, []byte) error { return nil })
+		log, err := turnlog.Open(folder, func(turnlog.Position, []byte) error { return nil })
+		Expect(err).NotTo(HaveOccurred())
+		_, err = log.Append([][]byte{encodeRecord(conversationOf(1)[0])})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(log.Append([][]byte{encodeRecord(conversationOf(1)[0])})).To(Succeed())
 		Expect(log.Close()).To(Succeed())
 		Expect(open().missedSince).To(Equal(time.UnixMilli(0)))
 	})
@@ -84,14 +85,14 @@
 	It("leaves out the records that arrived before, and is divided as asked", func() {
 		s := &Server{state: newState()}
 		for _, record := range conversationOf(5) {
-			s.state.apply(record, 1)
+			applyIn(s.state, record, 1)
 		}
 		s.state.arrivals.mark(time.Now().Add(-time.Minute), s.state.nextCursor)
-		s.state.apply(turnRecord("late", "t4", "x", time.Hour), 1)
-		s.state.apply(turnRecord("later", "late", "y", time.Hour), 1)
+		applyIn(s.state, turnRecord("late", "t4", "x", time.Hour), 1)
+		applyIn(s.state, turnRecord("later", "late", "y", time.Hour), 1)
 		list := func(request *turnpb.PullRequest) []string {
 			reply := &turnpb.PullReply{}
-			s.fillPull(request, reply)
+			s.fillPull(request, reply, nil)
 			var ids []string
 			for _, record := range reply.Records {
 				ids = append(ids, record.GetTurn().GetId())
--- a/turnstore/capacity_test.go
+++ b/turnstore/capacity_test.go
@@ -26,7 +26,7 @@
 func openSmall(folder string) (*Server, func()) {
 	GinkgoHelper()
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, smallMemory)
+	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, Limits{MemoryBytes: smallMemory})
 	Expect(err).NotTo(HaveOccurred())
 	server.SetCopySet(copyset.Set{Version: 1, Members: []copyset.Member{{Disk: server.Disk(), Ready: true}}})
 	DeferCleanup(group.Stop)
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -101,7 +101,7 @@
 func openServer(folder string) *Server {
 	GinkgoHelper()
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, 64<<20)
+	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, Limits{MemoryBytes: 64 << 20})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(group.Stop)
 	return server
@@ -136,7 +136,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, 64<<20)
+	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, Limits{MemoryBytes: 64 << 20})
 	Expect(err).NotTo(HaveOccurred())
 	s := &testStore{host: host, folder: folder, address: listener.Addr().String(), group: group, server: server}
 	if c.interceptor != nil {
--- a/turnstore/facts.go
+++ b/turnstore/facts.go
@@ -45,48 +45,49 @@
 }
 
 type factEntry struct {
-	fact    *turnpb.Fact
-	segment uint64 // the newest log segment that has it
+	located
+	fact   *turnpb.Fact
+	cursor uint64
 }
 
+func (e *factEntry) appliedAt(cursor uint64) bool { return e.cursor == cursor }
+
+func (e *factEntry) encode() *turnpb.Record { return factRecord(e.fact) }
+
 func newFacts() *facts { return &facts{byKey: map[string]*factEntry{}} }
 
 // size is the memory that the fact takes, in bytes.
 func (e *factEntry) size() int64 { return recordOverhead + int64(len(e.fact.Value)) }
 
-// add adds a fact that is newer than the known one of its key, if any. It returns
-// by how many bytes the memory has grown, and whether the fact was added.
-func (f *facts) add(fact *turnpb.Fact, segment uint64) (grown int64, added bool) {
-	known := f.byKey[fact.Key]
+// add adds a fact that is newer than the known one of its key, if any. It returns the
+// entry of the key, nil if the fact was not added, and by how many bytes the memory has
+// grown without the entries that were dropped, for each of which it calls drop.
+func (f *facts) add(fact *turnpb.Fact, drop func(*factEntry)) (entry *factEntry, grown int64) {
+	entry = f.byKey[fact.Key]
 	switch {
-	case fact.Key == "" || known != nil && known.fact.Version >= fact.Version:
-		return 0, false
-	case known != nil:
-		grown -= known.size()
+	case fact.Key == "" || entry != nil && entry.fact.Version >= fact.Version:
+		return nil, 0
+	case entry != nil:
+		grown -= entry.size()
 	default:
+		entry = &factEntry{}
+		f.byKey[fact.Key] = entry
 		f.order = append(f.order, fact.Key)
 	}
-	entry := &factEntry{fact: fact, segment: segment}
-	f.byKey[fact.Key] = entry
+	entry.fact = fact
 	grown += entry.size()
 	for len(f.byKey) > maxFacts {
-		grown -= f.dropOldest()
+		f.dropOldest(drop)
 	}
-	return grown, true
+	return entry, grown
 }
 
-// dropOldest drops the fact whose key was added first, and returns the bytes that
-// it took.
-func (f *facts) dropOldest() int64 {
+// dropOldest drops the fact whose key was added first.
+func (f *facts) dropOldest(drop func(*factEntry)) {
 	key := f.order[0]
 	f.order = f.order[1:]
-	return f.drop(key)
-}
-
-func (f *facts) drop(key string) int64 {
-	entry := f.byKey[key]
+	drop(f.byKey[key])
 	delete(f.byKey, key)
-	return entry.size()
 }
 
 // get returns the newest fact of a key, or one with version 0.
@@ -97,16 +98,16 @@
 	return &turnpb.Fact{Key: key}
 }
 
-// expire drops the facts that have expired and returns the bytes that they took.
-func (f *facts) expire(now time.Time) (bytes int64) {
+// expire drops the facts that have expired, and calls drop for each of them.
+func (f *facts) expire(now time.Time, drop func(*factEntry)) {
 	kept := f.order[:0]
 	for _, key := range f.order {
-		if f.byKey[key].fact.ExpiresUnixMs < now.UnixMilli() {
-			bytes += f.drop(key)
+		if entry := f.byKey[key]; entry.fact.ExpiresUnixMs < now.UnixMilli() {
+			drop(entry)
+			delete(f.byKey, key)
 		} else {
 			kept = append(kept, key)
 		}
 	}
 	f.order = kept
-	return bytes
 }
--- a/turnstore/facts_test.go
+++ b/turnstore/facts_test.go
@@ -17,11 +17,11 @@
 var _ = Describe("Facts", func() {
 	It("are replaced by newer ones only, and stay in the segment that has them", func() {
 		s := newState()
-		s.apply(factOf("k", 2, "new", time.Hour).Record(), 1)
-		Expect(s.apply(factOf("k", 1, "late", time.Hour).Record(), 2)).To(BeFalse())
+		applyIn(s, factOf("k", 2, "new", time.Hour).Record(), 1)
+		Expect(applyIn(s, factOf("k", 1, "late", time.Hour).Record(), 2)).To(BeFalse())
 		Expect(s.facts.get("k").Value).To(Equal([]byte("new")))
 		Expect(s.liveThrough(1)).To(HaveLen(1))
-		s.moveTo(3, 1)
+		moveTo(s, 3, 1)
 		Expect(s.liveThrough(2)).To(BeEmpty())
 	})
 
@@ -30,15 +30,15 @@
 	It("are bounded, and leave nothing behind", func() {
 		s := newState()
 		for i := range maxFacts + 10 {
-			s.apply(factOf(fmt.Sprint("k", i), 1, "value", time.Minute).Record(), 1)
+			applyIn(s, factOf(fmt.Sprint("k", i), 1, "value", time.Minute).Record(), 1)
 		}
 		Expect(s.facts.byKey).To(HaveLen(maxFacts))
 		Expect(s.facts.get("k9").Version).To(BeZero(), "the oldest are dropped")
 		for version := range uint64(100) {
-			s.apply(factOf("again", version+1, "value", time.Minute).Record(), 1)
+			applyIn(s, factOf("again", version+1, "value", time.Minute).Record(), 1)
 		}
 		s.expire(time.Now())
-		records, _, _ := s.page(0, 1<<30, false)
+		records, _, _ := pageOf(s, 0, 1<<30, false)
 		Expect(records).To(HaveLen(maxFacts), "a joining store gets each once")
 		s.expire(time.Now().Add(time.Hour))
 		Expect(s.facts.byKey).To(BeEmpty())
--- a/turnstore/ledger.go
+++ b/turnstore/ledger.go
@@ -16,19 +16,24 @@
 
 // entry is the reservation or settlement of one attempt.
 type entry struct {
+	located
+	ledger  *ledger
+	attempt string
 	tokens  int64
 	settled bool
-	segment uint64 // the newest log segment that has it
 	cursor  uint64 // of its arrival
 	expires int64  // Unix ms; when a settlement without tokens is dropped
 }
 
+func (e *entry) appliedAt(cursor uint64) bool { return e.cursor == cursor }
+
 // withdrawn reports whether the attempt generated nothing. Its settlement is kept for a
 // while only, so that a reservation that arrives late is known to be over.
 func (e *entry) withdrawn() bool { return e.settled && e.tokens == 0 }
 
 // ledger holds the entries of one program.
 type ledger struct {
+	program       string
 	entries       map[string]*entry // by attempt
 	settledTokens int64
 	expires       int64 // Unix ms
@@ -37,69 +42,58 @@
 	refusing bool
 }
 
-// add adds a reservation or settlement. A reservation does not replace the settlement of
-// its attempt. It reports whether the entry is new or changed, and whether it is the
-// first one of its attempt.
-func (l *ledger) add(attempt string, added entry) (changed, first bool) {
-	known := l.entries[attempt]
-	if known != nil && (known.settled || !added.settled) {
-		return false, false
-	}
-	l.entries[attempt] = &added
-	if added.settled {
-		l.settledTokens += added.tokens
-	} else {
-		l.refusing = false
-	}
-	return true, known == nil
-}
-
 // leavesNoRoom reports whether the tokens that have been settled leave no room for a
 // reservation. They never become fewer.
 func (l *ledger) leavesNoRoom(r *turnpb.Reservation) bool {
 	return r.Budget > 0 && l.settledTokens+r.Tokens > r.Budget
 }
 
-// dropWithdrawn drops settlements without tokens that have expired, and returns their
-// number.
-func (l *ledger) dropWithdrawn(limit int64) int {
-	dropped := 0
+// dropWithdrawn drops settlements without tokens that have expired, and calls drop for
+// each of them.
+func (l *ledger) dropWithdrawn(limit int64, drop func(*entry)) {
 	for attempt, e := range l.entries {
 		if e.withdrawn() && e.expires < limit {
+			drop(e)
 			delete(l.entries, attempt)
-			dropped++
 		}
 	}
-	return dropped
 }
 
 // applyEntry adds a reservation or settlement whose record expires at the given time,
-// in Unix ms.
-func (s *state) applyEntry(program, attempt string, added entry, expires int64) bool {
+// in Unix ms. A reservation does not replace the settlement of its attempt.
+func (s *state) applyEntry(program, attempt string, tokens int64, settled bool, expires int64) (item, bool) {
 	l := s.programs[program]
 	if l == nil {
-		l = &ledger{entries: map[string]*entry{}}
+		l = &ledger{program: program, entries: map[string]*entry{}}
 		s.programs[program] = l
 	}
 	l.expires = max(l.expires, expires)
-	added.expires, added.cursor = expires, s.nextCursor
-	changed, first := l.add(attempt, added)
-	if !changed {
-		return false
-	}
-	l.loggedExpires = max(l.loggedExpires, expires)
-	if first {
+	e := l.entries[attempt]
+	switch {
+	case e == nil:
+		e = &entry{ledger: l, attempt: attempt}
+		l.entries[attempt] = e
 		s.entryCount++
 		s.bytes += recordOverhead
+	case e.settled || !settled:
+		return nil, false
 	}
-	s.noteApplied(recordRef{program: program, attempt: attempt})
-	return true
+	e.tokens, e.settled, e.expires = tokens, settled, expires
+	if settled {
+		l.settledTokens += tokens
+	} else {
+		l.refusing = false
+	}
+	l.loggedExpires = max(l.loggedExpires, expires)
+	e.cursor = s.noteApplied(e)
+	return e, true
 }
 
-// dropEntries counts entries that were dropped.
-func (s *state) dropEntries(count int) {
-	s.entryCount -= count
-	s.bytes -= recordOverhead * int64(count)
+// dropEntry counts an entry that was dropped.
+func (s *state) dropEntry(e *entry) {
+	s.use.drop(e)
+	s.entryCount--
+	s.bytes -= recordOverhead
 }
 
 // refuseReservation reports whether there is certainly no room for a reservation, which
@@ -124,33 +118,33 @@
 
 // renewal returns a settlement of the program to write again, with the expiry that its
 // ledger has now, if the one in the log is much earlier; else nil.
-func (s *state) renewal(program string, segment uint64) *turnpb.Record {
+func (s *state) renewal(program string) *entry {
 	l := s.programs[program]
 	if l.expires-l.loggedExpires < ledgerRenewal {
 		return nil
 	}
-	for attempt, e := range l.entries {
+	for _, e := range l.entries {
 		if e.settled && !e.withdrawn() {
-			e.segment, l.loggedExpires = segment, l.expires
-			return l.record(program, attempt)
+			l.loggedExpires = l.expires
+			return e
 		}
 	}
 	return nil
 }
 
-// record returns the record of an entry.
-func (l *ledger) record(program, attempt string) *turnpb.Record {
-	e, expires := l.entries[attempt], l.expires
+// encode returns the record of an entry.
+func (e *entry) encode() *turnpb.Record {
+	program, expires := e.ledger.program, e.ledger.expires
 	if e.withdrawn() {
 		expires = e.expires
 	}
 	if e.settled {
 		return &turnpb.Record{Kind: &turnpb.Record_Settlement{Settlement: &turnpb.Settlement{
-			Program: program, Attempt: attempt, Tokens: e.tokens, ExpiresUnixMs: expires,
+			Program: program, Attempt: e.attempt, Tokens: e.tokens, ExpiresUnixMs: expires,
 		}}}
 	}
 	return &turnpb.Record{Kind: &turnpb.Record_Reservation{Reservation: &turnpb.Reservation{
-		Program: program, Attempt: attempt, Tokens: e.tokens, ExpiresUnixMs: expires,
+		Program: program, Attempt: e.attempt, Tokens: e.tokens, ExpiresUnixMs: expires,
 	}}}
 }
 
--- a/turnstore/ledger_test.go
+++ b/turnstore/ledger_test.go
@@ -88,13 +88,13 @@
 	// that never run, because no backend server takes them.
 	It("drops attempts that generated nothing after a while, and nothing else", func() {
 		s := newState()
-		s.apply(settle("spent", 5), 1)
-		s.apply(reserve("open", 7), 1)
+		applyIn(s, settle("spent", 5), 1)
+		applyIn(s, reserve("open", 7), 1)
 		for i := range 100 {
-			s.apply(reserve(fmt.Sprint("w", i), 9), 1)
-			s.apply(withdraw(fmt.Sprint("w", i), time.Second), 1)
+			applyIn(s, reserve(fmt.Sprint("w", i), 9), 1)
+			applyIn(s, withdraw(fmt.Sprint("w", i), time.Second), 1)
 		}
-		Expect(s.apply(reserve("w1", 9), 1)).To(BeFalse(), "a reservation that arrives late is over")
+		Expect(applyIn(s, reserve("w1", 9), 1)).To(BeFalse(), "a reservation that arrives late is over")
 		Expect(s.ledger("p", s.nextCursor).Entries).To(HaveLen(2), "replies have the newest of them only")
 		Expect(s.ledger("p", 0).Entries).To(HaveLen(102))
 		s.expire(time.Now().Add(2 * time.Second))
--- a/turnstore/news.go
+++ b/turnstore/news.go
@@ -24,11 +24,16 @@
 
 // newsEntry is a crash or an announced fact.
 type newsEntry struct {
+	located // of the crash; a fact has an entry of its own
 	crash   *turnpb.Crash
-	segment uint64 // the newest log segment that has the crash
+	cursor  uint64
 	fact    *turnpb.Fact
 }
 
+func (e *newsEntry) appliedAt(cursor uint64) bool { return e.cursor == cursor }
+
+func (e *newsEntry) encode() *turnpb.Record { return crashRecord(e.crash) }
+
 func newNews() *news {
 	return &news{firstNumber: 1, byKey: map[string]*newsEntry{}, numbering: rand.Uint64()}
 }
@@ -40,29 +45,27 @@
 	return e.crash.ExpiresUnixMs
 }
 
-// add adds a report and returns whether it is new.
-func (n *news) add(crash *turnpb.Crash, segment uint64) bool {
+// add adds a report and returns its entry, or nil if it is known.
+func (n *news) add(crash *turnpb.Crash) *newsEntry {
 	key := crashKey(crash)
 	if n.byKey[key] != nil {
-		return false
+		return nil
 	}
-	entry := &newsEntry{crash: crash, segment: segment}
+	entry := &newsEntry{crash: crash}
 	n.byKey[key] = entry
 	n.list = append(n.list, entry)
-	return true
+	return entry
 }
 
 // announce adds a fact that the store holds.
 func (n *news) announce(fact *turnpb.Fact) { n.list = append(n.list, &newsEntry{fact: fact}) }
 
-// expire drops expired and surplus entries and returns the number of crashes among
-// them.
-func (n *news) expire(now time.Time) int {
-	dropped := 0
+// expire drops expired and surplus entries and returns the crashes among them.
+func (n *news) expire(now time.Time) (dropped []*newsEntry) {
 	for len(n.list) > 0 && (len(n.list) > maxNews || n.list[0].expires() < now.UnixMilli()) {
 		if crash := n.list[0].crash; crash != nil {
 			delete(n.byKey, crashKey(crash))
-			dropped++
+			dropped = append(dropped, n.list[0])
 		}
 		n.list = n.list[1:]
 		n.firstNumber++
--- a/turnstore/repair_test.go
+++ b/turnstore/repair_test.go
@@ -274,7 +274,7 @@
 		Expect(a.due()).To(BeEmpty(), "it has just come up")
 		Eventually(a.due, repairLimit, "50ms").Should(BeEmpty())
 		Consistently(a.due, "1s", "50ms").Should(BeEmpty())
-		Expect(a.server.gapCount.Load()).To(BeEquivalentTo(1))
+		Expect(a.server.gauges.gapCount.Load()).To(BeEquivalentTo(1))
 	})
 
 	// Guards against turns that cannot be read any more after random restarts, lost disks
--- a/turnstore/repairer.go
+++ b/turnstore/repairer.go
@@ -61,11 +61,10 @@
 	}
 }
 
-// nextRepair hands over what this store may lack. A store whose memory is full copies
-// nothing.
+// nextRepair hands over what this store may lack. A store without room copies nothing.
 func (s *Server) nextRepair(done *repairProgress) repairWork {
 	s.state.gaps.setAbsent(done.absent)
-	if s.state.bytes > s.maxBytes {
+	if s.full(0) {
 		return repairWork{}
 	}
 	work := repairWork{missedSince: s.missedSince, turns: s.state.gaps.due(maxRepairTurns)}
--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -29,42 +29,60 @@
 	maxBatchRequests = 256
 	// expireInterval is how often expired records are removed.
 	expireInterval = 2 * time.Second
-	// memoryShare is the fraction of the process's memory that records may use.
-	memoryShare = 0.5
 	// maxUnwrittenRecords bounds the records that wait in memory while the disk
 	// refuses writes.
 	maxUnwrittenRecords = 4096
 )
 
 // Server implements the TurnStore service on one disk. Its store-writer
-// goroutine owns the log and the state.
+// goroutine owns the log and the state. Its store-reader goroutine reads what only the
+// log has, so that the writer never waits for a read.
 type Server struct {
 	turnpb.UnimplementedTurnStoreServer
 
 	log      *slog.Logger
 	requests *ring.Ring[request]
+	reads    *ring.Ring[readJob]
 	turnLog  *turnlog.Log
 	state    *state
-	// unwritten holds encoded records that are in the state but whose write
-	// failed. No request counts as stored until they are written.
-	unwritten  [][]byte
-	maxBytes   int64
-	batchTimer duty.Timer
+	// unwritten holds records that are in the state but whose write failed. No
+	// request counts as stored until they are written.
+	unwritten []pendingRecord
+	// pendingBytes is the size of the first pendingCounted records that are about to be
+	// written, and diskRefuses says that more than maxUnwrittenRecords wait for it.
+	pendingBytes   int64
+	pendingCounted int
+	diskRefuses    bool
+	bounds         bounds
+	refusals       throttledLog
+	compaction     *compaction // nil while none is under way
+	batchTimer     duty.Timer
 	// missedSince is when the first record was stored by others that this store may
 	// lack; zero if there is none.
 	missedSince time.Time
 
-	copySet     atomic.Pointer[copyset.Set] // the newest one known
-	ready       atomic.Bool                 // this disk counts for majorities
-	refusing    atomic.Bool                 // this disk leaves the copy set or has left it
-	recordBytes atomic.Int64                // for metrics
-	turnCount   atomic.Int64                // for metrics
-	gapCount    atomic.Int64                // for metrics
+	copySet  atomic.Pointer[copyset.Set] // the newest one known
+	ready    atomic.Bool                 // this disk counts for majorities
+	refusing atomic.Bool                 // this disk leaves the copy set or has left it
+	gauges   gauges
 }
 
-// request is an item of the writer's queue. One of exchange, pull, ownPage, repair
-// and imported is set.
+// gauges are figures for metrics.
+type gauges struct {
+	recordBytes, turnCount, gapCount, logBytes, liveBytes, coldTurns, fullness atomic.Int64
+}
+
+// pendingRecord is an encoded record that is to be written.
+type pendingRecord struct {
+	payload []byte
+	item    item // that the log will have at its position; nil for none
+}
+
+// request is an item of the writer's queue. One of exchange, pull, ownPage, repair,
+// imported, moved and removed is set. The last two come from the reader.
 type request struct {
+	moved    *moveChunk
+	removed  *removedSegment
 	exchange *turnpb.ExchangeRequest
 	pull     *turnpb.PullRequest
 	ownPage  *uint64          // cursor from which this process reads its own records
@@ -78,29 +96,22 @@
 	exchange *turnpb.ExchangeReply
 	pull     *turnpb.PullReply
 	repair   repairWork
-	missing  []string // ids of turns that are not held, after an import
+	missing  []string  // ids of turns that are not held, after an import
+	cold     coldTurns // to be completed by the reader
 	err      error
 }
 
 // NewServer opens the log in a folder, restores the state from it, and starts
-// the store-writer goroutine in group.
-func NewServer(group *duty.Group, log *slog.Logger, folder string, memoryBytes int64) (*Server, error) {
+// the store-writer and store-reader goroutines in group.
+func NewServer(group *duty.Group, log *slog.Logger, folder string, limits Limits) (*Server, error) {
 	s := &Server{
-		log: log, requests: ring.New[request](requestQueueSize), state: newState(),
-		maxBytes: int64(memoryShare * float64(memoryBytes)), batchTimer: group.Timer("store-writer"),
-	}
-	replayed := 0
-	turnLog, err := turnlog.Open(folder, func(segment uint64, payload []byte) error {
-		var record turnpb.Record
-		if err := proto.Unmarshal(payload, &record); err != nil {
-			return Error.New("record with a valid checksum cannot be decoded: %v", err)
-		}
-		if clock := record.GetClock(); clock != nil {
-			s.state.arrivals.mark(time.UnixMilli(clock.UnixMs), s.state.nextCursor)
-		}
-		s.state.apply(&record, segment)
+		log: log, requests: ring.New[request](requestQueueSize), reads: ring.New[readJob](readQueueSize), state: newState(),
+		bounds: limits.bounds(), batchTimer: group.Timer("store-writer"),
+	}
+	started, replayed := time.Now(), 0
+	turnLog, err := turnlog.Open(folder, func(at turnlog.Position, payload []byte) error {
 		replayed++
-		return nil
+		return s.replay(at, payload)
 	})
 	if err != nil {
 		return nil, err
@@ -110,16 +121,37 @@
 		s.noteMissedSince(s.state.arrivals.last())
 	}
 	s.updateGauges()
-	log.Info("turnstore: log opened", "disk", turnLog.Identity(), "records", replayed,
-		"turns", len(s.state.turns), "programs", len(s.state.programs))
+	log.Info("turnstore: log opened", "disk", turnLog.Identity(), "records", replayed, "turns", len(s.state.turns),
+		"programs", len(s.state.programs), "log_bytes", turnLog.Size(), "live_bytes", s.state.use.total, "took_ms", time.Since(started).Milliseconds())
 	group.Go("store-writer", s.run)
+	group.Go("store-reader", s.runReader)
 	group.RegisterRingDepth("store-writer", "requests", s.requests.Len)
-	group.RegisterGauge("dogwoodline_store_record_bytes", func() int { return int(s.recordBytes.Load()) })
-	group.RegisterGauge("dogwoodline_store_missing_turns", func() int { return int(s.gapCount.Load()) })
-	group.RegisterGauge("dogwoodline_store_turns", func() int { return int(s.turnCount.Load()) })
+	group.RegisterRingDepth("store-reader", "reads", s.reads.Len)
+	for name, value := range map[string]*atomic.Int64{
+		"record_bytes": &s.gauges.recordBytes, "missing_turns": &s.gauges.gapCount, "turns": &s.gauges.turnCount, "log_bytes": &s.gauges.logBytes,
+		"live_log_bytes": &s.gauges.liveBytes, "cold_turns": &s.gauges.coldTurns, "fullness_permille": &s.gauges.fullness,
+	} {
+		group.RegisterGauge("dogwoodline_store_"+name, func() int { return int(value.Load()) })
+	}
 	return s, nil
 }
 
+// replay applies a record of the log at a start.
+func (s *Server) replay(at turnlog.Position, payload []byte) error {
+	var record turnpb.Record
+	if err := proto.Unmarshal(payload, &record); err != nil {
+		return Error.New("record with a valid checksum cannot be decoded: %v", err)
+	}
+	if clock := record.GetClock(); clock != nil {
+		s.state.arrivals.mark(time.UnixMilli(clock.UnixMs), s.state.nextCursor)
+	}
+	if item, _ := s.state.apply(&record); item != nil {
+		s.state.use.place(item, at)
+	}
+	s.evict()
+	return nil
+}
+
 // Disk returns the identity of the disk.
 func (s *Server) Disk() string { return s.turnLog.Identity() }
 
@@ -204,6 +236,8 @@
 func (s *Server) run(ctx context.Context) error {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
+	move := time.NewTicker(moveInterval)
+	defer move.Stop()
 	var batch []request
 	for {
 		batch = s.requests.PopBatch(batch[:0], maxBatchRequests)
@@ -217,6 +251,9 @@
 		case <-s.requests.Ready():
 		case now := <-ticker.C:
 			s.expireAndCompact(now)
+			s.reportRefusals(now)
+		case <-s.compaction.due(move.C):
+			s.continueCompaction()
 		case <-ctx.Done():
 			return s.turnLog.Close()
 		}
@@ -226,36 +263,72 @@
 // processBatch applies the requests to the state, appends their records to the
 // log in one write, and replies.
 func (s *Server) processBatch(batch []request) {
-	payloads, firstCursor := s.unwritten, s.state.nextCursor
-	diskRefuses := len(s.unwritten) > maxUnwrittenRecords
+	pending, firstCursor := s.unwritten, s.state.nextCursor
+	s.pendingBytes, s.pendingCounted, s.diskRefuses = 0, 0, len(pending) > maxUnwrittenRecords
 	s.unwritten = nil
 	outcomes := make([]outcome, len(batch))
 	for i, r := range batch {
-		switch {
+		switch out := &outcomes[i]; {
 		case r.exchange != nil:
-			outcomes[i].exchange, payloads = s.exchange(r.exchange, payloads, diskRefuses)
+			out.exchange, pending = s.exchange(r.exchange, pending, &out.cold)
 		case r.pull != nil:
-			outcomes[i].pull, payloads = s.pull(r.pull, payloads)
+			out.pull, pending = s.pull(r.pull, pending, &out.cold)
 		case r.ownPage != nil:
-			outcomes[i].pull = &turnpb.PullReply{}
-			s.fillPull(&turnpb.PullRequest{Cursor: *r.ownPage}, outcomes[i].pull)
+			out.pull = &turnpb.PullReply{}
+			s.fillPull(&turnpb.PullRequest{Cursor: *r.ownPage}, out.pull, &out.cold)
 		case r.repair != nil:
-			outcomes[i].repair = s.nextRepair(r.repair)
+			out.repair = s.nextRepair(r.repair)
+		case r.moved != nil:
+			pending = s.writeMoved(r.moved, pending)
+		case r.removed != nil:
+			s.finishCompaction(r.removed)
 		default:
-			payloads, outcomes[i].missing = s.importRecords(r.imported, payloads)
+			pending, out.missing, out.err = s.importRecords(r.imported, pending)
 		}
 	}
-	if len(payloads) > 0 {
-		payloads = s.stampClock(payloads, firstCursor, time.Now())
-		if err := s.turnLog.Append(payloads); err != nil {
-			s.log.Error("turnstore: records not written, retrying with the next batch", "records", len(payloads), "error", err)
-			s.unwritten = payloads
+	if len(pending) > 0 {
+		pending = s.stampClock(pending, firstCursor, time.Now())
+		if err := s.write(pending); err != nil {
+			s.log.Error("turnstore: records not written, retrying with the next batch", "records", len(pending), "error", err)
+			s.unwritten = pending
 			failAll(outcomes, err)
 		}
 	}
+	s.evict()
 	s.updateGauges()
 	for i, r := range batch {
-		r.reply <- outcomes[i]
+		s.reply(r, outcomes[i])
+	}
+}
+
+// write makes records durable and places their items.
+func (s *Server) write(pending []pendingRecord) error {
+	payloads := make([][]byte, len(pending))
+	for i, p := range pending {
+		payloads[i] = p.payload
+	}
+	positions, err := s.turnLog.Append(payloads)
+	if err != nil {
+		return err
+	}
+	for i, p := range pending {
+		if p.item != nil {
+			s.state.use.place(p.item, positions[i])
+		}
+	}
+	return nil
+}
+
+// reply sends the outcome of a request, after the reader has completed it if it has cold
+// turns. If the reader does not keep up, these are like turns that this store lacks.
+func (s *Server) reply(r request, out outcome) {
+	switch {
+	case r.reply == nil:
+	case len(out.cold) == 0:
+		r.reply <- out
+	case s.reads.TryPush(readJob{reply: r.reply, outcome: out}) != nil:
+		out.omit(allOf(out.cold))
+		r.reply <- out
 	}
 }
 
@@ -263,6 +336,7 @@
 // they relied on failed.
 func failAll(outcomes []outcome, err error) {
 	for i := range outcomes {
+		outcomes[i].cold = nil
 		switch {
 		case outcomes[i].exchange != nil:
 			outcomes[i].exchange = &turnpb.ExchangeReply{Status: turnpb.Status_STATUS_FAILED}
@@ -278,7 +352,7 @@
 // has accepted, and records a newer version as the lowest that is accepted from
 // now on. A store that leaves the copy set refuses every request. A refusal returns the newest
 // known copy set if that is newer than the request's.
-func (s *Server) checkVersion(version uint64, payloads [][]byte) (turnpb.Status, []byte, [][]byte) {
+func (s *Server) checkVersion(version uint64, payloads []pendingRecord) (turnpb.Status, []byte, []pendingRecord) {
 	known := s.copySet.Load()
 	if s.refusing.Load() || version < s.state.fence {
 		if known != nil && known.Version > version {
@@ -287,31 +361,30 @@
 		return turnpb.Status_STATUS_STALE, nil, payloads
 	}
 	if version > s.state.fence {
-		payloads = s.applyRecords([]*turnpb.Record{{Kind: &turnpb.Record_Fence{Fence: &turnpb.Fence{Version: version}}}}, payloads)
+		payloads = s.applyRecords([]*turnpb.Record{fenceRecord(version)}, payloads)
 	}
 	return turnpb.Status_STATUS_OK, nil, payloads
 }
 
 // exchange applies a request and answers it. News are passed on even if the records
 // are not taken.
-func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads [][]byte, diskRefuses bool) (*turnpb.ExchangeReply, [][]byte) {
+func (s *Server) exchange(in *turnpb.ExchangeRequest, payloads []pendingRecord, cold *coldTurns) (*turnpb.ExchangeReply, []pendingRecord) {
 	s.adoptEncodedSet(in.Set)
 	s.noteMissed(in.MissedMs)
 	out := &turnpb.ExchangeReply{}
 	out.Status, out.Set, payloads = s.checkVersion(in.CopySet, payloads)
 	if out.Status == turnpb.Status_STATUS_OK {
-		payloads = s.applyExchange(in, out, payloads, diskRefuses)
+		payloads = s.applyExchange(in, out, payloads, cold)
 	}
 	s.state.news.after(in.NewsAfter, in.NewsNumbering, out)
+	out.UsedBytes, out.LimitBytes = s.fullness()
 	return out, payloads
 }
 
 // applyExchange applies the records of a request under a current copy set and adds
-// what it asks for to the reply. If the disk has refused writes for long, it takes
-// no further records, so that those in memory stay bounded.
-func (s *Server) applyExchange(in *turnpb.ExchangeRequest, out *turnpb.ExchangeReply, payloads [][]byte, diskRefuses bool) [][]byte {
-	if len(in.Records) > 0 && (s.state.bytes > s.maxBytes || diskRefuses) {
-		s.log.Error("turnstore: records refused, limit reached", "bytes", s.state.bytes, "limit", s.maxBytes, "disk_refuses", diskRefuses)
+// what it asks for to the reply.
+func (s *Server) applyExchange(in *turnpb.ExchangeRequest, out *turnpb.ExchangeReply, payloads []pendingRecord, cold *coldTurns) []pendingRecord {
+	if len(in.Records) > 0 && s.refuses(payloads) {
 		out.Status = turnpb.Status_STATUS_FAILED
 		return payloads
 	}
@@ -332,7 +405,7 @@
 		}
 	}
 	for _, id := range in.Chains {
-		out.Chains = append(out.Chains, s.state.chain(id))
+		out.Chains = append(out.Chains, s.state.chain(id, cold))
 	}
 	for _, key := range in.Facts {
 		out.Facts = append(out.Facts, s.state.facts.get(key))
@@ -342,7 +415,7 @@
 
 // applyBudgeted applies records of a front. It keeps no reservation for which a budget
 // has certainly no room, and returns the attempts of those.
-func (s *Server) applyBudgeted(records []*turnpb.Record, payloads [][]byte) (_ [][]byte, refused map[string]bool) {
+func (s *Server) applyBudgeted(records []*turnpb.Record, payloads []pendingRecord) (_ []pendingRecord, refused map[string]bool) {
 	for _, record := range records {
 		reservation, settlement := record.GetReservation(), record.GetSettlement()
 		switch {
@@ -351,8 +424,8 @@
 				refused = map[string]bool{}
 			}
 			refused[reservation.Attempt] = true
-			if renewed := s.state.renewal(reservation.Program, s.turnLog.CurrentSegment()); renewed != nil {
-				payloads = append(payloads, encodeRecord(renewed))
+			if renewed := s.state.renewal(reservation.Program); renewed != nil {
+				payloads = append(payloads, pendingRecord{encodeRecord(renewed.encode()), renewed})
 			}
 		case settlement != nil && s.state.withdrawsRefused(settlement):
 		default:
@@ -364,16 +437,19 @@
 
 // applyRecords applies records to the state and appends the encoding of the new
 // ones to payloads.
-func (s *Server) applyRecords(records []*turnpb.Record, payloads [][]byte) [][]byte {
+func (s *Server) applyRecords(records []*turnpb.Record, payloads []pendingRecord) []pendingRecord {
 	for _, record := range records {
-		if !s.state.apply(record, s.turnLog.CurrentSegment()) {
-			continue
+		if item, added := s.state.apply(record); added {
+			payloads = append(payloads, pendingRecord{encodeRecord(record), item})
 		}
-		payloads = append(payloads, encodeRecord(record))
 	}
 	return payloads
 }
 
+func fenceRecord(version uint64) *turnpb.Record {
+	return &turnpb.Record{Kind: &turnpb.Record_Fence{Fence: &turnpb.Fence{Version: version}}}
+}
+
 // encodeRecord returns the form in which a record is written to the log.
 func encodeRecord(record *turnpb.Record) []byte {
 	payload, err := proto.Marshal(record)
@@ -385,7 +461,12 @@
 
 // updateGauges publishes the size of the state for metrics.
 func (s *Server) updateGauges() {
-	s.recordBytes.Store(s.state.bytes)
-	s.turnCount.Store(int64(len(s.state.turns)))
-	s.gapCount.Store(int64(len(s.state.gaps)))
+	used, limit := s.fullness()
+	for gauge, value := range map[*atomic.Int64]int64{
+		&s.gauges.recordBytes: s.state.bytes + s.state.hot.bytes, &s.gauges.turnCount: int64(len(s.state.turns)), &s.gauges.gapCount: int64(len(s.state.gaps)),
+		&s.gauges.logBytes: s.turnLog.Size(), &s.gauges.liveBytes: s.state.use.total, &s.gauges.coldTurns: int64(len(s.state.turns) - s.state.hot.count),
+		&s.gauges.fullness: int64(1000 * used / max(1, limit)),
+	} {
+		gauge.Store(value)
+	}
 }
--- a/turnstore/state.go
+++ b/turnstore/state.go
@@ -24,18 +24,13 @@
 // bytes.
 const recordOverhead = 400
 
-// turn is a stored turn.
-type turn struct {
-	record  *turnpb.Turn
-	expires int64  // Unix ms; extended by the turns that continue it
-	segment uint64 // as in entry
-}
-
-// state is the content of a store in memory. The store-writer goroutine owns
-// it.
+// state is the content of a store: an index of the records in the log, and in memory
+// all of them but the contents of turns that were not used for long. The store-writer
+// goroutine owns it.
 type state struct {
 	programs   map[string]*ledger
 	turns      map[string]*turn
+	hot        hotTurns
 	gaps       gaps
 	news       *news
 	facts      *facts
@@ -44,74 +39,75 @@
 	entryCount int          // of all ledgers
 	arrivals   arrivals
 	fence      uint64 // the lowest copy set version that is accepted
-	bytes      int64  // the memory that records take
-}
-
-// recordRef names an applied record: program and attempt, or turn, or crash, or
-// fact and its version.
-type recordRef struct {
-	program, attempt, turn, crash, fact string
-	factVersion                         uint64
+	bytes      int64  // the memory that records take without the contents of turns
+	use        logUse
 }
 
 // appliedRef is a record in the order of arrival.
 type appliedRef struct {
-	recordRef
+	item   item
 	cursor uint64
 }
 
 func newState() *state {
-	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}, gaps: gaps{}, news: newNews(), facts: newFacts()}
+	use := logUse{bySegment: map[uint64]int64{}}
+	return &state{programs: map[string]*ledger{}, turns: map[string]*turn{}, gaps: gaps{}, news: newNews(), facts: newFacts(), use: use}
 }
 
-// apply adds a record that will be written to the given segment if it is new,
-// and reports whether it is. A record that is known stays in its segment.
-func (s *state) apply(record *turnpb.Record, segment uint64) bool {
+// apply adds a record if it is new, and reports whether it is. It returns the item that
+// has to be placed once the record is in the log; nil if there is none.
+func (s *state) apply(record *turnpb.Record) (item, bool) {
 	switch kind := record.Kind.(type) {
 	case *turnpb.Record_Reservation:
 		r := kind.Reservation
-		return s.applyEntry(r.Program, r.Attempt, entry{tokens: r.Tokens, segment: segment}, r.ExpiresUnixMs)
+		return s.applyEntry(r.Program, r.Attempt, r.Tokens, false, r.ExpiresUnixMs)
 	case *turnpb.Record_Settlement:
 		r := kind.Settlement
-		return s.applyEntry(r.Program, r.Attempt, entry{tokens: r.Tokens, settled: true, segment: segment}, r.ExpiresUnixMs)
+		return s.applyEntry(r.Program, r.Attempt, r.Tokens, true, r.ExpiresUnixMs)
 	case *turnpb.Record_Turn:
-		return s.applyTurn(kind.Turn, segment)
+		return s.applyTurn(kind.Turn)
 	case *turnpb.Record_Fence:
 		if kind.Fence.Version > s.fence {
 			s.fence = kind.Fence.Version
-			return true
+			return nil, true
 		}
 	case *turnpb.Record_Crash:
-		if s.news.add(kind.Crash, segment) {
+		if entry := s.news.add(kind.Crash); entry != nil {
 			s.bytes += recordOverhead
-			s.noteApplied(recordRef{crash: crashKey(kind.Crash)})
-			return true
+			entry.cursor = s.noteApplied(entry)
+			return entry, true
 		}
 	case *turnpb.Record_Fact:
-		if grown, added := s.facts.add(kind.Fact, segment); added {
+		if entry, grown := s.facts.add(kind.Fact, s.dropFact); entry != nil {
 			s.bytes += grown
 			if kind.Fact.Announced {
 				s.news.announce(kind.Fact)
 			}
-			s.noteApplied(recordRef{fact: kind.Fact.Key, factVersion: kind.Fact.Version})
-			return true
+			entry.cursor = s.noteApplied(entry)
+			return entry, true
 		}
 	}
-	return false
+	return nil, false
 }
 
-// applyTurn adds a turn and extends the expiry of those that it continues.
-func (s *state) applyTurn(record *turnpb.Turn, segment uint64) bool {
+// applyTurn adds a turn and extends the expiry of those that it continues. It returns
+// the item of a known turn too.
+func (s *state) applyTurn(record *turnpb.Turn) (item, bool) {
 	known := s.turns[record.Id]
-	expires := record.ExpiresUnixMs
-	if known == nil {
-		expires = max(expires, s.gaps.fill(record.Id))
-		s.turns[record.Id] = &turn{record: record, expires: expires, segment: segment}
-		s.bytes += int64(len(record.Content)) + recordOverhead
-		s.noteApplied(recordRef{turn: record.Id})
+	if known != nil {
+		s.extendExpiry(record.Id, record.ExpiresUnixMs)
+		return known, false
 	}
-	s.extendExpiry(record.Id, expires)
-	return known == nil
+	added := &turn{id: record.Id, previous: record.Previous, expires: max(record.ExpiresUnixMs, s.gaps.fill(record.Id))}
+	if before := s.turns[record.Previous]; before != nil {
+		added.previous = before.id // shares its memory
+	}
+	s.turns[record.Id] = added
+	s.hot.add(added, record)
+	s.bytes += recordOverhead
+	added.cursor = s.noteApplied(added)
+	s.extendExpiry(record.Id, added.expires)
+	return added, true
 }
 
 // extendExpiry makes a turn and those that it continues live at least until the
@@ -127,106 +123,101 @@
 			return
 		}
 		t.expires = max(t.expires, expires)
-		id = t.record.Previous
+		id = t.previous
 	}
 }
 
-// moveTo records that all live records up to the end of the given segment have
-// been written again to the current one.
-func (s *state) moveTo(current, segment uint64) {
-	for _, entry := range s.news.byKey {
-		if entry.segment <= segment {
-			entry.segment = current
-		}
-	}
-	for _, entry := range s.facts.byKey {
-		if entry.segment <= segment {
-			entry.segment = current
-		}
-	}
-	for _, t := range s.turns {
-		if t.segment <= segment {
-			t.segment = current
-		}
-	}
-	for _, l := range s.programs {
-		for _, e := range l.entries {
-			if e.segment <= segment {
-				e.segment = current
-			}
-		}
-	}
+// dropTurn removes a turn.
+func (s *state) dropTurn(t *turn) {
+	s.hot.remove(t)
+	s.use.drop(t)
+	s.bytes -= recordOverhead
+	delete(s.turns, t.id)
+}
+
+// loseTurn removes a turn that the log has lost. It leaves a gap, so that the turn is
+// copied from another store.
+func (s *state) loseTurn(t *turn) {
+	s.dropTurn(t)
+	s.gaps.extend(t.id, t.expires)
+}
+
+func (s *state) dropFact(entry *factEntry) {
+	s.use.drop(entry)
+	s.bytes -= entry.size()
 }
 
 // chain returns the conversation that ends with the given turn, as far as this
-// store has it.
-func (s *state) chain(id string) *turnpb.Chain {
+// store has it. It adds the turns whose content has to be read to cold.
+func (s *state) chain(id string, cold *coldTurns) *turnpb.Chain {
 	out := &turnpb.Chain{Id: id}
 	for id != "" {
 		t := s.turns[id]
 		if t == nil {
 			return out
 		}
-		out.Turns = append(out.Turns, t.record)
-		id = t.record.Previous
+		if t.hot != nil {
+			s.hot.use(t)
+			out.Turns = append(out.Turns, t.hot)
+		} else {
+			out.Turns = append(out.Turns, cold.add(t))
+		}
+		id = t.previous
 	}
 	out.Whole = true
 	return out
 }
 
-// record returns the current form of an applied record, or nil if it has
-// expired.
-func (s *state) record(r recordRef) *turnpb.Record {
-	if r.turn != "" {
-		if t := s.turns[r.turn]; t != nil {
-			return &turnpb.Record{Kind: &turnpb.Record_Turn{Turn: &turnpb.Turn{
-				Id: t.record.Id, Previous: t.record.Previous, Content: t.record.Content, ExpiresUnixMs: t.expires,
-			}}}
-		}
-		return nil
-	}
-	if r.crash != "" {
-		if entry := s.news.byKey[r.crash]; entry != nil {
-			return crashRecord(entry.crash)
-		}
-		return nil
+// recordFor returns the record of an item for another store. It adds a turn whose content
+// has to be read to cold, unless the content is to be omitted.
+func (s *state) recordFor(i item, omitContent bool, cold *coldTurns) *turnpb.Record {
+	t, isTurn := i.(*turn)
+	switch {
+	case !isTurn:
+		return i.encode()
+	case omitContent:
+		omitted := t.withoutContent()
+		omitted.ContentOmitted = true
+		return turnOf(omitted)
+	case t.hot == nil:
+		return turnOf(cold.add(t))
 	}
-	if r.fact != "" {
-		if entry := s.facts.byKey[r.fact]; entry != nil && entry.fact.Version == r.factVersion {
-			return factRecord(entry.fact)
+	return turnOf(t.withContent())
+}
+
+// sizeFor is the size of an item's record as it counts for the limit of a reply.
+func sizeFor(i item, omitContent bool) int {
+	if t, isTurn := i.(*turn); isTurn && !omitContent {
+		if t.hot != nil {
+			return recordOverhead + len(t.hot.Content)
 		}
-		return nil
-	}
-	if l := s.programs[r.program]; l != nil && l.entries[r.attempt] != nil {
-		return l.record(r.program, r.attempt)
+		return recordOverhead + int(t.at.Length)
 	}
-	return nil
+	return recordOverhead
 }
 
 // page returns the live records from a cursor on, up to about limit bytes, and
 // the cursor of the next page.
-func (s *state) page(cursor uint64, limit int, omitContent bool) (records []*turnpb.Record, next uint64, done bool) {
+func (s *state) page(cursor uint64, limit int, omitContent bool, cold *coldTurns) (records []*turnpb.Record, next uint64, done bool) {
 	first, _ := slices.BinarySearchFunc(s.applied, cursor, func(r appliedRef, cursor uint64) int { return cmp.Compare(r.cursor, cursor) })
 	size := 0
 	for _, r := range s.applied[first:] {
 		if size >= limit {
 			return records, r.cursor, false
 		}
-		if record := s.record(r.recordRef); record != nil {
-			if omitContent {
-				omit(record)
-			}
-			records = append(records, record)
-			size += recordSize(record)
+		if !r.gone() {
+			records = append(records, s.recordFor(r.item, omitContent, cold))
+			size += sizeFor(r.item, omitContent)
 		}
 	}
 	return records, s.nextCursor, true
 }
 
-// noteApplied puts a record at the end of the order of arrival.
-func (s *state) noteApplied(r recordRef) {
-	s.applied = append(s.applied, appliedRef{r, s.nextCursor})
+// noteApplied puts an item at the end of the order of arrival and returns its cursor.
+func (s *state) noteApplied(i item) uint64 {
+	s.applied = append(s.applied, appliedRef{i, s.nextCursor})
 	s.nextCursor++
+	return s.nextCursor - 1
 }
 
 // maxDeadRefs is how many references to records that are gone may remain besides one
@@ -238,104 +229,81 @@
 func (s *state) trimApplied() {
 	live := len(s.turns) + s.entryCount + len(s.news.byKey) + len(s.facts.byKey)
 	if len(s.applied) > 2*live+maxDeadRefs {
-		s.applied = slices.Clone(slices.DeleteFunc(s.applied, s.gone))
+		s.applied = slices.Clone(slices.DeleteFunc(s.applied, appliedRef.gone))
 	}
-	for len(s.applied) > 0 && s.gone(s.applied[0]) {
+	for len(s.applied) > 0 && s.applied[0].gone() {
+		s.applied[0].item = nil // or the array would keep it in memory
 		s.applied = s.applied[1:]
 	}
 }
 
 // gone reports whether a reference leads to no record, or to one with a later
 // reference.
-func (s *state) gone(r appliedRef) bool {
-	if l := s.programs[r.program]; r.program != "" && l != nil && l.entries[r.attempt] != nil {
-		return l.entries[r.attempt].cursor != r.cursor
-	}
-	return s.record(r.recordRef) == nil
-}
+func (r appliedRef) gone() bool { return r.item.location().gone || !r.item.appliedAt(r.cursor) }
 
 // turnRecords returns the records of the given turns that are held, up to about
 // limit bytes, and the number of ids that were looked up.
-func (s *state) turnRecords(ids []string, limit int, omitContent bool) (records []*turnpb.Record, lookedUp int) {
+func (s *state) turnRecords(ids []string, limit int, omitContent bool, cold *coldTurns) (records []*turnpb.Record, lookedUp int) {
 	size := 0
 	for lookedUp < len(ids) && size < limit {
-		record := s.record(recordRef{turn: ids[lookedUp]})
+		t := s.turns[ids[lookedUp]]
 		lookedUp++
-		if record == nil {
+		if t == nil {
 			continue
 		}
-		if omitContent {
-			omit(record)
-		}
-		records = append(records, record)
-		size += recordSize(record)
+		records = append(records, s.recordFor(t, omitContent, cold))
+		size += sizeFor(t, omitContent)
 	}
 	return records, lookedUp
 }
 
-// omit removes the content of a turn's record.
-func omit(record *turnpb.Record) {
-	if t := record.GetTurn(); t != nil {
-		t.Content, t.ContentOmitted = nil, true
-	}
-}
-
-// recordSize is the size of a record as it counts for the limit of a reply.
-func recordSize(record *turnpb.Record) int {
-	return recordOverhead + len(record.GetTurn().GetContent())
-}
-
 // expire removes the records that have expired by now.
 func (s *state) expire(now time.Time) {
 	limit := now.UnixMilli()
-	s.bytes -= recordOverhead * int64(s.news.expire(now))
-	s.bytes -= s.facts.expire(now)
-	for id, t := range s.turns {
+	for _, entry := range s.news.expire(now) {
+		s.use.drop(entry)
+		s.bytes -= recordOverhead
+	}
+	s.facts.expire(now, s.dropFact)
+	for _, t := range s.turns {
 		if t.expires < limit {
-			s.bytes -= int64(len(t.record.Content)) + recordOverhead
-			delete(s.turns, id)
+			s.dropTurn(t)
 		}
 	}
 	s.gaps.expire(limit)
 	for program, l := range s.programs {
-		s.dropEntries(l.dropWithdrawn(limit))
+		l.dropWithdrawn(limit, s.dropEntry)
 		if l.expires < limit {
-			s.dropEntries(len(l.entries))
+			for _, e := range l.entries {
+				s.dropEntry(e)
+			}
 			delete(s.programs, program)
 		}
 	}
 	s.trimApplied()
 }
 
-// liveThrough returns the live records whose segment is the given one or an
-// earlier one, to be rewritten before that segment is removed, and the fence,
-// which is rewritten every time.
-func (s *state) liveThrough(segment uint64) []*turnpb.Record {
-	var records []*turnpb.Record
-	for id, t := range s.turns {
-		if t.segment <= segment {
-			records = append(records, s.record(recordRef{turn: id}))
+// liveThrough returns the items whose segment is the given one or an earlier one.
+func (s *state) liveThrough(segment uint64) []item {
+	var items []item
+	add := func(i item) {
+		if at := i.location().at; at.Segment != 0 && at.Segment <= segment {
+			items = append(items, i)
 		}
 	}
-	for program, l := range s.programs {
-		for attempt, e := range l.entries {
-			if e.segment <= segment {
-				records = append(records, l.record(program, attempt))
-			}
+	for _, t := range s.turns {
+		add(t)
+	}
+	for _, l := range s.programs {
+		for _, e := range l.entries {
+			add(e)
 		}
 	}
 	for _, entry := range s.news.byKey {
-		if entry.segment <= segment {
-			records = append(records, crashRecord(entry.crash))
-		}
+		add(entry)
 	}
 	for _, entry := range s.facts.byKey {
-		if entry.segment <= segment {
-			records = append(records, factRecord(entry.fact))
-		}
-	}
-	if s.fence > 0 {
-		records = append(records, &turnpb.Record{Kind: &turnpb.Record_Fence{Fence: &turnpb.Fence{Version: s.fence}}})
+		add(entry)
 	}
-	return records
+	return items
 }
--- a/turnstore/state_test.go
+++ b/turnstore/state_test.go
@@ -44,40 +44,40 @@
 	It("keeps a record with the segment that has it when the record arrives again", func() {
 		s := newState()
 		for _, segment := range []uint64{1, 5} {
-			s.apply(turnRecord("a", "", "one", time.Hour), segment)
-			s.apply(reserve("x", 7), segment)
+			applyIn(s, turnRecord("a", "", "one", time.Hour), segment)
+			applyIn(s, reserve("x", 7), segment)
 		}
 		Expect(s.liveThrough(1)).To(HaveLen(2), "both are rewritten before segment 1 is removed")
-		s.moveTo(6, 1)
+		moveTo(s, 6, 1)
 		Expect(s.liveThrough(5)).To(BeEmpty())
 	})
 
 	It("does not let a reservation that arrives late undo its settlement", func() {
 		s := newState()
-		s.apply(settle("a", 7), 1)
-		s.apply(reserve("a", 100), 1)
+		applyIn(s, settle("a", 7), 1)
+		applyIn(s, reserve("a", 100), 1)
 		Expect(s.ledger("p", 0).Entries).To(HaveLen(1))
 		Expect(s.ledger("p", 0).Entries[0].Tokens).To(BeEquivalentTo(7))
 	})
 
 	It("keeps a turn as long as a turn that continues it", func() {
 		s := newState()
-		s.apply(turnRecord("a", "", "one", time.Second), 1)
-		s.apply(turnRecord("b", "a", "two", time.Hour), 1)
+		applyIn(s, turnRecord("a", "", "one", time.Second), 1)
+		applyIn(s, turnRecord("b", "a", "two", time.Hour), 1)
 		s.expire(time.Now().Add(time.Minute))
-		Expect(s.chain("b").Whole).To(BeTrue())
+		Expect(chainOf(s, "b").Whole).To(BeTrue())
 	})
 
 	// Guards against turns that expire at a store too early, because it got a turn of the
 	// conversation later than those that continue it, or never (LOST, review/1).
 	It("keeps the turns before a gap as long as those after it, once the turn between them has arrived", func() {
 		s := newState()
-		s.apply(turnRecord("a", "", "one", time.Second), 1)
-		s.apply(turnRecord("c", "b", "three", time.Minute), 1)
-		s.apply(turnRecord("d", "c", "four", time.Hour), 1)
-		s.apply(turnRecord("b", "a", "two", time.Second), 1)
+		applyIn(s, turnRecord("a", "", "one", time.Second), 1)
+		applyIn(s, turnRecord("c", "b", "three", time.Minute), 1)
+		applyIn(s, turnRecord("d", "c", "four", time.Hour), 1)
+		applyIn(s, turnRecord("b", "a", "two", time.Second), 1)
 		s.expire(time.Now().Add(2 * time.Minute))
-		Expect(s.chain("d").Whole).To(BeTrue())
+		Expect(chainOf(s, "d").Whole).To(BeTrue())
 		s.expire(time.Now().Add(2 * time.Hour))
 		Expect(s.turns).To(BeEmpty())
 		Expect(s.bytes).To(BeZero())
@@ -86,7 +86,7 @@
 	// Guards against memory that grows with each turn that never arrives.
 	It("forgets a gap with the turns that continue it", func() {
 		s := newState()
-		s.apply(turnRecord("b", "a", "two", time.Minute), 1)
+		applyIn(s, turnRecord("b", "a", "two", time.Minute), 1)
 		Expect(s.gaps).To(HaveLen(1))
 		s.expire(time.Now().Add(time.Hour))
 		Expect(s.gaps).To(BeEmpty())
@@ -94,33 +94,33 @@
 
 	It("reports a conversation as incomplete when an earlier turn is missing", func() {
 		s := newState()
-		s.apply(turnRecord("b", "a", "two", time.Hour), 1)
-		chain := s.chain("b")
+		applyIn(s, turnRecord("b", "a", "two", time.Hour), 1)
+		chain := chainOf(s, "b")
 		Expect(chain.Whole).To(BeFalse())
 		Expect(chain.Turns).To(HaveLen(1))
 	})
 
 	It("drops expired records and pages through the rest for a joining store", func() {
 		s := newState()
-		s.apply(turnRecord("old", "", "x", time.Second), 1)
-		s.apply(turnRecord("new", "", "y", time.Hour), 1)
-		s.apply(reserve("a", 5), 1)
+		applyIn(s, turnRecord("old", "", "x", time.Second), 1)
+		applyIn(s, turnRecord("new", "", "y", time.Hour), 1)
+		applyIn(s, reserve("a", 5), 1)
 		s.expire(time.Now().Add(10 * time.Second))
-		records, _, done := s.page(0, 1<<20, false)
+		records, _, done := pageOf(s, 0, 1<<20, false)
 		Expect(done).To(BeTrue())
 		Expect(records).To(HaveLen(2))
-		Expect(s.chain("old").Turns).To(BeEmpty())
+		Expect(chainOf(s, "old").Turns).To(BeEmpty())
 	})
 
 	It("returns every record when pages are small", func() {
 		s := newState()
 		for _, id := range []string{"a", "b", "c", "d", "e"} {
-			s.apply(turnRecord(id, "", "content", time.Hour), 1)
+			applyIn(s, turnRecord(id, "", "content", time.Hour), 1)
 		}
 		seen := map[string]bool{}
 		for cursor, done := uint64(0), false; !done; {
 			var records []*turnpb.Record
-			records, cursor, done = s.page(cursor, 1, false)
+			records, cursor, done = pageOf(s, cursor, 1, false)
 			for _, r := range records {
 				seen[r.GetTurn().Id] = true
 			}
@@ -132,14 +132,14 @@
 	// the report of a crash is kept for an hour (seen by the review, issue 29).
 	It("keeps few references to records that are gone behind one that lives long", func() {
 		s := newState()
-		s.apply(encodeCrash(Crash{Calls: []call.Identity{1}, ServerEnd: "b/1/1", Expires: time.Now().Add(time.Hour)}), 1)
+		applyIn(s, encodeCrash(Crash{Calls: []call.Identity{1}, ServerEnd: "b/1/1", Expires: time.Now().Add(time.Hour)}), 1)
 		for i := range 20_000 {
-			s.apply(turnRecord(fmt.Sprint("t", i), "", "x", time.Second), 1)
+			applyIn(s, turnRecord(fmt.Sprint("t", i), "", "x", time.Second), 1)
 		}
-		s.apply(reserve("last", 1), 1)
+		applyIn(s, reserve("last", 1), 1)
 		s.expire(time.Now().Add(2 * time.Second))
 		Expect(len(s.applied)).To(BeNumerically("<=", 2+maxDeadRefs))
-		records, _, done := s.page(0, 1<<20, false)
+		records, _, done := pageOf(s, 0, 1<<20, false)
 		Expect(done).To(BeTrue())
 		Expect(records).To(HaveLen(2))
 	})
@@ -149,29 +149,29 @@
 	It("goes on at the same record when references are removed between two pages", func() {
 		s := newState()
 		for i := range 4 * maxDeadRefs {
-			s.apply(turnRecord(fmt.Sprint("short", i), "", "x", time.Second), 1)
+			applyIn(s, turnRecord(fmt.Sprint("short", i), "", "x", time.Second), 1)
 			if i%maxDeadRefs == 0 {
-				s.apply(turnRecord(fmt.Sprint("long", i), "", "x", time.Hour), 1)
+				applyIn(s, turnRecord(fmt.Sprint("long", i), "", "x", time.Hour), 1)
 			}
 		}
-		first, cursor, done := s.page(0, recordOverhead, false)
+		first, cursor, done := pageOf(s, 0, recordOverhead, false)
 		Expect(done).To(BeFalse())
 		Expect(first).To(HaveLen(1))
 		s.expire(time.Now().Add(2 * time.Second))
-		rest, _, done := s.page(cursor, 1<<30, false)
+		rest, _, done := pageOf(s, cursor, 1<<30, false)
 		Expect(done).To(BeTrue())
 		Expect(rest).To(HaveLen(4))
 	})
 
 	It("lists a reservation and its settlement once", func() {
 		s := newState()
-		s.apply(reserve("a", 5), 1)
-		s.apply(settle("a", 3), 1)
+		applyIn(s, reserve("a", 5), 1)
+		applyIn(s, settle("a", 3), 1)
 		for i := range 2 * maxDeadRefs {
-			s.apply(turnRecord(fmt.Sprint("t", i), "", "x", time.Second), 1)
+			applyIn(s, turnRecord(fmt.Sprint("t", i), "", "x", time.Second), 1)
 		}
 		s.expire(time.Now().Add(2 * time.Second))
-		records, _, _ := s.page(0, 1<<30, false)
+		records, _, _ := pageOf(s, 0, 1<<30, false)
 		Expect(records).To(HaveLen(1))
 		Expect(records[0].GetSettlement().GetTokens()).To(BeEquivalentTo(3))
 	})
@@ -181,12 +181,12 @@
 	It("keeps a crash until it expires, also when it is compacted or pulled", func() {
 		s := newState()
 		crash := encodeCrash(Crash{Calls: []call.Identity{1, 2}, ServerEnd: "b/1/1", Expires: time.Now().Add(time.Minute)})
-		Expect(s.apply(crash, 1)).To(BeTrue())
-		Expect(s.apply(crash, 5)).To(BeFalse(), "it is known")
+		Expect(applyIn(s, crash, 1)).To(BeTrue())
+		Expect(applyIn(s, crash, 5)).To(BeFalse(), "it is known")
 		Expect(s.liveThrough(1)).To(HaveLen(1))
-		s.moveTo(6, 1)
+		moveTo(s, 6, 1)
 		Expect(s.liveThrough(5)).To(BeEmpty())
-		records, _, done := s.page(0, 1<<20, true)
+		records, _, done := pageOf(s, 0, 1<<20, true)
 		Expect(done).To(BeTrue())
 		Expect(records).To(HaveLen(1))
 		Expect(records[0].GetCrash().Calls).To(Equal([]uint64{1, 2}))
@@ -200,8 +200,8 @@
 	It("numbers crashes anew after a start", func() {
 		s, restarted := newState(), newState()
 		for _, end := range []string{"a", "b", "c"} {
-			s.apply(encodeCrash(Crash{Calls: []call.Identity{1}, ServerEnd: end, Expires: time.Now().Add(time.Minute)}), 1)
-			restarted.apply(encodeCrash(Crash{Calls: []call.Identity{1}, ServerEnd: end, Expires: time.Now().Add(time.Minute)}), 1)
+			applyIn(s, encodeCrash(Crash{Calls: []call.Identity{1}, ServerEnd: end, Expires: time.Now().Add(time.Minute)}), 1)
+			applyIn(restarted, encodeCrash(Crash{Calls: []call.Identity{1}, ServerEnd: end, Expires: time.Now().Add(time.Minute)}), 1)
 		}
 		reports, last := newsAfter(s, 0, 0)
 		Expect(reports.Crashes).To(HaveLen(3))
--- a/turnstore/transfer_test.go
+++ b/turnstore/transfer_test.go
@@ -28,7 +28,7 @@
 		Eventually(func() int64 { // the members beyond the majority
 			least := int64(turns)
 			for _, s := range c.stores {
-				least = min(least, s.server.turnCount.Load())
+				least = min(least, s.server.gauges.turnCount.Load())
 			}
 			return least
 		}, "5s", "10ms").Should(BeEquivalentTo(turns))
@@ -42,7 +42,7 @@
 		c := newCluster("a", "b", "c", "d", "e", "f", "g")
 		storeTurns(c)
 		c.start("h", GinkgoT().TempDir())
-		Expect(c.stores["h"].server.turnCount.Load()).To(BeEquivalentTo(turns))
+		Expect(c.stores["h"].server.gauges.turnCount.Load()).To(BeEquivalentTo(turns))
 		Expect(c.transferred.turnBytes.Load()).To(BeNumerically("<", 2*turns*turnBytes))
 		for _, host := range []string{"a", "b", "c"} {
 			c.stop(c.stores[host])
@@ -87,6 +87,6 @@
 		missing, err := c.stores["a"].server.Import(context.Background(), []*turnpb.Record{stub})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(missing).To(Equal([]string{"t"}))
-		Expect(c.stores["a"].server.turnCount.Load()).To(BeZero())
+		Expect(c.stores["a"].server.gauges.turnCount.Load()).To(BeZero())
 	})
 })
