turnstore, gateway: Tell fronts how full the stores are, and start no programs while they are nearly full

Cause: a front learned that stores refuse records when they did, so that turns in progress were refused with the rest. Change: each ExchangeReply states used_bytes and limit_bytes, the fuller of disk and memory; what compaction can free does not count. Client.Fullness is what a majority of the members does not exceed. From 0.85 on a front refuses requests that start programs, after it has withdrawn their reservation; from 1 on without one. Retry-After is the time in which the surplus expires, spread by up to half. A conversation that was read from disk is hot again. Segments are smaller on small disks, so that the space for a move suffices. Tests: log within a disk of 4 MB with ten times that written and one in twenty kept; refusal when full and recovery; each step of a compaction survives a kill and a torn write; damaged segment; fullness of a cluster; fronts. gateway passes.

--- a/gateway/beginturn.go
+++ b/gateway/beginturn.go
@@ -42,6 +42,11 @@
 		e.refuseTurn(result, start)
 		return nil, false
 	}
+	if e.startsAnew() && e.storesLackRoom() {
+		e.turn.settle(start)
+		e.refuseForRoom()
+		return nil, false
+	}
 	if e.takesUp() && !e.useOrigin(ctx, result.Fact) {
 		e.turn.settle(start)
 		return nil, false
@@ -84,6 +89,10 @@
 	case !e.gateway.turnStore.Serving():
 		e.refuse("too few turn stores are known", retryAfterNotReady)
 		return false
+	case e.gateway.turnStore.Fullness() >= 1 && e.request.PreviousTurn == "" && !e.takesUp():
+		// The stores would refuse the reservation too.
+		e.refuseForRoom()
+		return false
 	case !e.route.Resumable && e.request.LastEventID != "":
 		// The backend server would leave out the events that the client has, and the turn
 		// would be stored without them.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -89,9 +89,10 @@
 
 // fakeTurnStore is a fake client of the turn stores with preset results.
 type fakeTurnStore struct {
-	begin  turnstore.Result
-	commit chan turnstore.Result
-	sent   atomic.Int64
+	begin    turnstore.Result
+	commit   chan turnstore.Result
+	sent     atomic.Int64
+	fullness atomic.Int64 // in percent
 
 	facts factStore
 
@@ -103,6 +104,8 @@
 
 func (f *fakeTurnStore) Serving() bool { return true }
 
+func (f *fakeTurnStore) Fullness() float64 { return float64(f.fullness.Load()) / 100 }
+
 func (f *fakeTurnStore) Do(ctx context.Context, op turnstore.Operation) turnstore.Result {
 	if op.FactKey != "" {
 		result := f.begin
--- a/gateway/turnrecord.go
+++ b/gateway/turnrecord.go
@@ -41,6 +41,8 @@
 type TurnStore interface {
 	// Serving reports whether enough stores are known to store turns.
 	Serving() bool
+	// Fullness returns how full the stores are; from 1 on they may refuse records.
+	Fullness() float64
 	// Do runs an operation and waits for its result.
 	Do(ctx context.Context, op turnstore.Operation) turnstore.Result
 	// Start starts an operation and returns the channel on which its result arrives.
@@ -92,6 +94,9 @@
 	return defaultRetention
 }
 
+// turnRetention is how long stores keep the turn.
+func (t *turnRecord) turnRetention() time.Duration { return t.retention() + budgetRetentionMargin/2 }
+
 func (t *turnRecord) reservation(now time.Time) *turnpb.Record {
 	return &turnpb.Record{Kind: &turnpb.Record_Reservation{Reservation: &turnpb.Reservation{
 		Program: t.request.Program, Attempt: t.attempt, Tokens: int64(t.request.MaxOutputTokens),
@@ -180,7 +185,7 @@
 	content := append(append(make([]byte, 0, len(t.input)+len(t.output)), t.input...), t.output...)
 	op := turnstore.Operation{Records: []*turnpb.Record{{Kind: &turnpb.Record_Turn{Turn: &turnpb.Turn{
 		Id: t.request.ID, Previous: t.request.PreviousTurn, Content: content,
-		ExpiresUnixMs: now.Add(t.retention() + budgetRetentionMargin/2).UnixMilli(),
+		ExpiresUnixMs: now.Add(t.turnRetention()).UnixMilli(),
 	}}}}}
 	if t.hasBudget {
 		op.Records = append(op.Records, t.settlement(now))
--- a/turnlog/log.go
+++ b/turnlog/log.go
@@ -32,9 +32,10 @@
 var Error = errs.Class("turnlog")
 
 const (
-	// segmentBytes is the size at which a new segment is started. Disk space is
-	// freed by removing whole segments, so small ones free it sooner.
-	segmentBytes = 8 << 20
+	// SegmentBytes is the size at which a new segment is started, unless LimitSegments
+	// states less. Disk space is freed by removing whole segments, so small ones free
+	// it sooner.
+	SegmentBytes = 8 << 20
 	headerBytes  = 8 // length and checksum of a record, 4 bytes each
 	// maxRecordBytes is the largest length that is read as valid; a greater one
 	// is taken for damage.
@@ -62,6 +63,7 @@
 	file         *os.File
 	current      uint64 // number of the segment that is written
 	currentBytes int64
+	segmentBytes int64
 	mustRotate   bool      // the last write failed, so the segment may end in a partial record
 	segments     []segment // ascending
 	size         int64     // of all segments, in bytes
@@ -82,7 +84,7 @@
 // first, and starts a new segment. An empty folder gets a new identity. The payload is
 // valid during the call only.
 func Open(folder string, replay func(at Position, payload []byte) error) (*Log, error) {
-	l := &Log{folder: folder, readers: map[uint64]*os.File{}}
+	l := &Log{folder: folder, segmentBytes: SegmentBytes, readers: map[uint64]*os.File{}}
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -243,7 +245,7 @@
 // Append makes the payloads durable and returns their positions, which are valid until
 // the next call. If it returns an error, the next Open may still find some of them.
 func (l *Log) Append(payloads [][]byte) ([]Position, error) {
-	if l.mustRotate || l.currentBytes >= segmentBytes {
+	if l.mustRotate || l.currentBytes >= l.segmentBytes {
 		if err := l.startSegment(); err != nil {
 			return nil, err
 		}
@@ -290,6 +292,9 @@
 	l.size += written
 }
 
+// LimitSegments lowers the size at which a new segment is started, for small disks.
+func (l *Log) LimitSegments(bytes int64) { l.segmentBytes = min(l.segmentBytes, bytes) }
+
 // Size returns the bytes of all segments.
 func (l *Log) Size() int64 { return l.size }
 
--- a/turnstore/bounds.go
+++ b/turnstore/bounds.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"dogwoodline.example/turnlog"
 )
 
 const (
@@ -18,6 +20,9 @@
 	// moveReserveShare of the space, for small disks.
 	moveReserve      = 24 << 20
 	moveReserveShare = 0.125
+	// minSegments is how many segments a full log has at least. On small disks they are
+	// smaller than elsewhere, so that moveReserve has room for one.
+	minSegments = 16
 	// liveShare is the fraction of the space for records up to which live ones may fill
 	// it. Beyond, compaction would have to write more than five bytes for each byte that
 	// it frees.
@@ -38,14 +43,19 @@
 	index   int64 // of the records in memory without contents of turns
 	memory  int64 // of all records in memory
 	records int64 // size of the log from which records are refused; 0 for none
+	segment int64 // size at which a new segment is started
 }
 
 func (l Limits) bounds() bounds {
 	space := int64(diskShare * float64(l.DiskBytes))
-	return bounds{
+	b := bounds{
 		index: int64(indexShare * float64(l.MemoryBytes)), memory: int64(memoryShare * float64(l.MemoryBytes)),
-		records: space - min(moveReserve, int64(moveReserveShare*float64(space))),
+		records: space - min(moveReserve, int64(moveReserveShare*float64(space))), segment: turnlog.SegmentBytes,
+	}
+	if b.records > 0 {
+		b.segment = min(b.segment, b.records/minSegments)
 	}
+	return b
 }
 
 // evict keeps the hot contents within the memory that the index leaves.
--- a/turnstore/client.go
+++ b/turnstore/client.go
@@ -47,6 +47,7 @@
 	toReport  *ring.Ring[Crash] // to be stored
 	senders   [maxMembers]*sender
 	serving   atomic.Bool
+	fullness  atomic.Int64 // in permille
 
 	// The run goroutine owns the fields below.
 	set           *copyset.Set        // never modified in place, because senders share it
@@ -65,6 +66,8 @@
 	copySet *copyset.Set
 	// reachabilityChanged means that a sender has lost or regained its member.
 	reachabilityChanged bool
+	// fullnessChanged means that a member is fuller or less full than before.
+	fullnessChanged bool
 }
 
 // submission is an operation and the channel for its result.
@@ -190,6 +193,9 @@
 		c.adoptCopySet(*cmd.copySet)
 	case cmd.reachabilityChanged:
 		c.updateServing()
+		c.updateFullness()
+	case cmd.fullnessChanged:
+		c.updateFullness()
 	}
 }
 
@@ -219,6 +225,7 @@
 		c.senders[slot].assign(m.Address)
 	}
 	c.updateServing()
+	c.updateFullness()
 	c.log.Info("turnstore: copy set adopted", "version", set.Version, "members", len(set.Members),
 		"majority", set.Majority(), "serves", set.Serves(c.tolerated))
 }
--- a/turnstore/cluster_test.go
+++ b/turnstore/cluster_test.go
@@ -1,6 +1,7 @@
 package turnstore
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -38,6 +39,7 @@
 	// repaired counts the records and the bytes of turns in the replies to repairers.
 	repaired transferCount
 	// The fields below apply to stores that are started from now on.
+	memory      int64                       // 64 MB if it is 0
 	noRepair    bool                        // they repair nothing, as those of earlier releases
 	interceptor grpc.UnaryServerInterceptor // of their requests; nil for none
 }
@@ -136,7 +138,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, Limits{MemoryBytes: 64 << 20})
+	limits := Limits{MemoryBytes: cmp.Or(c.memory, 64<<20)}
+	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, limits)
 	Expect(err).NotTo(HaveOccurred())
 	s := &testStore{host: host, folder: folder, address: listener.Addr().String(), group: group, server: server}
 	if c.interceptor != nil {
--- a/turnstore/compact.go
+++ b/turnstore/compact.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// maxRewriteBytes is how much of a segment may still be live when it is
-	// compacted although there is space. A quarter of a segment keeps the cost of
-	// writing records twice small.
-	maxRewriteBytes = 2 << 20
+	// maxRewriteShare is how much of a full segment may still be live when it is
+	// compacted although there is space. A quarter keeps the cost of writing records
+	// twice small.
+	maxRewriteShare = 0.25
 	// pressureShare is the fraction of the space for records from which segments are
 	// compacted whatever is live of them, as long as it is worth it.
 	pressureShare = 0.7
@@ -77,7 +77,7 @@
 	if !ok || s.compaction != nil {
 		return
 	}
-	if live := s.state.use.bySegment[segment]; live <= maxRewriteBytes || s.underPressure() {
+	if live := s.state.use.bySegment[segment]; live <= int64(maxRewriteShare*float64(s.bounds.segment)) || s.underPressure() {
 		s.compaction = &compaction{segment: segment, items: s.state.liveThrough(segment)}
 	}
 }
--- a/turnstore/reader.go
+++ b/turnstore/reader.go
@@ -32,22 +32,26 @@
 		if err != nil {
 			return err
 		}
-		switch {
-		case job.chunk != nil:
-			s.readChunk(job.chunk)
-			err = s.requests.Push(ctx, request{moved: job.chunk})
-		case job.remove != 0:
-			removed := &removedSegment{number: job.remove, err: s.turnLog.DeleteSegment(job.remove)}
-			err = s.requests.Push(ctx, request{removed: removed})
-		default:
-			s.complete(job)
-		}
-		if err != nil {
+		if err := s.read(ctx, job); err != nil {
 			return err
 		}
 	}
 }
 
+// read does one job. It fails only when ctx ends.
+func (s *Server) read(ctx context.Context, job readJob) error {
+	switch {
+	case job.chunk != nil:
+		s.readChunk(job.chunk)
+		return s.requests.Push(ctx, request{moved: job.chunk})
+	case job.remove != 0:
+		removed := &removedSegment{number: job.remove, err: s.turnLog.DeleteSegment(job.remove)}
+		return s.requests.Push(ctx, request{removed: removed})
+	}
+	s.complete(job)
+	return nil
+}
+
 // complete reads the cold turns of an outcome and sends it.
 func (s *Server) complete(job readJob) {
 	positions := make([]turnlog.Position, len(job.outcome.cold))
@@ -67,6 +71,20 @@
 	}
 	job.outcome.omit(allOf(failed))
 	job.reply <- job.outcome
+	if job.outcome.exchange != nil {
+		// The conversation goes on, so that it is asked for again. If the writer does not
+		// keep up, it is read again then.
+		_ = s.requests.TryPush(request{read: job.outcome.cold})
+	}
+}
+
+// warm makes turns hot that the reader has read.
+func (s *Server) warm(read coldTurns) {
+	for _, c := range read {
+		if t := s.state.turns[c.turn.Id]; t != nil && t.hot == nil && t.at == c.at && c.turn.Content != nil {
+			s.state.hot.add(t, c.turn)
+		}
+	}
 }
 
 // errOtherRecord means that a position leads to another record than the one that is wanted.
--- a/turnstore/sender.go
+++ b/turnstore/sender.go
@@ -38,6 +38,8 @@
 	// missedSince is when the first operation began that others have stored and the
 	// member has not; nil if the member has been told, or has missed none.
 	missedSince atomic.Pointer[time.Time]
+	// fullness is how full the member said it is, in permille; 0 if it has not.
+	fullness atomic.Int64
 
 	// The run goroutine owns the fields below.
 	conn        turnpb.TurnStoreClient
@@ -60,6 +62,7 @@
 func (s *sender) assign(address string) {
 	if known := s.address.Swap(&address); known == nil || *known != address {
 		s.failing.Store(false)
+		s.fullness.Store(0)
 	}
 	if address == "" {
 		s.missedSince.Store(nil)
@@ -119,6 +122,9 @@
 		var reply *turnpb.ExchangeReply
 		if reply, err = s.call(ctx, &turnpb.ExchangeRequest{NewsAfter: s.lastNews, NewsNumbering: s.numbering}); err == nil {
 			s.forwardNews(reply)
+			if err := s.updateFullness(ctx, reply); err != nil {
+				return err
+			}
 		}
 	}
 	return s.updateReachability(ctx, err)
@@ -145,6 +151,9 @@
 	if err == nil {
 		s.sentVersion = batch[0].set.Version
 		s.forwardNews(reply)
+		if err := s.updateFullness(ctx, reply); err != nil {
+			return err
+		}
 	} else {
 		// The next answer may come from a process that has restarted. It does not
 		// serve before it knows the copy set.
@@ -275,6 +284,24 @@
 	return s.commands.Push(ctx, command{reachabilityChanged: true})
 }
 
+// fullnessStep is the least change of a member's fullness that the client is told, in
+// permille.
+const fullnessStep = 5
+
+// updateFullness records how full the member is, and tells the client when that has
+// changed.
+func (s *sender) updateFullness(ctx context.Context, reply *turnpb.ExchangeReply) error {
+	permille := int64(0)
+	if reply.LimitBytes > 0 {
+		permille = int64(min(maxFullness, 1000*float64(reply.UsedBytes)/float64(reply.LimitBytes)))
+	}
+	if change := permille - s.fullness.Load(); change > -fullnessStep && change < fullnessStep {
+		return nil
+	}
+	s.fullness.Store(permille)
+	return s.commands.Push(ctx, command{fullnessChanged: true})
+}
+
 // versionedSet is the encoding of a copy set with its version in messages.
 type versionedSet struct {
 	Version uint64      `json:"version"`
