role, duty: Stop within the grace time whatever peers and duties do

Cause: GracefulStop and Stop of a gRPC server wait for connections on which the other side has sent nothing yet, two minutes by default. A front that is frozen, cut off or short of processor time right after it has connected to a store, or a peer of a front's tunnel port, keeps a stopping process beyond the grace time. Change: a peer has 2 s to begin to speak. A process exits 200 ms before the end of the grace time whatever it still waits for, and logs which duties have not ended; what it has acknowledged is on disks. Ruled out: retries of a turn's commit (they end with the request's time, and with the front's), the log writer (queue bounded, writes are dropped), the senders (their calls end with the group). Tests: role, duty pass.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -11,7 +11,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"runtime/pprof"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,20 +28,25 @@
 	set    *metrics.Set
 
 	wg sync.WaitGroup
+
+	mu      sync.Mutex
+	running map[string]int // workers that have not returned, by name
 }
 
 // NewGroup returns an empty group. The context of its workers ends when ctx
 // ends or Stop is called. Their metrics are registered in set.
 func NewGroup(ctx context.Context, log *slog.Logger, set *metrics.Set) *Group {
 	ctx, cancel := context.WithCancel(ctx)
-	return &Group{ctx: ctx, cancel: cancel, log: log, set: set}
+	return &Group{ctx: ctx, cancel: cancel, log: log, set: set, running: map[string]int{}}
 }
 
 // Go starts run as a worker with the given name. It is expected to run until
 // its context ends. An error that it returns before that is logged, because
 // nothing restarts the worker and others depend on it.
 func (g *Group) Go(name string, run func(ctx context.Context) error) {
+	g.count(name, 1)
 	g.wg.Go(func() {
+		defer g.count(name, -1)
 		labels := pprof.Labels("duty", name)
 		pprof.Do(g.ctx, labels, func(ctx context.Context) {
 			err := run(ctx)
@@ -50,6 +57,21 @@
 	})
 }
 
+func (g *Group) count(name string, change int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.running[name] += change; g.running[name] == 0 {
+		delete(g.running, name)
+	}
+}
+
+// Running returns the names of the workers that have not returned, in order.
+func (g *Group) Running() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Sorted(maps.Keys(g.running))
+}
+
 // Stop cancels the context of all workers and waits until they have returned.
 func (g *Group) Stop() {
 	g.cancel()
--- a/role/front.go
+++ b/role/front.go
@@ -12,7 +12,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
-	"google.golang.org/grpc"
 
 	"dogwoodline.example/copyset"
 	"dogwoodline.example/gateway"
@@ -109,7 +108,7 @@
 			p.log.Info("role: port for other fronts not opened", "address", address, "error", err)
 			continue
 		}
-		server := grpc.NewServer()
+		server := newGRPCServer()
 		tunnelpb.RegisterTunnelServer(server, tunnels)
 		p.group.Go("grpc-accept", func(context.Context) error { return server.Serve(listener) })
 		p.onStop = append(p.onStop, server.Stop)
--- a/role/role.go
+++ b/role/role.go
@@ -60,6 +60,12 @@
 	// hosts, turns wait for the stores, so the longest pause adds to the outage.
 	reconnectBaseDelay = 30 * time.Millisecond
 	reconnectMaxDelay  = 120 * time.Millisecond
+	// exitReserve is the part of the time between SIGTERM and SIGKILL at whose start a
+	// process exits, whatever it still waits for.
+	exitReserve = 200 * time.Millisecond
+	// handshakeTimeout is the time in which a peer must have begun to speak on a new gRPC
+	// connection. A server that stops waits for it, by default for two minutes.
+	handshakeTimeout = 2 * time.Second
 	// logFlushDelay is how long a stopping process waits for the last log lines
 	// to be written.
 	logFlushDelay = 50 * time.Millisecond
@@ -80,6 +86,7 @@
 	servers   []*http.Server
 	onStop    []func() // stop other servers
 	signals   chan os.Signal
+	exit      func() // ends the process; nil for os.Exit(0)
 }
 
 // runProcess reads the settings, starts logging and metrics, and runs serve,
@@ -187,6 +194,7 @@
 	for received := range p.signals {
 		if received != syscall.SIGHUP {
 			p.log.Info("role: stop requested", "signal", received.String())
+			p.limitStop()
 			return
 		}
 		host, err := platform.ReadHost()
@@ -199,6 +207,29 @@
 	}
 }
 
+// limitStop has the process exit when the time for its planned stop is nearly over, so
+// that nothing that it waits for keeps it. What it has acknowledged is on disks.
+func (p *process) limitStop() {
+	window := p.currentHost().StopWindow
+	if window <= exitReserve {
+		return
+	}
+	time.AfterFunc(window-exitReserve, func() {
+		p.log.Error("role: planned stop takes too long, exiting", "duties", p.group.Running())
+		time.Sleep(logFlushDelay)
+		if p.exit != nil {
+			p.exit()
+			return
+		}
+		os.Exit(0)
+	})
+}
+
+// newGRPCServer returns a server for other processes of the system.
+func newGRPCServer() *grpc.Server {
+	return grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes), grpc.ConnectionTimeout(handshakeTimeout))
+}
+
 // currentHost returns the newest settings. Goroutines that run until the process
 // stops use it for values that may change.
 func (p *process) currentHost() platform.Host {
--- a/role/store.go
+++ b/role/store.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	grpcServer := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))
+	grpcServer := newGRPCServer()
 	turnpb.RegisterTurnStoreServer(grpcServer, server)
 	feed := newsfeed.NewHub(p.group)
 	feedpb.RegisterFeedServer(grpcServer, feed)
@@ -71,12 +71,18 @@
 	p.register()
 	p.awaitStop()
 	p.sendCommand(ctx, membership.Leave{})
-	stop := time.AfterFunc(storeStopTimeout, grpcServer.Stop)
-	grpcServer.GracefulStop()
-	stop.Stop()
+	stopGRPC(grpcServer)
 	return nil
 }
 
+// stopGRPC stops a server once the calls in progress have ended, or when they have had
+// storeStopTimeout.
+func stopGRPC(server *grpc.Server) {
+	stop := time.AfterFunc(storeStopTimeout, server.Stop)
+	server.GracefulStop()
+	stop.Stop()
+}
+
 // disksSubscription reports the disks whose stores are registered.
 func disksSubscription(p *process, notify func(context.Context, turnstore.Update)) subscription {
 	return membersSubscription(p.log, func(ctx context.Context, members map[string]membership.Member) {
