--- a/turnlog/log.go
+++ b/turnlog/log.go
@@ -188,7 +188,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }() // it was only read
 	info, err := file.Stat()
 	if err != nil {
 		return nil, err
--- a/turnstore/capacity_bench_test.go
+++ b/turnstore/capacity_bench_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"os"
+	"path/filepath"
 	"runtime"
 	"strings"
 	"syscall"
@@ -11,6 +13,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodline.example/copyset"
@@ -145,15 +148,30 @@
 	b.ReportMetric(float64(s.state.bytes+s.state.hot.bytes)/1e6, "counted-MB")
 }
 
-// BenchmarkChain reports the time of a request for a conversation of which memory has all
-// turns, or none.
+// BenchmarkChain reports the time of a request for a conversation whose turns are in
+// memory, in the log and the kernel's cache, or on the disk only.
 func BenchmarkChain(b *testing.B) {
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
-	s := benchStore(b, group, b.TempDir())
+	folder := b.TempDir()
+	s := benchStore(b, group, folder)
 	programs := fillDisk(s)
 	group.Go("store-writer", s.run)
 	group.Go("store-reader", s.runReader)
 	defer group.Stop()
+	files, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	dropCache := func() {
+		for _, name := range files {
+			file, err := os.Open(name)
+			if err != nil {
+				continue // removed by compaction
+			}
+			_ = unix.Fadvise(int(file.Fd()), 0, 0, unix.FADV_DONTNEED)
+			_ = file.Close()
+		}
+	}
 	ask := func(b *testing.B, program int) {
 		id := turnRecords(program, programTurns-1, 0)[1].GetTurn().Id
 		reply, err := s.Exchange(context.Background(), &turnpb.ExchangeRequest{CopySet: 1, Chains: []string{id}})
@@ -173,4 +191,14 @@
 			program += 37
 		}
 	})
+	b.Run("disk", func(b *testing.B) {
+		program := 5
+		for b.Loop() {
+			b.StopTimer()
+			dropCache()
+			b.StartTimer()
+			ask(b, program%(programs/2))
+			program += 37
+		}
+	})
 }
--- a/turnstore/capacity_test.go
+++ b/turnstore/capacity_test.go
@@ -22,15 +22,15 @@
 const smallMemory = 4 << 20
 
 // openSmall opens a store with little memory on a folder, as the only member of its copy
-// set. The returned function ends it.
-func openSmall(folder string) (*Server, func()) {
+// set.
+func openSmall(folder string) *Server {
 	GinkgoHelper()
 	group := duty.NewGroup(context.Background(), slog.New(slog.DiscardHandler), metrics.NewSet())
 	server, err := NewServer(group, slog.New(slog.DiscardHandler), folder, Limits{MemoryBytes: smallMemory})
 	Expect(err).NotTo(HaveOccurred())
 	server.SetCopySet(copyset.Set{Version: 1, Members: []copyset.Member{{Disk: server.Disk(), Ready: true}}})
 	DeferCleanup(group.Stop)
-	return server, group.Stop
+	return server
 }
 
 // content is what the given turn of a conversation adds.
@@ -38,7 +38,7 @@
 	return strings.Repeat(fmt.Sprintf("%d/%d ", program, number), 4_000)
 }
 
-// store stores one turn and returns the status of the reply.
+// storeTurn stores one turn and returns the status of the reply.
 func storeTurn(s *Server, program, number int, left time.Duration) turnpb.Status {
 	GinkgoHelper()
 	previous := ""
@@ -95,22 +95,22 @@
 	}
 
 	It("are kept and read back", func() {
-		s, _ := openSmall(GinkgoT().TempDir())
+		s := openSmall(GinkgoT().TempDir())
 		fill(s)
 		expectAll(s)
 	})
 
 	It("are read back after a kill", func() {
 		folder := GinkgoT().TempDir()
-		s, _ := openSmall(folder)
+		s := openSmall(folder)
 		fill(s)
-		killed, _ := openSmall(copyDisk(folder))
+		killed := openSmall(copyDisk(folder))
 		expectAll(killed)
 	})
 
 	It("are read back after a loss of power that tore the last record", func() {
 		folder := GinkgoT().TempDir()
-		s, _ := openSmall(folder)
+		s := openSmall(folder)
 		fill(s)
 		Expect(storeTurn(s, programs, 0, time.Hour)).To(Equal(turnpb.Status_STATUS_OK))
 		copied := copyDisk(folder)
@@ -120,7 +120,7 @@
 		info, err := os.Stat(last)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(os.Truncate(last, info.Size()-100)).To(Succeed())
-		restarted, _ := openSmall(copied)
+		restarted := openSmall(copied)
 		expectAll(restarted)
 	})
 })
--- a/turnstore/client.go
+++ b/turnstore/client.go
@@ -126,6 +126,7 @@
 	group.Go("turn-keeper", c.run)
 	group.Go("crash-reporter", c.runCrashReporter)
 	group.RegisterRingDepth("turn-keeper", "commands", c.commands.Len)
+	group.RegisterGauge("dogwoodline_turn_stores_fullness_permille", func() int { return int(c.fullness.Load()) })
 	return c
 }
 
