--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -44,6 +44,7 @@
 	pieces        *turnPieces   // of a turn that can be taken up; nil for none
 	headWritten   bool          // the response header was sent
 	heldBytes     int64         // of the budget of request bytes
+	counted       bool          // against the quota of its organisation
 }
 
 // ServeHTTP serves one client request.
@@ -169,6 +170,9 @@
 	notRun := j.abandon()
 	e.turn.settle(time.Now())
 	stopping := e.gateway.ended.Err() != nil
+	if notRun {
+		e.giveBack()
+	}
 	switch {
 	case e.r.Context().Err() != nil:
 		e.abortClientLeft("while it was served")
@@ -275,6 +279,9 @@
 
 // sendError responds with a status of the gateway itself.
 func (e *clientExchange) sendError(status int, reason string) {
+	if neverRan(status) {
+		e.giveBack()
+	}
 	e.headWritten = true
 	http.Error(e.w, reason, status)
 	e.countOutcome(strconv.Itoa(status))
