--- a/turnstore/statehelpers_test.go
+++ b/turnstore/statehelpers_test.go
@@ -42,3 +42,11 @@
 	Expect(cold).To(BeEmpty())
 	return chain
 }
+
+// encodedThrough returns the records that a compaction up to a segment writes again.
+func encodedThrough(s *state, segment uint64) (records []*turnpb.Record) {
+	for _, i := range s.liveThrough(segment) {
+		records = append(records, i.encode())
+	}
+	return records
+}
