--- a/role/front.go
+++ b/role/front.go
@@ -12,7 +12,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
-	"google.golang.org/grpc"
 
 	"dogwoodline.example/coordination"
 	"dogwoodline.example/coordination/coordinationpb"
@@ -116,7 +115,7 @@
 			p.log.Info("role: port for other fronts not opened", "address", address, "error", err)
 			continue
 		}
-		server := grpc.NewServer()
+		server := newGRPCServer()
 		tunnelpb.RegisterTunnelServer(server, tunnels)
 		coordinationpb.RegisterCoordinationServer(server, exchange)
 		p.group.Go("grpc-accept", func(context.Context) error { return server.Serve(listener) })
