gateway, role: Answer 503 for an unknown key while the configuration may be old

Cause: a front that was frozen, or cut off from the platform's store and the turn stores, answered 401 for a key that had been added meanwhile. 401 ends a program for good, and the key was in force.

Change: each answer to a watch shows that the front knew all changes. A missing key is 401 as before. In deployments that state no such time nothing changes. The soak takes a 401 for a key in force as a violation also after a fault.

Ruled out: to count a listing as well (the first one may come from a replica that lags); to refuse known keys too (the settings say StrictRevoke = false).

--- a/emulator/usersplatform/client.go
+++ b/emulator/usersplatform/client.go
@@ -84,6 +84,9 @@
 	DataDir string
 	// Store is the address of the metadata store.
 	Store string
+	// ConfigMs is the time within which a change of the configuration must be in force; 0
+	// for none.
+	ConfigMs int
 }
 
 // Ports on which the fronts of the stand-in's deployment listen.
@@ -95,15 +98,18 @@
 
 // Settings returns the content of the host's settings file.
 func (h Host) Settings() string {
-	listen, data := "", ""
+	listen, data, bounds := "", "", "DrainMs = 2000\n"
 	if h.DataDir == "" {
 		listen = fmt.Sprintf("Front = \"%s:%d\"\nReady = \"%s:%d\"\nDirectory = \"%s:%d\"\n", h.IP, FrontPort, h.IP, readyPort, h.IP, directoryPort)
 	} else {
 		data = fmt.Sprintf("DataDir = %q\n", h.DataDir)
 	}
+	if h.ConfigMs > 0 {
+		bounds = fmt.Sprintf("DrainMs = %[1]d\nConfigMs = %[1]d\n", h.ConfigMs)
+	}
 	return fmt.Sprintf("NodeName = %q\nIp = %q\nZone = %q\nPortRange = [%d,%d]\n%s[Listen]\n%s[Limits]\nMemoryMb = 200\nMaxFds = 4100\n"+
-		"[FaultTolerance]\nMachines = 1\n[Bounds]\nDrainMs = 2000\nGraceS = 8\nttl_max_s = 5\n[Platform]\nAddress = %q\n"+
-		"WritesPerS = 400\nReadsPerS = 2000\nTtlMinMs = 1000\n", h.Name, h.IP, "zone-"+h.Name, h.PeerPort, h.PeerPort, data, listen, h.Store)
+		"[FaultTolerance]\nMachines = 1\n[Bounds]\n%sGraceS = 8\nttl_max_s = 5\n[Platform]\nAddress = %q\n"+
+		"WritesPerS = 400\nReadsPerS = 2000\nTtlMinMs = 1000\n", h.Name, h.IP, "zone-"+h.Name, h.PeerPort, h.PeerPort, data, listen, bounds, h.Store)
 }
 
 // SettingsVariable is the environment variable for the settings file.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,9 @@
 	Incarnations upstream.Incarnations
 	// Quota bounds the requests of organisations over all fronts; nil for no bound.
 	Quota Quota
+	// MaxTableAge is the time after the last ConfirmTable in which the table is taken for the
+	// operator's newest; 0 means always.
+	MaxTableAge time.Duration
 	// ContendedCapacity says that callers compete for places at backend servers.
 	ContendedCapacity bool
 }
@@ -78,6 +81,7 @@
 	table          atomic.Pointer[route.Table]
 	fronts         atomic.Pointer[[]Front]
 	cutOff         atomic.Pointer[map[string]bool] // addresses of fronts that are cut off from backend servers
+	tableConfirmed atomic.Pointer[time.Time]       // when the table was last known to be the newest
 	draining       atomic.Bool
 	stopPlan       atomic.Pointer[stopPlan]
 	ended          context.Context // done at the end of a planned stop
@@ -141,6 +145,24 @@
 	}
 }
 
+// ConfirmTable records that this front knows the newest configuration now. Until the first
+// call, and when the last one is older than MaxTableAge, a key that the table lacks may be
+// in force.
+func (g *Gateway) ConfirmTable() {
+	now := time.Now()
+	g.tableConfirmed.Store(&now)
+}
+
+// tableMayBeOld reports whether the operator may have changed the configuration without
+// this front knowing it in time.
+func (g *Gateway) tableMayBeOld(now time.Time) bool {
+	if g.settings.MaxTableAge <= 0 {
+		return false
+	}
+	confirmed := g.tableConfirmed.Load()
+	return confirmed == nil || now.Sub(*confirmed) > g.settings.MaxTableAge
+}
+
 func (g *Gateway) version() int64 {
 	if table := g.table.Load(); table != nil {
 		return table.Version
--- a/gateway/organisation.go
+++ b/gateway/organisation.go
@@ -23,6 +23,7 @@
 
 	reasonNoKey      = "the request has no key"
 	reasonUnknownKey = "unknown key"
+	reasonOldTable   = "the key is not known here, and the configuration may be old"
 )
 
 // authenticate finds the organisation of the request by its key. If it reports false, it
@@ -44,6 +45,11 @@
 	reason := reasonUnknownKey
 	if e.request.Key == "" {
 		reason = reasonNoKey
+	} else if e.gateway.tableMayBeOld(time.Now()) {
+		// 401 ends a program for good, and another front may know the key.
+		e.w.Header().Set("Connection", "close")
+		e.refuse(reasonOldTable, retryAfterNotReady)
+		return false
 	}
 	e.w.Header().Set("WWW-Authenticate", "Bearer")
 	logged, leftOut := e.gateway.keyLines.allow(e.request.Arrived)
--- a/gateway/organisation_test.go
+++ b/gateway/organisation_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dogwoodline.example/gateway"
 	"dogwoodline.example/route"
 )
 
@@ -65,6 +67,18 @@
 		s.gateway.SetTable(keyTable(2, plain, "key-1"))
 		Expect(status("3", keyHeader, "key-1")).To(Equal(http.StatusUnauthorized))
 	})
+	// Guards against 401, which ends a program for good, for a key that was added while the
+	// front was frozen or cut off.
+	It("are refused as not run for an unknown key while the configuration may be old", func() {
+		s = newFixtureWith(slog.New(slog.DiscardHandler), gateway.Settings{CallWorkers: 8, MaxTableAge: 200 * time.Millisecond}, plain, s.ok)
+		s.gateway.SetTable(keyTable(2, plain, "key-1"))
+		Expect(status("1", keyHeader, "key-2")).To(Equal(http.StatusServiceUnavailable), "nothing shows yet that the table is the newest")
+		s.gateway.ConfirmTable()
+		Expect(status("2", keyHeader, "key-2")).To(Equal(http.StatusUnauthorized))
+		Eventually(func() int { return status("3", keyHeader, "key-2") }, "2s").Should(Equal(http.StatusServiceUnavailable))
+		Expect(status("4", keyHeader, "key-1")).To(Equal(http.StatusOK))
+		Expect(status("5")).To(Equal(http.StatusUnauthorized))
+	})
 	// Guards against refusals whose organisation an operator cannot find, and against keys in
 	// logs and answers.
 	It("are logged with their organisation and without their key", func() {
--- a/role/follow.go
+++ b/role/follow.go
@@ -30,6 +30,20 @@
 // newsfeed.StaleAfter.
 const storeWatchWait = time.Second
 
+// maxTableAge returns how long a front takes its configuration for the newest after the
+// last answer to a watch: as long as a change may take, but longer than a watch waits.
+// It is 0, which means for ever, in deployments that do not state the former.
+func maxTableAge(host platform.Host) time.Duration {
+	if host.MaxReactionTime <= 0 {
+		return 0
+	}
+	return max(host.MaxReactionTime, frontWatchWait+watchAnswerDelay)
+}
+
+// watchAnswerDelay is how much longer than its wait the answer to a watch may take on a
+// busy host.
+const watchAnswerDelay = time.Second
+
 const (
 	// maxFrontBatchDelay and minFrontBatchDelay bound how long a front waits after
 	// a change so that further changes arrive in the same batch; registrations
@@ -88,6 +102,10 @@
 	regainedAt    time.Time
 	onStoreLost   func(ctx context.Context)
 	feed          *newsfeed.Hub // receives all changes; nil if this process serves no feed
+	// onWatched is called after each answer to a watch, which shows that this process knew all
+	// changes at that time. A listing does not, since a replica that lags may have answered
+	// it. It may be nil.
+	onWatched func()
 }
 
 // followStore starts a goroutine that follows all keys of the platform's store
@@ -148,6 +166,9 @@
 			sub.onBatchEnd(ctx)
 		}
 	}
+	if f.onWatched != nil {
+		f.onWatched()
+	}
 }
 
 // Failed implements membership.Follower.
--- a/role/front.go
+++ b/role/front.go
@@ -59,6 +59,7 @@
 		RequestBytes: int64(requestMemoryShare * float64(p.host.MemoryBytes)),
 		AddressTTL:   min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
 		Detour: detour, Incarnations: platform.Incarnations{}, ContendedCapacity: p.host.ContendedCapacity,
+		MaxTableAge: maxTableAge(p.host),
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
 	batchDelay := func() time.Duration {
@@ -68,7 +69,7 @@
 		return frontBatchDelay(p.currentHost())
 	}
 	var configs platform.ConfigDecoder // only the duty that follows the store uses it
-	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay, StaleFirstList: true}, &follower{subscriptions: []subscription{
+	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay, StaleFirstList: true}, &follower{onWatched: g.ConfirmTable, subscriptions: []subscription{
 		configSubscription(p.log, func(value []byte) error {
 			table, err := configs.Decode(value)
 			if err == nil {
--- a/soak/roles/deployment.go
+++ b/soak/roles/deployment.go
@@ -98,6 +98,9 @@
 		}
 		h := &host{role: role, folder: folder, platformRelay: platformRelay}
 		h.settings = usersplatform.Host{Name: role + "-" + ip, IP: ip, PeerPort: storePort, Store: platformRelay.Address()}
+		if config.Organisations {
+			h.settings.ConfigMs = int(keyDelay.Milliseconds())
+		}
 		if role == "store" {
 			h.settings.DataDir = d.newDataDir()
 		}
--- a/soak/roles/organisations.go
+++ b/soak/roles/organisations.go
@@ -88,6 +88,7 @@
 	id     string
 	number int // of its key
 	sent   time.Time
+	ended  time.Time
 	status int // 0 if there was no whole answer
 }
 
@@ -149,6 +150,7 @@
 		tryCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 		status, _, err := sendCall(tryCtx, fronts[random.IntN(len(fronts))], usersplatform.Request{ID: r.id, Body: "x", Key: rotatingKey(number)})
 		cancel()
+		r.ended = time.Now()
 		if err == nil {
 			r.status = status
 		}
@@ -162,17 +164,18 @@
 	return ctx.Err()
 }
 
-// check returns the requests that ran with a key that was not in force, or were refused
-// with one that was. While a front cannot hear of changes, and until keyDelay after, it may
-// go by the keys that it knows.
+// check returns the requests that ran with a key that was not in force, or were refused for
+// good with one that was. While a front cannot hear of changes, and until keyDelay after, it
+// may go on with keys that were removed, but must not say that a key is unknown.
 func (l *keyLog) check(runs []usersplatform.Run, unaware []span) []string {
 	var violations []string
 	sent := map[string]time.Time{}
 	for _, r := range l.requests {
 		sent[r.id] = r.sent
 		added, known := l.added[r.number]
-		_, gone := l.removed[r.number]
-		if r.status == http.StatusUnauthorized && known && !gone && r.sent.Sub(added) > keyDelay && !overlaps(unaware, added, r.sent) {
+		removing, removed := l.adding[r.number+keysInForce]
+		inForce := known && r.sent.Sub(added) > keyDelay && (!removed || r.ended.Before(removing))
+		if r.status == http.StatusUnauthorized && inForce {
 			violations = append(violations, fmt.Sprintf("%s was answered 401, %s after its key was added", r.id, r.sent.Sub(added)))
 		}
 	}
--- a/soak/roles/organisations_test.go
+++ b/soak/roles/organisations_test.go
@@ -19,8 +19,9 @@
 	log := func(sent float64, status int) *keyLog {
 		l := newKeyLog(1)
 		l.adding[1], l.added[1], l.removed[1], l.adding[2], l.added[2] = at(0), at(0), at(10), at(10), at(10)
+		l.adding[1+keysInForce] = at(10)
 		for number := 1; number <= 3; number++ {
-			l.requests = append(l.requests, keyRequest{id: fmt.Sprintf("key-%d-0-0", number), number: number, sent: at(sent), status: status})
+			l.requests = append(l.requests, keyRequest{id: fmt.Sprintf("key-%d-0-0", number), number: number, sent: at(sent), ended: at(sent), status: status})
 		}
 		return l
 	}
@@ -44,6 +45,7 @@
 		Entry("a key that was never held", 14.0, 200, nil, "no configuration held", ran(3, 14)),
 		Entry("a key that reached the backend server", 11.0, 200, nil, "with its key: true", withKey),
 		Entry("another organisation", 11.0, 200, nil, `organisation "forged"`, forged),
-		Entry("a refusal of a key in force", 14.0, http.StatusUnauthorized, nil, "answered 401"),
+		Entry("a refusal of a key in force", 9.0, http.StatusUnauthorized, nil, "key-1-0-0 was answered 401"),
+		Entry("a refusal of a key that was added long ago", 14.0, http.StatusUnauthorized, nil, "answered 401"),
 	)
 })
