urgency, gateway: Rank calls by what their programs can still achieve

Cause: nothing orders calls by what their programs still need; the time that a program has left is not read. On an uneven deployment the more valuable route, with more turns, is served less than the other.

Change: the module urgency learns, per route, how many turns follow a turn of a given number, what turns take and what lies between them, with the uncertainty of each, from the sample of calls that a front sees. From that and the time that a program has left it tells until when a call must start for its program to end within its objective, or within twice its time. Where calls to a service are contended, the rank at model servers is the priority of the organisation, then that of the route, then the class. Programs that cannot end in time go last whatever their priority. Elsewhere ranks are as before. The platform's header of the time left keeps its sign, so that a program whose time has passed is not taken for one that states none.

Ruled out: the clients' mean time left by turn number as the measure of progress, since longer programs have longer objectives and reach higher turns; a report of programs between fronts, since each front's sample suffices.

--- a/call/call.go
+++ b/call/call.go
@@ -34,7 +34,7 @@
 	Program string
 	Session string
 	// FinishWithin is the time that was left at the arrival until the program should be
-	// finished; 0 if the client did not say.
+	// finished. It is negative if that time has passed, and 0 if the client did not say.
 	FinishWithin time.Duration
 	// LengthHint is the client's estimate of the number of output tokens, which is often
 	// far off; 0 if the client did not say.
--- a/gateway/beginturn.go
+++ b/gateway/beginturn.go
@@ -8,6 +8,7 @@
 
 	"dogwoodline.example/route"
 	"dogwoodline.example/turnstore"
+	"dogwoodline.example/urgency"
 )
 
 // takesUp reports whether the client takes up a stream after its last event.
@@ -37,6 +38,7 @@
 		"previous", e.request.PreviousTurn, "budget", e.request.TokenBudget, "spent", result.Spent, "reserved", result.Reserved, "ledger_entries", result.LedgerEntries,
 		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation), "missing_turn", result.MissingTurn, "resumed_attempt", e.request.ResumedAttempt,
 		"took_ms", time.Since(start).Milliseconds())
+	e.turnsBefore = len(result.Conversation)
 	e.startsProgram = e.turn.hasBudget && result.Spent == 0 && result.Reserved == 0
 	if result.Verdict != turnstore.Stored {
 		e.refuseTurn(result, start)
@@ -55,6 +57,15 @@
 	return body, true
 }
 
+// turnNumber returns the number of turns of the conversation before the request, or
+// urgency.NotTurn for requests that are no turns.
+func (e *clientExchange) turnNumber() int {
+	if e.route.Kind != route.Streaming || !e.route.RetainTurns {
+		return urgency.NotTurn
+	}
+	return e.turnsBefore
+}
+
 // withConversation returns the turns before, followed by the request's own body. It
 // reports false if there is no memory for them.
 func (e *clientExchange) withConversation(ctx context.Context, turns [][]byte) ([]byte, bool) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -40,6 +40,7 @@
 	table         *route.Table
 	turn          *turnRecord
 	startsProgram bool          // the request starts a program
+	turnsBefore   int           // turns of the conversation before the request
 	origin        *streamOrigin // of the stream that the client takes up; nil for a new one
 	pieces        *turnPieces   // of a turn that can be taken up; nil for none
 	headWritten   bool          // the response header was sent
@@ -114,6 +115,8 @@
 		parts: ring.New[responsePart](partRingSize), resumeAfter: e.request.LastEventID,
 		answer: &answerBytes{budget: e.gateway.answerBudget}, pieces: e.pieces,
 	}
+	j.turn = e.turnNumber()
+	j.level, j.levels = e.gateway.levelOf(e.table, e.request.Organisation, e.route)
 	defer j.answer.close()
 	j.answer.grow(len(e.turn.output)) // of the attempts before
 	if err := e.gateway.scheduler.messages.TryPush(schedulerMessage{job: j}); err != nil {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -9,6 +9,7 @@
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/ring"
 	"dogwoodline.example/route"
+	"dogwoodline.example/urgency"
 )
 
 const (
@@ -40,6 +41,8 @@
 	body          []byte
 	deadline      time.Time
 	startsProgram bool // it starts a program
+	turn          int  // turns of the conversation before it; urgency.NotTurn if it is none
+	level, levels int  // its priority among those of the configuration, 0 for the most urgent
 	parts         *ring.Ring[responsePart]
 	answer        *answerBytes // what is held in memory of its answer
 	phase         atomic.Int32
@@ -55,6 +58,8 @@
 	resumeAfter  string
 	headSent     bool
 	lastReason   string
+	// urgency is set if the calls to its service compete for places.
+	urgency *urgency.Assessment
 	// origin limits the backend servers that may send the rest of the stream; nil
 	// before its first event.
 	origin       *streamOrigin
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -14,6 +14,7 @@
 	"dogwoodline.example/ring"
 	"dogwoodline.example/turnstore"
 	"dogwoodline.example/upstream"
+	"dogwoodline.example/urgency"
 )
 
 const (
@@ -111,6 +112,7 @@
 	waiting           waitingCalls
 	admission         admission
 	lateness          lateness
+	estimates         *urgency.Estimates
 	crashes           crashRecords
 	answered          answeredCalls
 	ends              *serverEnds
@@ -121,7 +123,7 @@
 func newScheduler(group *duty.Group, log *slog.Logger, self, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool, turnStore TurnStore) *Scheduler {
 	s := &Scheduler{
 		log: log, self: self, waiting: newWaitingCalls(), messages: ring.New[schedulerMessage](schedulerRingSize), attempts: attempts, fleet: fleet.New(zone),
-		admission: admission{meanCallTokens: map[string]float64{}}, lateness: lateness{}, dropConnections: pool.CloseIdle, hasIdleConnection: pool.HasIdle,
+		admission: admission{meanCallTokens: map[string]float64{}}, lateness: lateness{}, estimates: urgency.New(), dropConnections: pool.CloseIdle, hasIdleConnection: pool.HasIdle,
 		crashes: crashRecords{}, ends: newServerEnds(), reportedCrashes: turnStore.Crashes(), reportCrash: turnStore.ReportCrash,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -241,6 +243,7 @@
 		s.failJob(j, fmt.Sprintf("this call has ended %d backend servers", crashes), retryAfterCrashes, now)
 		return
 	}
+	s.assess(j, now)
 	if j.service.Engine != nil && j.tries == 0 {
 		s.admission.observe(j.service.Name, j.request.UnsharedTokens())
 		utilization := s.admission.utilization(s.fleet, j.service, int(s.listedFronts.Load()))
@@ -325,6 +328,7 @@
 			return
 		}
 		s.recordAnswered(j.request, now)
+		s.learnUrgency(result, now)
 		return
 	}
 	if result.verdict == call.Unknown {
