gateway, fleet: Let calls wait in order where they compete, and admit programs by the queue

Cause: each call went at once to the server that looked cheapest, programs started as long as the estimated utilization allowed it, and all refused callers returned after half a second.

Change: where a service is contended, the scheduler puts calls into a queue of module waitqueue while no server that may take them has a free slot, sends them in order, refuses those that would be late, and admits programs by the expected wait. Refusals of full servers put a call back into the queue. Refused callers return one after the other. placesView is the narrow interface for what all fronts know; without it the estimate is that of before, and calls wait only on the front's own evidence.

Ruled out: waiting on the estimate of own calls times fronts, since calls would wait while slots are free.

--- /dev/null
+++ b/fleet/free.go
@@ -0,0 +1,26 @@
+package fleet
+
+import "time"
+
+// HasFree reports whether a backend server that may take the call has a free slot, as far
+// as is known. It also does if none of the servers is known to serve: the call then tries
+// one. callsInMemory is the number of calls that fit into the memory of one server, or 0
+// if that is unknown.
+func (f *Fleet) HasFree(request Request, callsInMemory float64, now time.Time) bool {
+	serving := false
+	for _, s := range f.byService[request.Service] {
+		if excluded(request.Exclude, s.ID) || !request.versionFits(s) || s.limit.wait(now) > 0 || now.Before(s.suspectUntil) {
+			continue
+		}
+		serving = true
+		if !now.Before(s.fullUntil) && s.hasFree(callsInMemory) {
+			return true
+		}
+	}
+	return !serving
+}
+
+// hasFree reports whether a backend server can take another call at once.
+func (s *backendState) hasFree(callsInMemory float64) bool {
+	return s.running < s.Slots && (callsInMemory <= 0 || s.running == 0 || float64(s.running+1) <= callsInMemory)
+}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"fmt"
+	"time"
+
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/route"
+	"dogwoodline.example/waitqueue"
 )
 
 const (
@@ -52,6 +56,88 @@
 	return float64(running*max(1, fronts)) / capacity
 }
 
+// placesView tells what all fronts together know of the places at the backend servers of
+// a service. A front that knows nothing of the others estimates from its own calls.
+type placesView interface {
+	// Places returns the calls that run at the servers of a service, and the free slots
+	// there; callsInMemory is the number of calls that fit into the memory of one server,
+	// or 0. It reports false if that is not known at present.
+	Places(service string, callsInMemory float64, now time.Time) (free, running int, known bool)
+}
+
+// callsInMemory returns the number of calls that fit into the KV cache of one server, or
+// 0 if that is unknown.
+func (a *admission) callsInMemory(service route.Service) float64 {
+	if size := a.meanCallTokens[service.Name]; size > 0 && service.Engine != nil {
+		return float64(service.Engine.KVCacheTokens) / size
+	}
+	return 0
+}
+
+// utilization returns the fraction of the capacity of a service's servers that running
+// calls use.
+func (s *Scheduler) utilization(service route.Service, now time.Time) float64 {
+	if s.places != nil {
+		free, running, known := s.places.Places(service.Name, s.admission.callsInMemory(service), now)
+		if known && free+running > 0 {
+			return float64(running) / float64(free+running)
+		}
+	}
+	return s.admission.utilization(s.fleet, service, int(s.listedFronts.Load()))
+}
+
+// mayStart decides whether a call whose service is contended may go on, and fails the job
+// if not: a program must not start if it would be late itself or make others late.
+func (s *Scheduler) mayStart(j *job, now time.Time) bool {
+	if j.service.Engine == nil || j.tries > 0 {
+		return true
+	}
+	s.admission.observe(j.service.Name, j.request.UnsharedTokens())
+	if !j.startsProgram {
+		return true
+	}
+	q := s.queues.of(j.service)
+	start := waitqueue.Start{
+		Level: j.priority, Levels: j.priorityLevels, Utilization: s.utilization(j.service, now), Slack: j.urgency.Slack(now), Calls: 1 + j.urgency.FurtherTurns,
+	}
+	if !j.urgency.Stated {
+		start.Slack = time.Duration(startPatience * float64(start.Slack))
+	}
+	wait, ok := q.queue.MayStart(start, now)
+	late, tooLate := s.lateness.tooLate(j.service.Name, j.priority, now)
+	switch {
+	case !ok:
+		s.refuseStart(j, q, fmt.Sprintf("model servers are full (%.2f) and calls wait for %d ms, programs under way go first", start.Utilization, wait.Milliseconds()), wait, now)
+		return false
+	case tooLate && s.fleet.HasLimited(j.service.Name):
+		s.refuseStart(j, q, fmt.Sprintf("backend servers name limits and first events take %.2f times their objective, programs under way go first", late), wait, now)
+		return false
+	}
+	q.returns.Started(now)
+	return true
+}
+
+// refuseStart refuses a call that would start a program and tells its client when to
+// return.
+func (s *Scheduler) refuseStart(j *job, q *placeQueue, reason string, wait time.Duration, now time.Time) {
+	q.notStarted++
+	s.queues.notStarted.Add(1)
+	s.failJob(j, reason, q.returns.Reserve(j.priority, wait, j.honoured(now), s.random.Float64(), now), now)
+}
+
+// honouredPart is the part of the time that a client has left up to which it honours the
+// time after which it should return.
+const honouredPart = 1.0 / 3
+
+// honoured returns the longest time after which the client returns.
+func (j *job) honoured(now time.Time) time.Duration {
+	left := j.deadline.Sub(now)
+	if finish := j.request.Arrived.Add(j.request.FinishWithin).Sub(now); j.request.FinishWithin > 0 {
+		left = min(left, finish)
+	}
+	return time.Duration(honouredPart * float64(max(0, left)))
+}
+
 // admits reports whether a route of the given priority may start a program.
 func admits(utilization float64, priority int) bool {
 	return utilization < admissionThreshold+priorityHeadroom/float64(1+max(0, priority))
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -46,6 +46,20 @@
 		Expect(a.utilization(filled(8), service, 1)).To(BeNumerically("~", 0.25, 0.01))
 	})
 
+	// Guards against an estimate from few calls of one front where all fronts together know.
+	It("uses what all fronts know of the places, if that is known", func() {
+		view := &fixedPlaces{free: 12, running: 20, known: true}
+		s := &Scheduler{fleet: filled(8), admission: admission{meanCallTokens: map[string]float64{}}, places: view}
+		s.listedFronts.Store(4)
+		Expect(s.utilization(service, now)).To(BeNumerically("~", 0.625, 0.001))
+		Expect(s.hasFree(service, fleet.Request{Service: "llm"}, now)).To(BeTrue())
+		view.free = 0
+		Expect(s.hasFree(service, fleet.Request{Service: "llm"}, now)).To(BeFalse())
+		view.known = false
+		Expect(s.utilization(service, now)).To(BeNumerically("~", 1, 0.001))
+		Expect(s.hasFree(service, fleet.Request{Service: "llm"}, now)).To(BeTrue(), "this front has filled no server")
+	})
+
 	It("refuses less urgent routes at a lower utilization", func() {
 		Expect(admits(0.99, 5)).To(BeTrue())
 		Expect(admits(1.15, 0)).To(BeTrue())
@@ -53,3 +67,12 @@
 		Expect(admits(1.25, 0)).To(BeFalse())
 	})
 })
+
+type fixedPlaces struct {
+	free, running int
+	known         bool
+}
+
+func (f *fixedPlaces) Places(string, float64, time.Time) (free, running int, known bool) {
+	return f.free, f.running, f.known
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,7 +76,6 @@
 	answerBudget   *answerBudget
 	requestBudget  *requestBudget
 	table          atomic.Pointer[route.Table]
-	levels         atomic.Pointer[priorityLevels]
 	fronts         atomic.Pointer[[]Front]
 	cutOff         atomic.Pointer[map[string]bool] // addresses of fronts that are cut off from backend servers
 	draining       atomic.Bool
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -81,6 +81,9 @@
 	}
 	request.LastEventID, request.ResumedAttempt = header.Get(resumeHeader), header.Get(resumesHeader)
 	request.TokenBudget, _ = strconv.Atoi(header.Get("Test-Budget"))
+	if left, err := time.ParseDuration(header.Get("Test-Finish")); err == nil {
+		request.FinishWithin = left
+	}
 	return request
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -115,8 +115,10 @@
 		parts: ring.New[responsePart](partRingSize), resumeAfter: e.request.LastEventID,
 		answer: &answerBytes{budget: e.gateway.answerBudget}, pieces: e.pieces,
 	}
-	j.turn = e.turnNumber()
-	j.level, j.levels = e.gateway.levelOf(e.table, e.request.Organisation, e.route)
+	j.turn, j.priority, j.priorityLevels = e.turnNumber(), e.table.Priority(e.request.Organisation, e.route), e.table.PriorityLevels()
+	if organisation := e.table.Organisations[e.request.Organisation]; organisation != nil {
+		j.organisationLimit = organisation.RatePerSecond
+	}
 	defer j.answer.close()
 	j.answer.grow(len(e.turn.output)) // of the attempts before
 	if err := e.gateway.scheduler.messages.TryPush(schedulerMessage{job: j}); err != nil {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -42,15 +42,21 @@
 	deadline      time.Time
 	startsProgram bool // it starts a program
 	turn          int  // turns of the conversation before it; urgency.NotTurn if it is none
-	level, levels int  // its priority among those of the configuration, 0 for the most urgent
-	parts         *ring.Ring[responsePart]
-	answer        *answerBytes // what is held in memory of its answer
-	phase         atomic.Int32
+	// priority is that of the organisation and the route, of priorityLevels values; 0 is
+	// the most urgent. priorityLevels is 0 if the configuration has no organisations.
+	priority       int
+	priorityLevels int
+	// organisationLimit is the limit of its organisation, in requests per second; 0 for none.
+	organisationLimit float64
+	parts             *ring.Ring[responsePart]
+	answer            *answerBytes // what is held in memory of its answer
+	phase             atomic.Int32
 
 	// The fields below are not synchronized: only the goroutine that currently
 	// processes the job (scheduler or call worker) may use them.
 	exclude      []string
 	tries        int
+	refusals     int // attempts that were refused because the backend server was full
 	possibleRuns int // attempts in which a backend server may have run it
 	lostRuns     int // of those, the ones whose backend server crashed or became unreachable
 	events       int
--- a/gateway/rank.go
+++ b/gateway/rank.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
-	"dogwoodline.example/route"
 	"dogwoodline.example/urgency"
 )
 
@@ -18,29 +16,11 @@
 	classesInRank = 2
 )
 
-// priorityLevels numbers the priorities that requests can have under a configuration.
-type priorityLevels struct {
-	table  *route.Table
-	levels []route.Priority // the most urgent first
-}
-
-// levelOf returns the number of a request's priority, 0 for the most urgent, and how
-// many there are.
-func (g *Gateway) levelOf(table *route.Table, organisation string, r *route.Route) (level, levels int) {
-	known := g.levels.Load()
-	if known == nil || known.table != table {
-		known = &priorityLevels{table: table, levels: table.Priorities()}
-		g.levels.Store(known)
-	}
-	level, _ = slices.BinarySearchFunc(known.levels, table.PriorityOf(organisation, r), route.Priority.Compare)
-	return level, len(known.levels)
-}
-
 // rankOf returns the queueing priority of a call at a model server, where lower ranks
 // go first.
 func rankOf(j *job) int {
 	if j.urgency != nil {
-		return orderedRank(j.level, j.levels, j.urgency.ClassAt(time.Now()))
+		return orderedRank(j.priority, j.priorityLevels, j.urgency.ClassAt(time.Now()))
 	}
 	rank := 2 * j.route.Priority
 	if j.startsProgram {
@@ -51,12 +31,13 @@
 
 // orderedRank returns the rank of a call by its priority, then by its urgency class. With
 // more priorities than the ranks below lostRank can hold, neighbouring ones share a rank.
+// levels is 0 if their number is not known.
 func orderedRank(level, levels int, class urgency.Class) int {
 	switch {
 	case class == urgency.Lost:
 		return lostRank
 	case classesInRank*levels <= lostRank:
-		return classesInRank*level + int(class)
+		return min(classesInRank*level+int(class), lostRank-1)
 	case levels <= lostRank:
 		return level
 	default:
--- a/gateway/rank_test.go
+++ b/gateway/rank_test.go
@@ -20,20 +20,23 @@
 	// against programs that are lost and delay others.
 	It("follows priority, then urgency, and lost programs go last", func() {
 		table := route.NewTable(1, []route.Route{{Host: "h", Prefix: "/a"}, {Host: "h", Prefix: "/b", Priority: 2}}, nil, route.Limits{})
+		less, _ := table.Match("h", "/b")
+		Expect(table.Priority("", less)).To(Equal(2), "without organisations it is the route's")
+		Expect(orderedRank(2, 0, urgency.Late)).To(Equal(5))
+		Expect(orderedRank(7, 0, urgency.Late)).To(Equal(8))
 		table.Organisations = map[string]*route.Organisation{"first": {Name: "first"}, "second": {Name: "second", Priority: 1}}
-		g := &Gateway{}
 		previous := -1
 		for _, organisation := range []string{"first", "second"} {
 			for _, path := range []string{"/a", "/b"} {
 				r, _ := table.Match("h", path)
-				level, levels := g.levelOf(table, organisation, r)
+				level, levels := table.Priority(organisation, r), table.PriorityLevels()
 				Expect(levels).To(Equal(4))
 				for _, u := range []*urgency.Assessment{inTime, late} {
-					rank := rankOf(&job{route: r, level: level, levels: levels, urgency: u})
+					rank := rankOf(&job{route: r, priority: level, priorityLevels: levels, urgency: u})
 					Expect(rank).To(BeNumerically(">", previous))
 					previous = rank
 				}
-				Expect(rankOf(&job{route: r, level: level, levels: levels, urgency: lost})).To(Equal(lostRank))
+				Expect(rankOf(&job{route: r, priority: level, priorityLevels: levels, urgency: lost})).To(Equal(lostRank))
 			}
 		}
 		Expect(previous).To(BeNumerically("<", lostRank))
@@ -53,7 +56,7 @@
 
 	// Guards against a change for deployments whose calls are not ordered by urgency.
 	It("is as before where calls are not ordered by urgency", func() {
-		Expect(rankOf(&job{route: &route.Route{Priority: 2}, level: 1, levels: 3})).To(Equal(4))
+		Expect(rankOf(&job{route: &route.Route{Priority: 2}, priority: 1, priorityLevels: 3})).To(Equal(4))
 		Expect(rankOf(&job{route: &route.Route{Priority: 2}, startsProgram: true})).To(Equal(5))
 	})
 })
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -113,6 +113,8 @@
 	admission         admission
 	lateness          lateness
 	estimates         *urgency.Estimates
+	queues            placeQueues
+	places            placesView // nil if fronts do not share what they know
 	crashes           crashRecords
 	answered          answeredCalls
 	ends              *serverEnds
@@ -123,7 +125,7 @@
 func newScheduler(group *duty.Group, log *slog.Logger, self, zone string, attempts *ring.Ring[attempt], pool *upstream.Pool, turnStore TurnStore) *Scheduler {
 	s := &Scheduler{
 		log: log, self: self, waiting: newWaitingCalls(), messages: ring.New[schedulerMessage](schedulerRingSize), attempts: attempts, fleet: fleet.New(zone),
-		admission: admission{meanCallTokens: map[string]float64{}}, lateness: lateness{}, estimates: urgency.New(), dropConnections: pool.CloseIdle, hasIdleConnection: pool.HasIdle,
+		admission: admission{meanCallTokens: map[string]float64{}}, lateness: lateness{}, estimates: urgency.New(), queues: newPlaceQueues(), dropConnections: pool.CloseIdle, hasIdleConnection: pool.HasIdle,
 		crashes: crashRecords{}, ends: newServerEnds(), reportedCrashes: turnStore.Crashes(), reportCrash: turnStore.ReportCrash,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -131,6 +133,7 @@
 	group.Go("scheduler", s.run)
 	group.RegisterRingDepth("scheduler", "items", s.messages.Len)
 	group.RegisterGauge("dogwoodline_calls_waiting", func() int { return int(s.waiting.count.Load()) })
+	s.queues.register(group)
 	group.RegisterGauge("dogwoodline_backend_servers", func() int { return int(s.backendCount.Load()) })
 	return s
 }
@@ -145,16 +148,19 @@
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	defer s.waiting.due.Stop()
+	defer s.queues.due.Stop()
 	for {
 		for message, ok := s.messages.TryPop(); ok; message, ok = s.messages.TryPop() {
 			s.handle(message, time.Now())
 		}
 		s.receiveCrashes(time.Now())
 		s.placeWaiting(time.Now())
+		s.sendQueued(time.Now())
 		select {
 		case <-s.messages.Ready():
 		case <-s.reportedCrashes.Ready():
 		case <-s.waiting.due.C:
+		case <-s.queues.due.C:
 		case now := <-ticker.C:
 			for _, gone := range s.fleet.Expire(now) {
 				s.recordEnd(gone, "did not register again", now)
@@ -243,7 +249,12 @@
 		s.failJob(j, fmt.Sprintf("this call has ended %d backend servers", crashes), retryAfterCrashes, now)
 		return
 	}
-	s.assess(j, now)
+	if s.assess(j, now); j.urgency != nil {
+		if s.mayStart(j, now) {
+			s.queue(j, now)
+		}
+		return
+	}
 	if j.service.Engine != nil && j.tries == 0 {
 		s.admission.observe(j.service.Name, j.request.UnsharedTokens())
 		utilization := s.admission.utilization(s.fleet, j.service, int(s.listedFronts.Load()))
@@ -335,13 +346,15 @@
 		s.recordInterruption(result, now)
 	}
 	j.lastReason = result.reason
-	j.exclude = append(j.exclude, result.backend.ID)
+	if !s.wasFull(result) {
+		j.exclude = append(j.exclude, result.backend.ID)
+	}
 	s.log.Info("gateway: attempt failed", "request", j.request.ID, "backend", result.backend.ID, "verdict", result.verdict.String(),
 		"reason", result.reason, "server_lost", result.serverLost, "events", j.events, "took_ms", now.Sub(result.started).Milliseconds())
 	switch result.verdict {
 	case call.NotRun:
 		j.release()
-		if j.tries < maxTries {
+		if j.tries-j.refusals < maxTries {
 			s.dispatch(j, now)
 			return
 		}
--- a/route/priority.go
+++ b/route/priority.go
@@ -1,51 +1,41 @@
 package route
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
-// Priority ranks requests by their organisation first, then by their route; lower
-// values go first.
-type Priority struct{ Organisation, Route int }
-
-// Compare returns a negative number if p goes before q.
-func (p Priority) Compare(q Priority) int {
-	return cmp.Or(cmp.Compare(p.Organisation, q.Organisation), cmp.Compare(p.Route, q.Route))
-}
-
-// PriorityOf returns the priority of an organisation's requests on a route. Requests
-// without an organisation rank as those of the most urgent organisations.
-func (t *Table) PriorityOf(organisation string, r *Route) Priority {
-	p := Priority{Route: r.Priority}
+// Priority returns the priority of an organisation's requests on a route: first that of
+// the organisation, then that of the route. 0 is the most urgent; without organisations
+// it is the route's. Requests of no organisation rank with those of the least urgent ones.
+func (t *Table) Priority(organisation string, r *Route) int {
+	organisations, routes := t.priorities()
+	if len(organisations) == 0 {
+		return r.Priority
+	}
+	first := len(organisations) - 1
 	if known := t.Organisations[organisation]; known != nil {
-		p.Organisation = known.Priority
+		first, _ = slices.BinarySearch(organisations, known.Priority)
 	}
-	return p
+	second, _ := slices.BinarySearch(routes, r.Priority)
+	return first*len(routes) + second
+}
+
+// PriorityLevels returns the number of values that Priority returns; 0 if the table has no
+// organisations, whose routes have any priority.
+func (t *Table) PriorityLevels() int {
+	organisations, routes := t.priorities()
+	return len(organisations) * len(routes)
 }
 
-// Priorities returns all priorities that requests can have, the most urgent first.
-func (t *Table) Priorities() []Priority {
-	organisations := []int{0}
+// priorities returns the priorities of organisations and of routes that occur.
+func (t *Table) priorities() (organisations, routes []int) {
 	for _, o := range t.Organisations {
 		organisations = append(organisations, o.Priority)
 	}
-	var routes []int
 	for _, ofHost := range t.byHost {
 		for i := range ofHost {
 			routes = append(routes, ofHost[i].Priority)
 		}
 	}
-	var all []Priority
-	for _, o := range distinct(organisations) {
-		for _, r := range distinct(routes) {
-			all = append(all, Priority{Organisation: o, Route: r})
-		}
-	}
-	return all
-}
-
-func distinct(values []int) []int {
-	slices.Sort(values)
-	return slices.Compact(values)
+	slices.Sort(organisations)
+	slices.Sort(routes)
+	return slices.Compact(organisations), slices.Compact(routes)
 }
--- a/waitqueue/admit.go
+++ b/waitqueue/admit.go
@@ -13,7 +13,8 @@
 
 // Start describes a call that would start a program.
 type Start struct {
-	// Level is the priority of the call among Levels, 0 for the most urgent.
+	// Level is the priority of the call among Levels, 0 for the most urgent. Levels is 0 if
+	// their number is not known.
 	Level, Levels int
 	// Utilization is the share of the servers' capacity that running calls take, over all
 	// fronts.
@@ -27,7 +28,10 @@
 // affordable returns how long each call of the program may wait. Less urgent priorities
 // start programs only while there is room for the more urgent ones to do so.
 func (s Start) affordable() time.Duration {
-	share := float64(max(1, s.Levels)-s.Level) / float64(max(1, s.Levels))
+	share := 1 / float64(1+s.Level)
+	if s.Levels > 0 {
+		share = float64(max(1, s.Levels-s.Level)) / float64(s.Levels)
+	}
 	return time.Duration(share * float64(max(0, s.Slack)) / max(1, s.Calls))
 }
 
--- a/waitqueue/refuse.go
+++ b/waitqueue/refuse.go
@@ -143,14 +143,19 @@
 	for _, b := range q.buckets {
 		b.count = 0
 		for _, l := range b.lines {
-			kept := l.entries[:0:0]
+			kept := 0
 			for i := range l.entries {
-				if keep(&l.entries[i]) {
-					kept = append(kept, l.entries[i])
+				if !keep(&l.entries[i]) {
+					continue
+				}
+				if kept != i {
+					l.entries[kept] = l.entries[i]
 				}
+				kept++
 			}
-			l.entries = kept
-			b.count += len(kept)
+			clear(l.entries[kept:])
+			l.entries = l.entries[:kept]
+			b.count += kept
 		}
 		b.lines = slices.DeleteFunc(b.lines, func(l *line[T]) bool { return len(l.entries) == 0 })
 		q.waiting += b.count
--- a/waitqueue/returns.go
+++ b/waitqueue/returns.go
@@ -16,6 +16,16 @@
 	honouredSpread = 0.3
 )
 
+// Spread returns after which time a refused caller should return whose call would have
+// been sent after the given wait. The random number between 0 and 1 keeps callers apart.
+func Spread(wait, honoured time.Duration, random float64) time.Duration {
+	after := wait + time.Duration(random*honouredSpread*float64(wait))
+	if honoured > 0 && after > honoured {
+		after = time.Duration((1 - honouredSpread*random) * float64(honoured))
+	}
+	return max(minReturn, after)
+}
+
 // Returns tells refused callers when to return, so that they come back one after the
 // other, the most urgent first, as fast as programs start.
 type Returns struct {
@@ -63,7 +73,7 @@
 	after := at.Sub(now) + time.Duration(random*float64(interval))
 	if honoured > 0 && after > honoured {
 		// It returns before its turn and takes no place of those that return in time.
-		return max(minReturn, time.Duration((1-honouredSpread*random)*float64(honoured)))
+		return Spread(after, honoured, random)
 	}
 	for l := level; l < maxLevels; l++ {
 		if r.next[l].Before(at) {
--- a/waitqueue/waitqueue.go
+++ b/waitqueue/waitqueue.go
@@ -49,6 +49,13 @@
 	overdueFrom                    time.Duration // when it has waited for half of the time that it can
 }
 
+func (e *Entry[T]) weight() float64 {
+	if e.Weight <= 0 {
+		return 1
+	}
+	return e.Weight
+}
+
 // Queue holds the calls that wait for one service. It is not safe for concurrent use.
 type Queue[T any] struct {
 	epoch              time.Time
@@ -180,6 +187,21 @@
 	return Entry[T]{}, false
 }
 
+// PutBack puts a call back that Pop has returned and that no free place may take.
+func (q *Queue[T]) PutBack(e Entry[T], now time.Time) {
+	q.accounts[e.Organisation] -= 1 / e.weight()
+	q.drain.count = max(0, q.drain.count-1)
+	q.insert(e, q.instant(now))
+	q.drain.observe(now, q.waiting)
+}
+
+// Remove removes the calls for which nobody waits any more.
+func (q *Queue[T]) Remove(gone func(T) bool, now time.Time) {
+	q.drain.observe(now, q.waiting)
+	q.rebuild(func(e *Entry[T]) bool { return !gone(e.Value) })
+	q.drain.observe(now, q.waiting)
+}
+
 // next returns where the next call is, and whether it goes next because of its age.
 func (q *Queue[T]) next(now time.Duration) (inBucket *bucket[T], inLine *line[T], index int, byAge bool) {
 	if q.grantsSinceOverdue >= grantsPerOverdue {
@@ -231,13 +253,9 @@
 
 // charge counts a sent call to its organisation's account.
 func (q *Queue[T]) charge(e Entry[T]) {
-	weight := e.Weight
-	if weight <= 0 {
-		weight = 1
-	}
 	account := q.accounts[e.Organisation]
 	q.virtualTime = max(q.virtualTime, account)
-	q.accounts[e.Organisation] = account + 1/weight
+	q.accounts[e.Organisation] = account + 1/e.weight()
 	if len(q.accounts) > maxAccounts {
 		for name, account := range q.accounts {
 			if account <= q.virtualTime {
