--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,7 @@
 	ended          context.Context // done at the end of a planned stop
 	end            context.CancelFunc
 	activeRequests atomic.Int64
+	keyLines       lineLimit // of requests without a known key
 }
 
 // New returns a gateway whose scheduler and call workers run in group.
@@ -124,17 +125,18 @@
 
 // SetTable puts a configuration into effect. A version that is not newer than
 // the current one is ignored, so that a running process never reverts to an
-// older configuration.
-func (g *Gateway) SetTable(table *route.Table) {
+// older configuration. It reports whether the table is in effect.
+func (g *Gateway) SetTable(table *route.Table) bool {
 	for {
 		current := g.table.Load()
 		if current != nil && table.Version <= current.Version {
 			g.log.Info("gateway: configuration ignored, it is not newer", "version", table.Version, "in_force", current.Version)
-			return
+			return false
 		}
 		if g.table.CompareAndSwap(current, table) {
-			g.log.Info("gateway: configuration in force", "version", table.Version, "routes", table.RouteCount())
-			return
+			g.log.Info("gateway: configuration in force", "version", table.Version, "routes", table.RouteCount(), "organisations", len(table.Organisations))
+			g.dropOrganisationCounters(current, table)
+			return true
 		}
 	}
 }
--- a/gateway/rank_test.go
+++ b/gateway/rank_test.go
@@ -24,7 +24,9 @@
 		Expect(table.Priority("", less)).To(Equal(2), "without organisations it is the route's")
 		Expect(orderedRank(2, 0, urgency.Late)).To(Equal(5))
 		Expect(orderedRank(7, 0, urgency.Late)).To(Equal(8))
-		table.Organisations = map[string]*route.Organisation{"first": {Name: "first"}, "second": {Name: "second", Priority: 1}}
+		table.SetOrganisations(route.NewOrganisationIndex([]*route.OrganisationEntry{
+			route.NewOrganisationEntry(route.Organisation{Name: "first"}, nil), route.NewOrganisationEntry(route.Organisation{Name: "second", Priority: 1}, nil),
+		}))
 		previous := -1
 		for _, organisation := range []string{"first", "second"} {
 			for _, path := range []string{"/a", "/b"} {
@@ -56,7 +58,7 @@
 
 	// Guards against a change for deployments whose calls are not ordered by urgency.
 	It("is as before where calls are not ordered by urgency", func() {
-		Expect(rankOf(&job{route: &route.Route{Priority: 2}, priority: 1, priorityLevels: 3})).To(Equal(4))
-		Expect(rankOf(&job{route: &route.Route{Priority: 2}, startsProgram: true})).To(Equal(5))
+		Expect(rankOf(&job{route: &route.Route{Priority: 2}, priority: 2})).To(Equal(4))
+		Expect(rankOf(&job{route: &route.Route{Priority: 2}, priority: 2, startsProgram: true})).To(Equal(5))
 	})
 })
--- a/role/front.go
+++ b/role/front.go
@@ -14,6 +14,8 @@
 	"github.com/go-chi/chi/v5"
 	"google.golang.org/grpc"
 
+	"dogwoodline.example/coordination"
+	"dogwoodline.example/coordination/coordinationpb"
 	"dogwoodline.example/copyset"
 	"dogwoodline.example/gateway"
 	"dogwoodline.example/kvstore"
@@ -53,13 +55,17 @@
 	turnStores := turnstore.NewClient(p.group, p.log, p.host.AvailabilityZone, p.host.ToleratedHostLosses, connect)
 	detour := tunnel.NewClient(p.log, connect)
 	defer detour.Close()
+	quotas := p.newQuotas()
 	g := gateway.New(p.group, p.log, p.metricSet, gateway.Settings{
 		Address: p.host.FrontAddress, Zone: p.host.AvailabilityZone, CallWorkers: callWorkers,
 		AnswerBytes:  int64(answerMemoryShare * float64(p.host.MemoryBytes)),
 		RequestBytes: int64(requestMemoryShare * float64(p.host.MemoryBytes)),
 		AddressTTL:   min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
-		Detour: detour, Incarnations: platform.Incarnations{}, ContendedCapacity: p.host.ContendedCapacity,
+		Detour: detour, Incarnations: platform.Incarnations{}, Quota: quotas, ContendedCapacity: p.host.ContendedCapacity,
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
+	fronts := &frontList{}
+	exchange := p.coordinate(g, fronts, quotas)
+	quotas.SetWake(exchange.Wake)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
 	batchDelay := func() time.Duration {
 		if reader.FollowsFeed() {
@@ -67,18 +73,19 @@
 		}
 		return frontBatchDelay(p.currentHost())
 	}
+	var configs platform.ConfigDecoder // only the duty that follows the store uses it
 	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay, StaleFirstList: true}, &follower{subscriptions: []subscription{
 		configSubscription(p.log, func(value []byte) error {
-			table, err := platform.DecodeConfig(value)
-			if err == nil {
-				g.SetTable(table)
+			table, err := configs.Decode(value)
+			if err == nil && g.SetTable(table) {
+				quotas.SetLimits(quotaLimits(table))
 			}
 			return err
 		}),
 		backendsSubscription(g),
 		copySetSubscription(p.log, func(ctx context.Context, set copyset.Set) { _ = turnStores.SetCopySet(ctx, set) }),
 		membersSubscription(p.log, func(ctx context.Context, members map[string]membership.Member) {
-			_ = g.SetFronts(ctx, activeFronts(members)) // fails only when the process stops
+			fronts.followFronts(ctx, g, members)
 			reader.SetFeeds(feedAddresses(members, p.host))
 		}),
 	}})
@@ -87,7 +94,7 @@
 	}
 	tunnels := tunnel.NewServer(p.group, p.log, dial, g.KnowsBackend, g.CutOff)
 	p.member.HTTP, p.member.Cores = p.host.FrontAddress, p.host.Cores
-	p.member.GRPC = p.serveTunnels(ctx, tunnels)
+	p.member.GRPC = p.servePeers(ctx, tunnels, exchange)
 	if err := p.listenFront(ctx, g); err != nil {
 		return err
 	}
@@ -98,10 +105,10 @@
 	return nil
 }
 
-// serveTunnels starts the gRPC server at which other fronts ask for connections to
-// backend servers. It returns its address, or an empty text if no port is free:
-// another process of the host may use the first ones.
-func (p *process) serveTunnels(ctx context.Context, tunnels *tunnel.Server) string {
+// servePeers starts the gRPC server at which other fronts ask for connections to
+// backend servers and report to this one. It returns its address, or an empty text if
+// no port is free: another process of the host may use the first ones.
+func (p *process) servePeers(ctx context.Context, tunnels *tunnel.Server, exchange *coordination.Exchange) string {
 	for port := p.host.PeerPorts[0]; port <= p.host.PeerPorts[1]; port++ {
 		address := net.JoinHostPort(p.host.IP, strconv.Itoa(port))
 		listener, err := netdial.Listen(ctx, address)
@@ -111,11 +118,12 @@
 		}
 		server := grpc.NewServer()
 		tunnelpb.RegisterTunnelServer(server, tunnels)
+		coordinationpb.RegisterCoordinationServer(server, exchange)
 		p.group.Go("grpc-accept", func(context.Context) error { return server.Serve(listener) })
 		p.onStop = append(p.onStop, server.Stop)
 		return address
 	}
-	p.log.Error("role: no port for other fronts is free, no connections are opened for them")
+	p.log.Error("role: no port for other fronts is free, they get no connections and cannot report")
 	return ""
 }
 
