gateway, fleet: Let each front take its share of the slots of a contended service

Cause: if all fronts know how many slots are free, a front none of whose calls run finds the slots taken by fronts that replace each ended call by the next, and fronts that see the same free slots all take them.

Change: a front may always run its share of the slots. Beyond it, it takes one slot in 20 ms with the probability that there is one for it, or any number while there are more free slots than fronts.

--- a/gateway/ordering.go
+++ b/gateway/ordering.go
@@ -31,6 +31,7 @@
 	queue   *waitqueue.Queue[*job]
 	returns waitqueue.Returns
 	checked time.Time // when calls that would be sent too late were looked for
+	drawn   time.Time // when it was drawn whether this front takes a slot beyond its share
 	// Counts since the last line.
 	sent, refused, notStarted int
 	logged                    time.Time
@@ -102,7 +103,7 @@
 // use it keep their place.
 func (s *Scheduler) sendFrom(q *placeQueue, now time.Time) {
 	var kept []waitqueue.Entry[*job]
-	for s.hasFree(q.service, fleet.Request{Service: q.service.Name}, now) {
+	for q.queue.Len() > 0 && s.mayTakePlace(q, now) {
 		e, ok := q.queue.Pop(now)
 		if !ok {
 			break
@@ -115,7 +116,7 @@
 			s.failJob(j, j.noServerLeft(), retryAfterFull, now)
 			continue
 		}
-		if (len(request.Exclude) > 0 || request.SoftwareVersion != "") && !s.hasFree(q.service, request, now) {
+		if (len(request.Exclude) > 0 || request.SoftwareVersion != "") && !s.fleet.HasFree(request, s.admission.callsInMemory(q.service), now) {
 			kept = append(kept, e)
 			continue
 		}
@@ -127,15 +128,31 @@
 	}
 }
 
-// hasFree reports whether a slot is free for a call, as far as this front knows.
-func (s *Scheduler) hasFree(service route.Service, request fleet.Request, now time.Time) bool {
+// mayTakePlace reports whether this front may send another call to a service. Where all
+// fronts know how many slots are free, each may always take its share of all slots: a
+// front whose calls have ended would otherwise find the slots taken by those that replace
+// one call by the next. Of the free slots beyond that each takes one in an interval with
+// the probability that there is one for it, because all fronts see the same free slots.
+func (s *Scheduler) mayTakePlace(q *placeQueue, now time.Time) bool {
+	service := q.service
 	callsInMemory := s.admission.callsInMemory(service)
-	if s.places != nil {
-		if free, _, known := s.places.Places(request.Service, callsInMemory, now); known && free <= 0 {
-			return false
-		}
+	if !s.fleet.HasFree(fleet.Request{Service: service.Name}, callsInMemory, now) {
+		return false
+	}
+	if s.places == nil {
+		return true
+	}
+	free, running, known := s.places.Places(service.Name, callsInMemory, now)
+	own, _ := s.fleet.Occupancy(service.Name, callsInMemory)
+	fronts := max(1, int(s.listedFronts.Load()))
+	switch {
+	case !known, own*fronts < free+running, free >= fronts:
+		return true
+	case now.Sub(q.drawn) < queueInterval:
+		return false
 	}
-	return s.fleet.HasFree(request, callsInMemory, now)
+	q.drawn = now
+	return s.random.IntN(fronts) < free
 }
 
 // refuseQueued refuses the waiting jobs that would be sent too late.
