gateway, turnstore: Record which backend server generated a turn

Cause: the home server of a conversation is the one with the highest hash over all zones, so fronts have to agree on the list of servers, and a turn that went elsewhere leaves its KV cache where the next turn does not look. Change: Turn.backend_server names the server that sent the last part of the stream; a front that begins the next turn learns it with the conversation (Result.HomeServer). Nothing uses it yet. Ruled out: a fact per conversation, which is one more record per turn.

--- a/gateway/beginturn.go
+++ b/gateway/beginturn.go
@@ -46,6 +46,7 @@
 		e.turn.settle(start)
 		return nil, false
 	}
+	e.home = result.HomeServer
 	body, held := e.withConversation(ctx, result.Conversation)
 	if !held {
 		e.turn.settle(start)
--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -194,7 +194,7 @@
 			if !forwardHead(j, exchange) {
 				return attemptResult{verdict: call.Unknown, done: true}
 			}
-			pushLast(j, responsePart{end: true})
+			pushLast(j, responsePart{end: true, backend: a.backend.ID})
 			return attemptResult{verdict: call.Answered, done: true}
 		}
 		if err != nil {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -42,6 +42,7 @@
 	startsProgram bool          // the request starts a program
 	origin        *streamOrigin // of the stream that the client takes up; nil for a new one
 	pieces        *turnPieces   // of a turn that can be taken up; nil for none
+	home          string        // the backend server that generated the turn before; empty if not known
 	headWritten   bool          // the response header was sent
 	heldBytes     int64         // of the budget of request bytes
 }
@@ -112,7 +113,7 @@
 	j := &job{
 		ctx: ctx, request: &e.request, route: e.route, service: e.service, body: body, deadline: deadline, startsProgram: e.startsProgram, origin: e.origin,
 		parts: ring.New[responsePart](partRingSize), resumeAfter: e.request.LastEventID,
-		answer: &answerBytes{budget: e.gateway.answerBudget}, pieces: e.pieces,
+		answer: &answerBytes{budget: e.gateway.answerBudget}, pieces: e.pieces, home: e.home,
 	}
 	defer j.answer.close()
 	j.answer.grow(len(e.turn.output)) // of the attempts before
@@ -151,6 +152,7 @@
 		case p.head != nil:
 			e.writeHead(*p.head, -1)
 		case p.end:
+			e.turn.backend = p.backend
 			e.finishStream(ctx)
 			return
 		default:
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -59,6 +59,7 @@
 	// before its first event.
 	origin       *streamOrigin
 	originRecord originRecord
+	home         string        // the ID of the backend server that generated the turn before; empty if not known
 	pieces       *turnPieces   // of a turn that can be taken up; nil for none
 	waits        *waitingPlace // its place among those that wait for the limits of the backend servers; nil if it has none yet
 }
@@ -129,6 +130,7 @@
 	hasBody bool
 	event   []byte // one event, as the backend server sent it
 	end     bool   // the stream is complete
+	backend string // with end: the ID of the backend server that sent the last part of the stream
 	// failure ends a job without a complete response.
 	failure *failure
 }
--- a/gateway/turnrecord.go
+++ b/gateway/turnrecord.go
@@ -68,6 +68,7 @@
 	// attempt identifies the reservation. A settled reservation cannot be reused,
 	// so each further reservation gets a new identifier.
 	attempt string
+	backend string // the ID of the backend server that generated the turn
 }
 
 func newTurnRecord(turnStore TurnStore, request *call.Request, r *route.Route, engine *route.Engine, input []byte) *turnRecord {
@@ -179,7 +180,7 @@
 	}
 	content := append(append(make([]byte, 0, len(t.input)+len(t.output)), t.input...), t.output...)
 	op := turnstore.Operation{Records: []*turnpb.Record{{Kind: &turnpb.Record_Turn{Turn: &turnpb.Turn{
-		Id: t.request.ID, Previous: t.request.PreviousTurn, Content: content,
+		Id: t.request.ID, Previous: t.request.PreviousTurn, Content: content, BackendServer: t.backend,
 		ExpiresUnixMs: now.Add(t.retention() + budgetRetentionMargin/2).UnixMilli(),
 	}}}}}
 	if t.hasBudget {
--- a/turnstore/tally.go
+++ b/turnstore/tally.go
@@ -68,6 +68,9 @@
 	Fact Fact
 	// CopySet is the copy set version under which the answers were counted.
 	CopySet uint64
+	// HomeServer is the backend server that generated the last turn of the conversation;
+	// empty if that is not recorded.
+	HomeServer string
 	// MissingTurn is the turn of the conversation that no answer had, if there is
 	// one: Chain itself, or the nearest turn before it.
 	MissingTurn string
@@ -212,6 +215,7 @@
 	switch {
 	case out.MissingTurn == "":
 		out.Verdict, out.Conversation = Stored, t.conversation()
+		out.HomeServer = t.turns[t.op.Chain].BackendServer
 	case len(t.chainReaders) >= t.set.ReadQuorum() && t.turns[t.op.Chain] == nil:
 		out.Verdict = TurnMissing
 	case outstanding == 0:
