fleet, gateway: Choose servers of contended services by measured speed

Cause: each call goes to the server that looks cheapest to one of 23 to 70 fronts, by its slots, although servers of speed 0.6 and 1.6 stand side by side; the home server of a conversation is a hash over all servers. Change: the median gap between the events of a stream measures the speed of its server, with an average over the last streams and a lasting one. Where a service is contended, the call goes to the server where it is expected to end first, among the server that generated the turn before and four at random; if these are full, among all free ones. Uneven(service) holds after 8 s of a ratio of 1.5 between slow and fast servers, and until 30 s of less than 1.25. Without the table of the other fronts, each is taken to run as much as this one on average. Elsewhere choices are as before; the speed is measured there too.

--- /dev/null
+++ b/fleet/contended.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// candidateCount is how many servers, drawn at random, are compared for a call. Many
+	// fronts know the same table; with the best of a few each, they do not all choose the
+	// same server.
+	candidateCount = 4
+	// loadCost is the part of a turn's time by which a full batch delays a call: it slows
+	// each turn by a quarter, and it evicts prompts whose next turns come back.
+	loadCost = 1.0
+	// waitCost is the cost of a server without a free slot, in turns of the median
+	// server, beyond the expected time until a slot is free: the call waits there although
+	// it could still go elsewhere.
+	waitCost = 0.5
+	// recomputeCost is the part of a turn's time that it takes to process the prompt of a
+	// conversation again on a server that does not hold it.
+	recomputeCost = otherServerCost
+)
+
+// chooseContended returns the backend server at which the call is expected to end first,
+// among those that it has reason to prefer and a few others at random. If all of these
+// are full, it looks at all servers, so that no call waits while a slot is free.
+func (f *Fleet) chooseContended(request Request, now time.Time) (Backend, int, bool) {
+	choice := contendedChoice{fleet: f, request: request, now: now, random: rand.New(rand.NewPCG(request.TieBreak, 0))}
+	if home := f.byID[request.Home]; home != nil && !home.Draining && home.Service == request.Service && !f.saidLeaving(home.Backend) {
+		choice.preferred = home
+		choice.consider(home, false)
+	} else if first, second := f.preferred(request); first != nil {
+		choice.preferred, choice.second = first, second
+		choice.consider(first, false)
+		choice.consider(second, false)
+	}
+	choice.sample(f.byZone[zoneOfService{request.Service, f.zone}])
+	choice.sample(f.byService[request.Service])
+	if choice.best == nil || choice.load(choice.best) >= choice.capacity(choice.best) {
+		for _, s := range f.byService[request.Service] {
+			choice.consider(s, true)
+		}
+	}
+	if choice.best == nil {
+		return Backend{}, 0, false
+	}
+	return choice.best.Backend, int(choice.load(choice.best)), true
+}
+
+// contendedChoice is the choice of a server for one call.
+type contendedChoice struct {
+	fleet             *Fleet
+	request           Request
+	now               time.Time
+	random            *rand.Rand
+	preferred, second *backendState
+	best              *backendState
+	bestCost          float64
+}
+
+// sample considers candidateCount servers at random.
+func (c *contendedChoice) sample(servers []*backendState) {
+	if len(servers) <= candidateCount {
+		for _, s := range servers {
+			c.consider(s, false)
+		}
+		return
+	}
+	for range candidateCount {
+		c.consider(servers[c.random.IntN(len(servers))], false)
+	}
+}
+
+// consider makes a server the best one if it may get the call and its cost is lower. If
+// onlyFree is set, full servers are left out.
+func (c *contendedChoice) consider(s *backendState, onlyFree bool) {
+	if s == nil || s == c.best || onlyFree && c.load(s) >= c.capacity(s) {
+		return
+	}
+	if excluded(c.request.Exclude, s.ID) || !c.request.versionFits(s) || s.limit.wait(c.now) > 0 {
+		return
+	}
+	if cost := c.cost(s); c.best == nil || cost < c.bestCost {
+		c.best, c.bestCost = s, cost
+	}
+}
+
+// load returns the number of calls that run at a server, from all fronts as far as known.
+func (c *contendedChoice) load(s *backendState) float64 {
+	return c.fleet.load(s, c.now)
+}
+
+// capacity returns the number of calls that a server runs at once.
+func (c *contendedChoice) capacity(s *backendState) float64 {
+	return s.capacity(c.request.CallsInMemory)
+}
+
+// cost estimates the time until the call ends at a server, in units of the time that it
+// takes at the idle median server.
+func (c *contendedChoice) cost(s *backendState) float64 {
+	f, load, capacity := c.fleet, c.load(s), c.capacity(s)
+	slowness := f.slowness(s, c.now)
+	cost := slowness * (1 + loadCost*min(1, load/capacity))
+	if load >= capacity {
+		cost += waitCost + slowness*(load-capacity+1)/capacity
+	}
+	failures := max(s.failures.currentRate(c.now), s.others.failureRate(c.now))
+	cost += failureCost * failures
+	switch {
+	case c.preferred == nil || s == c.preferred:
+	case s == c.second:
+		cost += slowness * secondChoiceCost
+	default:
+		cost += slowness * recomputeCost
+	}
+	if c.preferred == nil && s.AvailabilityZone != f.zone {
+		cost += otherZoneCost
+	}
+	if c.request.Connected != nil && !c.request.Connected(s.Address) {
+		cost += connectCost
+	}
+	if s.limit.perSecond > 0 {
+		cost += limitedCost
+	}
+	if c.now.Before(s.suspectUntil) {
+		cost += suspectCost
+	}
+	if c.now.Before(s.fullUntil) {
+		cost += fullCost
+	}
+	return cost + tieBreakRange*c.random.Float64()
+}
+
+// capacity returns the number of calls that a server runs at once: its slots, or the
+// number of calls that fit into its memory if that is known and lower.
+func (s *backendState) capacity(callsInMemory float64) float64 {
+	if callsInMemory > 0 {
+		return max(1, min(float64(s.Slots), callsInMemory))
+	}
+	return max(1, float64(s.Slots))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,11 @@
 	suspectUntil time.Time
 	fullUntil    time.Time // end of the pause after it refused a call
 	latency      latencyStats
+	speed        speedStats
+	others       othersState
+	average      loadAverage
+	key          uint32       // see ServerKey
+	period       reportPeriod // since the last report
 	failures     failureStats
 	limit        rateLimit
 	forgetAt     time.Time // end of the return window; zero while it is registered
@@ -54,16 +59,22 @@
 type Fleet struct {
 	byID      map[string]*backendState
 	byService map[string][]*backendState // without draining and leaving ones
-	zone      string                     // availability zone of the front
-	leaving   map[string]leavingServer   // by ID, also of servers that are not registered
-	self      string                     // address of the front
-	listed    []string                   // addresses of the fronts that clients are sent to
-	unlisted  []string                   // addresses of the other fronts
+	byZone    map[zoneOfService][]*backendState
+	speeds    map[string]*serviceSpeed
+	zone      string                   // availability zone of the front
+	leaving   map[string]leavingServer // by ID, also of servers that are not registered
+	self      string                   // address of the front
+	listed    []string                 // addresses of the fronts that clients are sent to
+	unlisted  []string                 // addresses of the other fronts
 }
 
+// zoneOfService names the servers of a service in an availability zone.
+type zoneOfService struct{ service, zone string }
+
 // New returns an empty fleet for a front in an availability zone.
 func New(zone string) *Fleet {
-	return &Fleet{byID: map[string]*backendState{}, byService: map[string][]*backendState{}, leaving: map[string]leavingServer{}, zone: zone}
+	return &Fleet{byID: map[string]*backendState{}, byService: map[string][]*backendState{}, byZone: map[zoneOfService][]*backendState{},
+		speeds: map[string]*serviceSpeed{}, leaving: map[string]leavingServer{}, zone: zone}
 }
 
 // Put adds or replaces a registration. It reports whether the registration is
@@ -73,7 +84,7 @@
 func (f *Fleet) Put(b Backend) bool {
 	known := f.byID[b.ID]
 	if known == nil {
-		f.byID[b.ID] = &backendState{Backend: b}
+		f.byID[b.ID] = &backendState{Backend: b, key: ServerKey(b.ID)}
 		f.reindex()
 		return true
 	}
@@ -81,7 +92,7 @@
 		known.Incarnation != b.Incarnation || !known.forgetAt.IsZero()
 	if known.Incarnation != b.Incarnation {
 		known.latency, known.failures, known.suspectUntil, known.fullUntil = latencyStats{}, failureStats{}, time.Time{}, time.Time{}
-		known.limit = rateLimit{}
+		known.limit, known.speed, known.others = rateLimit{}, speedStats{}, othersState{}
 	}
 	known.Backend, known.forgetAt = b, time.Time{}
 	f.reindex()
@@ -120,6 +131,9 @@
 // Expire removes the backend servers whose return window has passed and returns
 // them.
 func (f *Fleet) Expire(now time.Time) []Backend {
+	for service := range f.byService {
+		f.speedOf(service, now)
+	}
 	f.forgetLeaving(now)
 	var gone []Backend
 	for id, s := range f.byID {
@@ -136,10 +150,12 @@
 
 // reindex rebuilds byService, which has the backend servers that get calls.
 func (f *Fleet) reindex() {
-	f.byService = map[string][]*backendState{}
+	f.byService, f.byZone = map[string][]*backendState{}, map[zoneOfService][]*backendState{}
 	for _, s := range f.byID {
 		if !s.Draining && !f.saidLeaving(s.Backend) {
 			f.byService[s.Service] = append(f.byService[s.Service], s)
+			zone := zoneOfService{s.Service, s.AvailabilityZone}
+			f.byZone[zone] = append(f.byZone[zone], s)
 		}
 	}
 }
@@ -151,6 +167,16 @@
 	// has handled earlier calls with the same affinity is faster. It is empty if
 	// there is none.
 	Affinity string
+	// Contended says that the call goes to the server where it is expected to end first,
+	// by the speed that was measured, and not just to the least busy one.
+	Contended bool
+	// Home is the ID of the backend server that handled the call before in the same
+	// conversation and is faster; empty if that is not known. It goes before Affinity if
+	// the call is contended.
+	Home string
+	// CallsInMemory is the number of calls that fit into the memory of one server; 0 if
+	// that is not known. It counts if the call is contended.
+	CallsInMemory float64
 	// Exclude lists the ids of backend servers that must not get this call
 	// again.
 	Exclude []string
@@ -168,6 +194,9 @@
 // number of this front's calls that run there. It reports false if no backend
 // server may get the call, or all that may have taken what their limits allow.
 func (f *Fleet) Choose(request Request, now time.Time) (Backend, int, bool) {
+	if request.Contended {
+		return f.chooseContended(request, now)
+	}
 	var best *backendState
 	var bestCost float64
 	first, second := f.preferred(request)
@@ -309,64 +338,6 @@
 	return false
 }
 
-// CallStarted records that a call is sent to a backend server.
-func (f *Fleet) CallStarted(id string, now time.Time) {
-	if s := f.byID[id]; s != nil {
-		s.running++
-		s.limit.take(now)
-	}
-}
-
-// CallResult describes how a call at a backend server ended.
-type CallResult struct {
-	BackendID string
-	// Unreachable says that no connection could be opened.
-	Unreachable bool
-	// AtCapacity says that the backend server refused the call because it already
-	// runs as many calls as it can.
-	AtCapacity bool
-	// Misdirected says that the address now belongs to another backend server.
-	Misdirected bool
-	// Failed says that the call was interrupted, or that its answer was an error
-	// or could not be used.
-	Failed bool
-	// Duration is the duration of the whole exchange, or 0 if no answer came.
-	Duration time.Duration
-	// Comparable says that Duration can be compared with that of calls at other
-	// backend servers.
-	Comparable bool
-}
-
-// fullFor is how long a backend server at capacity is avoided after it refused
-// a call.
-const fullFor = 100 * time.Millisecond
-
-// CallEnded records the end of a call and updates the load, latency and failures
-// of its backend server.
-func (f *Fleet) CallEnded(result CallResult, now time.Time) {
-	s := f.byID[result.BackendID]
-	if s == nil {
-		return
-	}
-	s.running = max(0, s.running-1)
-	switch {
-	case result.Unreachable, result.Misdirected:
-		s.suspectUntil = now.Add(suspectFor)
-	case result.AtCapacity:
-		s.fullUntil = now.Add(fullFor)
-	case result.Failed:
-		if avoid := s.failures.observe(true, now); avoid > 0 {
-			s.suspectUntil = now.Add(avoid)
-		}
-	case result.Duration > 0:
-		s.suspectUntil = time.Time{}
-		s.failures.observe(false, now)
-		if result.Comparable {
-			s.latency.observe(result.Duration, f.medianLatency(s.Service), now)
-		}
-	}
-}
-
 // Get returns the registration of a backend server. One that said that it is
 // leaving counts as draining.
 func (f *Fleet) Get(id string) (Backend, bool) {
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -41,17 +41,22 @@
 // an equal share of the calls: the calls of this front are multiplied by the
 // number of fronts.
 func (a *admission) utilization(f *fleet.Fleet, service route.Service, fronts int) float64 {
-	callsPerServer := 0.0 // calls that fit into the KV cache; 0 if unknown
-	if size := a.meanCallTokens[service.Name]; size > 0 {
-		callsPerServer = float64(service.Engine.KVCacheTokens) / size
-	}
-	running, capacity := f.Occupancy(service.Name, callsPerServer)
+	running, capacity := f.Occupancy(service.Name, a.callsInMemory(service))
 	if capacity == 0 {
 		return 0
 	}
 	return float64(running*max(1, fronts)) / capacity
 }
 
+// callsInMemory returns the number of calls that fit into the KV cache of one model
+// server; 0 if that is not known.
+func (a *admission) callsInMemory(service route.Service) float64 {
+	if size := a.meanCallTokens[service.Name]; size > 0 {
+		return float64(service.Engine.KVCacheTokens) / size
+	}
+	return 0
+}
+
 // admits reports whether a route of the given priority may start a program.
 func admits(utilization float64, priority int) bool {
 	return utilization < admissionThreshold+priorityHeadroom/float64(1+max(0, priority))
--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -178,12 +178,15 @@
 }
 
 // forwardStream forwards events as they arrive.
-func (c *callWorker) forwardStream(a attempt, exchange *upstream.Exchange) attemptResult {
+func (c *callWorker) forwardStream(a attempt, exchange *upstream.Exchange) (result attemptResult) {
 	j := a.job
 	events := newEventReader(exchange, j.answer.grow)
 	received := 0
+	gaps := eventGaps{}
+	defer func() { result.report.EventGap = gaps.median() }()
 	resumedHere, resumed := j.headSent, j.resumeAfter != ""
 	for {
+		asked := time.Now()
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && events.incompleteBytes() == 0 {
 			// The rest of a stream may be empty, but so is one that was lost at once.
@@ -204,6 +207,7 @@
 			return attemptResult{verdict: call.Unknown, reason: "stream does not go on after event " + j.resumeAfter}
 		}
 		received++
+		gaps.add(asked, time.Now())
 		if !c.bindToOrigin(a) {
 			return attemptResult{verdict: call.Unknown, reason: "the origin of the stream could not be stored", done: j.ctx.Err() != nil}
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -77,7 +77,7 @@
 	header.Del("Content-Length")
 	request := call.Request{
 		ID: header.Get(idHeader), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Arrived: arrived,
-		Program: header.Get("Test-Program"), PreviousTurn: header.Get("Test-Previous"), MaxOutputTokens: 50,
+		Program: header.Get("Test-Program"), PreviousTurn: header.Get("Test-Previous"), Session: header.Get("Test-Session"), MaxOutputTokens: 50,
 	}
 	request.LastEventID, request.ResumedAttempt = header.Get(resumeHeader), header.Get(resumesHeader)
 	request.TokenBudget, _ = strconv.Atoi(header.Get("Test-Budget"))
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -271,6 +271,9 @@
 	if j.route.Sticky {
 		request.Affinity = j.request.LocalityKey()
 	}
+	if s.contended(j.service.Name) {
+		s.chooseBySpeed(j, &request)
+	}
 	backend, running, ok := s.fleet.Choose(request, now)
 	if !ok {
 		s.await(j, request, now)
