--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -57,15 +57,16 @@
 
 // Fleet is the set of backend servers. It is not safe for concurrent use.
 type Fleet struct {
-	byID      map[string]*backendState
-	byService map[string][]*backendState // without draining and leaving ones
-	byZone    map[zoneOfService][]*backendState
-	speeds    map[string]*serviceSpeed
-	zone      string                   // availability zone of the front
-	leaving   map[string]leavingServer // by ID, also of servers that are not registered
-	self      string                   // address of the front
-	listed    []string                 // addresses of the fronts that clients are sent to
-	unlisted  []string                 // addresses of the other fronts
+	byID          map[string]*backendState
+	byService     map[string][]*backendState // without draining and leaving ones
+	byZone        map[zoneOfService][]*backendState
+	speeds        map[string]*serviceSpeed
+	othersRunning map[string]runningElsewhere // by service
+	zone          string                      // availability zone of the front
+	leaving       map[string]leavingServer    // by ID, also of servers that are not registered
+	self          string                      // address of the front
+	listed        []string                    // addresses of the fronts that clients are sent to
+	unlisted      []string                    // addresses of the other fronts
 }
 
 // zoneOfService names the servers of a service in an availability zone.
@@ -74,7 +75,7 @@
 // New returns an empty fleet for a front in an availability zone.
 func New(zone string) *Fleet {
 	return &Fleet{byID: map[string]*backendState{}, byService: map[string][]*backendState{}, byZone: map[zoneOfService][]*backendState{},
-		speeds: map[string]*serviceSpeed{}, leaving: map[string]leavingServer{}, zone: zone}
+		speeds: map[string]*serviceSpeed{}, othersRunning: map[string]runningElsewhere{}, leaving: map[string]leavingServer{}, zone: zone}
 }
 
 // Put adds or replaces a registration. It reports whether the registration is
--- a/fleet/others.go
+++ b/fleet/others.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,10 +21,8 @@
 
 // Others is what the other fronts together have measured of one backend server.
 type Others struct {
-	// Running is the number of their calls in progress, and Load the same averaged over
-	// some seconds.
-	Running int
-	Load    float64
+	// Load is the number of their calls in progress, averaged over some seconds.
+	Load float64
 	// Slowness is the factor by which its streams are slower than those of the median
 	// server of its service; 0 if they have measured none.
 	Slowness float64
@@ -30,6 +30,15 @@
 	FailureRate float64
 }
 
+// OthersTable is what the other fronts together have measured of a service.
+type OthersTable struct {
+	Service string
+	// Running is the number of their calls in progress.
+	Running int
+	Servers map[uint32]Others // by ServerKey
+	Rest    Others            // of the servers that are not listed
+}
+
 // othersState is what a front was told last of a backend server.
 type othersState struct {
 	Others
@@ -48,13 +57,6 @@
 	return math.Log(o.Slowness), othersWeight
 }
 
-func (o *othersState) running(now time.Time) int {
-	if !o.valid(now) {
-		return 0
-	}
-	return o.Running
-}
-
 func (o *othersState) failureRate(now time.Time) float64 {
 	if !o.valid(now) {
 		return 0
@@ -76,8 +78,8 @@
 }
 
 // ServerKey returns the key of a backend server in reports: a hash of its ID. Two servers
-// of a service with the same key would be taken for one, which one in ten deployments of
-// the largest size has.
+// of a service with the same key would be taken for one. With 12,000 servers, the chance
+// that there are two such is below 1 in 50.
 func ServerKey(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // TakeMeasured returns what is new or in progress at the backend servers of a service, and
@@ -102,25 +104,41 @@
 type reportPeriod struct{ ended, failed, streams int }
 
 // LearnOthers takes in what the other fronts have measured of the backend servers of a
-// service, by key. Servers that are not listed are like rest.
-func (f *Fleet) LearnOthers(service string, servers map[uint32]Others, rest Others, now time.Time) {
-	for _, s := range f.byService[service] {
-		known, listed := servers[s.key]
+// service.
+func (f *Fleet) LearnOthers(table OthersTable, now time.Time) {
+	f.othersRunning[table.Service] = runningElsewhere{calls: table.Running, told: now}
+	for _, s := range f.byService[table.Service] {
+		known, listed := table.Servers[s.key]
 		if !listed {
-			known = rest
+			known = table.Rest
 		}
 		s.others = othersState{Others: known, told: now}
 	}
 }
 
-// RunningOverall returns the number of calls that run at the backend servers of a service
-// for all fronts and the number of calls that these can run at once. It reports false if
-// that is not known because no coordinator has answered lately.
-func (f *Fleet) RunningOverall(service string, callsInMemory float64, now time.Time) (running int, capacity float64, known bool) {
+// runningElsewhere is the number of calls of the other fronts that run at a service.
+type runningElsewhere struct {
+	calls int
+	told  time.Time
+}
+
+// Places returns the number of free slots of the backend servers of a service and the
+// number of calls that run there, over all fronts. callsInMemory is the number of calls
+// that fit into the memory of one server; 0 if unknown. It reports false if the calls of
+// the other fronts are not known at present.
+func (f *Fleet) Places(service string, callsInMemory float64, now time.Time) (free, running int, known bool) {
+	others := f.othersRunning[service]
+	if others.told.IsZero() || now.Sub(others.told) >= othersValidFor {
+		return 0, 0, false
+	}
+	running = others.calls
+	capacity := 0.0
 	for _, s := range f.byService[service] {
-		running += s.running + s.others.running(now)
+		running += s.running
 		capacity += s.capacity(callsInMemory)
-		known = known || s.others.valid(now)
 	}
-	return running, capacity, known
+	return max(0, int(capacity)-running), running, true
 }
+
+// Services returns the services that have backend servers.
+func (f *Fleet) Services() []string { return slices.Sorted(maps.Keys(f.byService)) }
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -130,8 +130,8 @@
 	for i, f := range fleets {
 		table := map[uint32]fleet.Others{}
 		for key, sum := range total {
-			table[key] = fleet.Others{Running: sum.Running - own[i][key].Running, Load: sum.Load - own[i][key].Load}
+			table[key] = fleet.Others{Load: sum.Load - own[i][key].Load}
 		}
-		f.LearnOthers("s", table, fleet.Others{}, now)
+		f.LearnOthers(fleet.OthersTable{Service: "s", Servers: table}, now)
 	}
 }
--- a/serverstats/coordinator.go
+++ b/serverstats/coordinator.go
@@ -141,9 +141,11 @@
 // most from the others; the rest have the mean load.
 func (t *serviceTotals) table(front, service string, now time.Time) Table {
 	out := Table{Service: service, Fronts: len(t.fronts), Servers: map[uint32]Known{}, ZoneDemand: map[string]float64{}}
-	for _, f := range t.fronts {
-		out.Running += f.running
-		out.Waiting += f.waiting
+	for name, f := range t.fronts {
+		if name != front {
+			out.Running += f.running
+			out.Waiting += f.waiting
+		}
 		out.ZoneDemand[f.zone] += f.demand
 	}
 	var own map[uint32]float64
--- a/serverstats/serverstats.go
+++ b/serverstats/serverstats.go
@@ -46,12 +46,12 @@
 }
 
 // Table is what a front is told of one service: what the other fronts have measured of its
-// servers, and totals over all fronts.
+// servers, and what runs and waits there.
 type Table struct {
 	Service          string
-	Fronts           int // that report
-	Running, Waiting int
+	Fronts           int // that report, the receiver included
+	Running, Waiting int // calls of the other fronts
 	Servers          map[uint32]Known
 	Rest             Known              // of servers that are not listed
-	ZoneDemand       map[string]float64 // running and waiting calls by the zone of their front
+	ZoneDemand       map[string]float64 // running and waiting calls of all fronts by their zone
 }
