--- a/fleet/others.go
+++ b/fleet/others.go
@@ -92,7 +92,7 @@
 		if s.period.streams > 0 {
 			m.Slowness = clampRelative(math.Exp(s.speed.recent - median))
 		}
-		if s.period != (reportPeriod{}) || m.Load >= minReportedLoad {
+		if s.period != (reportPeriod{}) || m.Running > 0 || m.Load >= minReportedLoad {
 			all = append(all, m)
 		}
 		s.period = reportPeriod{}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -45,6 +45,7 @@
 	home          string        // the backend server that generated the turn before; empty if not known
 	headWritten   bool          // the response header was sent
 	heldBytes     int64         // of the budget of request bytes
+	counted       bool          // against the quota of its organisation
 }
 
 // ServeHTTP serves one client request.
@@ -171,6 +172,9 @@
 	notRun := j.abandon()
 	e.turn.settle(time.Now())
 	stopping := e.gateway.ended.Err() != nil
+	if notRun {
+		e.giveBack()
+	}
 	switch {
 	case e.r.Context().Err() != nil:
 		e.abortClientLeft("while it was served")
@@ -277,6 +281,9 @@
 
 // sendError responds with a status of the gateway itself.
 func (e *clientExchange) sendError(status int, reason string) {
+	if neverRan(status) {
+		e.giveBack()
+	}
 	e.headWritten = true
 	http.Error(e.w, reason, status)
 	e.countOutcome(strconv.Itoa(status))
--- a/gateway/serverstatistics.go
+++ b/gateway/serverstatistics.go
@@ -5,8 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"dogwoodline.example/coordination"
 	"dogwoodline.example/ring"
 	"dogwoodline.example/serverstats"
 )
@@ -42,6 +41,11 @@
 // Name implements coordination.Topic.
 func (t *ServerStatistics) Name() string { return "servers" }
 
+// SetFronts implements coordination.FrontsFollower.
+func (t *ServerStatistics) SetFronts(_ []coordination.Front, coordinators []string, _ time.Time) {
+	t.coordinators = coordinators
+}
+
 // Report implements coordination.Topic. It returns what was measured of the services that
 // belong to the coordinator.
 func (t *ServerStatistics) Report(coordinator string, _ time.Time) []byte {
@@ -55,7 +59,7 @@
 	}
 	var reports []serverstats.Report
 	for service, r := range t.pending {
-		if ownerOf(t.coordinators, t.Name()+"/"+service) == coordinator {
+		if coordination.Owner(t.coordinators, t.Name()+"/"+service) == coordinator {
 			reports = append(reports, r)
 			delete(t.pending, service)
 		}
@@ -92,14 +96,3 @@
 		}
 	}
 }
-
-// ownerOf returns the coordinator that a subject belongs to; empty if there is none.
-func ownerOf(coordinators []string, subject string) string {
-	owner, highest := "", uint64(0)
-	for _, c := range coordinators {
-		if rank := xxhash.Sum64String(subject + "\x00" + c); owner == "" || rank > highest {
-			owner, highest = c, rank
-		}
-	}
-	return owner
-}
