--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -137,8 +137,11 @@
 // Expire removes the backend servers whose return window has passed and returns
 // them.
 func (f *Fleet) Expire(now time.Time) []Backend {
-	for service := range f.byService {
+	for service, servers := range f.byService {
 		f.speedOf(service, now)
+		for _, s := range servers {
+			s.average.update(s.running, now)
+		}
 	}
 	f.forgetLeaving(now)
 	var gone []Backend
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -12,6 +12,10 @@
 // contended_test.go.
 const loadMemory = 5 * time.Second
 
+// shortAge is the part of loadMemory for which the exponential function is replaced by a
+// straight line; averages are updated more often than that.
+const shortAge = 0.1
+
 // loadAverage is the average number of this front's calls that run at a backend server.
 type loadAverage struct {
 	average float64 // at updated
@@ -28,7 +32,11 @@
 	if l.updated.IsZero() {
 		return float64(running)
 	}
-	return float64(running) + (l.average-float64(running))*math.Exp(-float64(now.Sub(l.updated))/float64(loadMemory))
+	age := float64(now.Sub(l.updated)) / float64(loadMemory)
+	if age < shortAge { // the usual case, without the cost of an exponential function
+		return l.average + (float64(running)-l.average)*age
+	}
+	return float64(running) + (l.average-float64(running))*math.Exp(-age)
 }
 
 // minOwnLoad is the average number of calls of this front in a zone from which their
