--- a/gateway/callworker.go
+++ b/gateway/callworker.go
@@ -178,12 +178,15 @@
 }
 
 // forwardStream forwards events as they arrive.
-func (c *callWorker) forwardStream(a attempt, exchange *upstream.Exchange) attemptResult {
+func (c *callWorker) forwardStream(a attempt, exchange *upstream.Exchange) (result attemptResult) {
 	j := a.job
 	events := newEventReader(exchange, j.answer.grow)
 	received := 0
+	gaps := eventGaps{}
+	defer func() { result.report.EventGap = gaps.median() }()
 	resumedHere, resumed := j.headSent, j.resumeAfter != ""
 	for {
+		asked := time.Now()
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && events.incompleteBytes() == 0 {
 			// The rest of a stream may be empty, but so is one that was lost at once.
@@ -194,7 +197,7 @@
 			if !forwardHead(j, exchange) {
 				return attemptResult{verdict: call.Unknown, done: true}
 			}
-			pushLast(j, responsePart{end: true})
+			pushLast(j, responsePart{end: true, backend: a.backend.ID})
 			return attemptResult{verdict: call.Answered, done: true}
 		}
 		if err != nil {
@@ -204,6 +207,7 @@
 			return attemptResult{verdict: call.Unknown, reason: "stream does not go on after event " + j.resumeAfter}
 		}
 		received++
+		gaps.add(asked, time.Now())
 		if !c.bindToOrigin(a) {
 			return attemptResult{verdict: call.Unknown, reason: "the origin of the stream could not be stored", done: j.ctx.Err() != nil}
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -80,12 +80,15 @@
 	header.Del("Content-Length")
 	request := call.Request{
 		ID: header.Get(idHeader), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Arrived: arrived,
-		Program: header.Get("Test-Program"), PreviousTurn: header.Get("Test-Previous"), MaxOutputTokens: 50,
+		Program: header.Get("Test-Program"), PreviousTurn: header.Get("Test-Previous"), Session: header.Get("Test-Session"), MaxOutputTokens: 50,
 	}
 	request.Key = call.Secret(header.Get(keyHeader))
 	header.Del(keyHeader)
 	request.LastEventID, request.ResumedAttempt = header.Get(resumeHeader), header.Get(resumesHeader)
 	request.TokenBudget, _ = strconv.Atoi(header.Get("Test-Budget"))
+	if left, err := time.ParseDuration(header.Get("Test-Finish")); err == nil {
+		request.FinishWithin = left
+	}
 	return request
 }
 
@@ -94,9 +97,10 @@
 
 // fakeTurnStore is a fake client of the turn stores with preset results.
 type fakeTurnStore struct {
-	begin  turnstore.Result
-	commit chan turnstore.Result
-	sent   atomic.Int64
+	begin    turnstore.Result
+	commit   chan turnstore.Result
+	sent     atomic.Int64
+	fullness atomic.Int64 // in percent
 
 	facts factStore
 
@@ -108,6 +112,8 @@
 
 func (f *fakeTurnStore) Serving() bool { return true }
 
+func (f *fakeTurnStore) Fullness() float64 { return float64(f.fullness.Load()) / 100 }
+
 func (f *fakeTurnStore) Do(ctx context.Context, op turnstore.Operation) turnstore.Result {
 	if op.FactKey != "" {
 		result := f.begin
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -40,8 +40,10 @@
 	table         *route.Table
 	turn          *turnRecord
 	startsProgram bool          // the request starts a program
+	turnsBefore   int           // turns of the conversation before the request
 	origin        *streamOrigin // of the stream that the client takes up; nil for a new one
 	pieces        *turnPieces   // of a turn that can be taken up; nil for none
+	home          string        // the backend server that generated the turn before; empty if not known
 	headWritten   bool          // the response header was sent
 	heldBytes     int64         // of the budget of request bytes
 	counted       bool          // against the quota of its organisation
@@ -114,8 +116,9 @@
 		ctx: ctx, request: &e.request, route: e.route, service: e.service, body: body, deadline: deadline, startsProgram: e.startsProgram, origin: e.origin,
 		priority: e.table.Priority(e.request.Organisation, e.route), priorityLevels: e.table.PriorityLevels(), organisationLimit: e.organisationLimit(),
 		parts: ring.New[responsePart](partRingSize), resumeAfter: e.request.LastEventID,
-		answer: &answerBytes{budget: e.gateway.answerBudget}, pieces: e.pieces,
+		answer: &answerBytes{budget: e.gateway.answerBudget}, pieces: e.pieces, home: e.home,
 	}
+	j.turn = e.turnNumber()
 	defer j.answer.close()
 	j.answer.grow(len(e.turn.output)) // of the attempts before
 	if err := e.gateway.scheduler.messages.TryPush(schedulerMessage{job: j}); err != nil {
@@ -153,6 +156,7 @@
 		case p.head != nil:
 			e.writeHead(*p.head, -1)
 		case p.end:
+			e.turn.backend = p.backend
 			e.finishStream(ctx)
 			return
 		default:
--- a/role/front.go
+++ b/role/front.go
@@ -12,7 +12,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
-	"google.golang.org/grpc"
 
 	"dogwoodline.example/coordination"
 	"dogwoodline.example/coordination/coordinationpb"
@@ -62,9 +61,10 @@
 		RequestBytes: int64(requestMemoryShare * float64(p.host.MemoryBytes)),
 		AddressTTL:   min(addressTTL, p.host.MaxAddressTTL), MaxAddresses: platform.MaxAddresses,
 		Detour: detour, Incarnations: platform.Incarnations{}, Quota: quotas, ContendedCapacity: p.host.ContendedCapacity,
+		MaxTableAge: maxTableAge(p.host),
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
 	fronts := &frontList{}
-	exchange := p.coordinate(g, fronts, quotas)
+	exchange := p.coordinate(g, fronts, quotas, g.ServerStatistics())
 	quotas.SetWake(exchange.Wake)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
 	batchDelay := func() time.Duration {
@@ -74,7 +74,7 @@
 		return frontBatchDelay(p.currentHost())
 	}
 	var configs platform.ConfigDecoder // only the duty that follows the store uses it
-	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay, StaleFirstList: true}, &follower{subscriptions: []subscription{
+	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay, StaleFirstList: true}, &follower{onWatched: g.ConfirmTable, subscriptions: []subscription{
 		configSubscription(p.log, func(value []byte) error {
 			table, err := configs.Decode(value)
 			if err == nil && g.SetTable(table) {
@@ -116,7 +116,7 @@
 			p.log.Info("role: port for other fronts not opened", "address", address, "error", err)
 			continue
 		}
-		server := grpc.NewServer()
+		server := newGRPCServer()
 		tunnelpb.RegisterTunnelServer(server, tunnels)
 		coordinationpb.RegisterCoordinationServer(server, exchange)
 		p.group.Go("grpc-accept", func(context.Context) error { return server.Serve(listener) })
