--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -38,7 +38,7 @@
 // FrontsFollower is a Topic that needs to know the fronts.
 type FrontsFollower interface {
 	// SetFronts sets the known fronts and the addresses of those that are coordinators
-	// now. It is called every second and whenever the coordinators change.
+	// now. It is called several times a second and whenever the coordinators change.
 	SetFronts(fronts []Front, coordinators []string, now time.Time)
 }
 
--- a/coordination/exchange.go
+++ b/coordination/exchange.go
@@ -21,8 +21,9 @@
 	CallTimeout = 300 * time.Millisecond
 	// checkInterval is how often the exchange looks whether reports are due.
 	checkInterval = 25 * time.Millisecond
-	// frontsInterval is how often the list of fronts is read.
-	frontsInterval = time.Second
+	// frontsInterval is how often the list of fronts is read. A front that has just started
+	// refuses requests of organisations until it knows the list.
+	frontsInterval = 250 * time.Millisecond
 	// probeInterval is how often a lost coordinator is asked whether it answers again.
 	probeInterval = time.Second
 	// leavingTime is how long a front that is no coordinator any more still gets what
--- a/quota/limiter/cost_test.go
+++ b/quota/limiter/cost_test.go
@@ -14,8 +14,9 @@
 )
 
 // messageOverhead is what a report and its reply add to their payloads on a connection
-// that is open, in bytes of HTTP/2 and of coordinationpb, without TCP and IP.
-const messageOverhead = 190
+// that is open, in bytes of HTTP/2 and of coordinationpb, without TCP and IP; measured over
+// 1,000 reports on loopback.
+const messageOverhead = 230
 
 // cost is what one front and one coordinator exchange per second.
 type cost struct {
