turnstore: Expire and compact without a pause in the requests

Cause: the writer looked at its timers only when no request waited, so that expiry and compaction, on which the bound of the log depends, depended on pauses. Found by reading. Change: after each batch the writer takes what is due as well.

--- a/turnstore/server.go
+++ b/turnstore/server.go
@@ -232,17 +232,20 @@
 	defer ticker.Stop()
 	move := time.NewTicker(moveInterval)
 	defer move.Stop()
+	always := make(chan struct{})
+	close(always)
 	var batch []request
 	for {
 		batch = s.requests.PopBatch(batch[:0], maxBatchRequests)
+		next := s.requests.Ready()
 		if len(batch) > 0 {
 			start := time.Now()
 			s.processBatch(batch)
 			s.batchTimer.Observe(start)
-			continue
+			next = always // what is due must not wait for a pause in the requests
 		}
 		select {
-		case <-s.requests.Ready():
+		case <-next:
 		case now := <-ticker.C:
 			s.expireAndCompact(now)
 			s.reportRefusals(now)
