turnlog: Guard against what failed writes leave on a full disk

A spec with a limit on the size of files: ten writes that do not fit leave no bytes and one more segment at most.

--- a/turnlog/log_test.go
+++ b/turnlog/log_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -153,4 +155,33 @@
 		_, err = l.Read(at[0])
 		Expect(err).To(MatchError(turnlog.ErrNotReadable))
 	})
+
+	// Guards against a full disk that fills up further with each write that fails, and
+	// against records behind the partial one that it leaves.
+	It("leaves nothing behind of writes that do not fit", func() {
+		signal.Ignore(syscall.SIGXFSZ)
+		DeferCleanup(signal.Reset, syscall.SIGXFSZ)
+		var before syscall.Rlimit
+		Expect(syscall.Getrlimit(syscall.RLIMIT_FSIZE, &before)).To(Succeed())
+		limit := func(bytes uint64) {
+			GinkgoHelper()
+			Expect(syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: bytes, Max: before.Max})).To(Succeed())
+		}
+		folder := GinkgoT().TempDir()
+		l, _ := openLog(folder)
+		appendTo(l, "kept")
+		limit(5000)
+		var failed []error
+		for range 10 {
+			_, err := l.Append([][]byte{make([]byte, 10_000)})
+			failed = append(failed, err)
+		}
+		limit(before.Cur)
+		Expect(failed).To(HaveEach(HaveOccurred()))
+		Expect(len(segmentFiles(folder))).To(BeNumerically("<=", 2))
+		Expect(l.Size()).To(BeEquivalentTo(len("kept") + 8))
+		appendTo(l, "later")
+		_, records := openLog(folder)
+		Expect(records).To(Equal([]string{"kept", "later"}))
+	})
 })
