waitqueue, gateway: Let programs with nothing to spare start while servers have room

Cause: the waits of sent calls were counted from their arrival, so that a few milliseconds always counted as waiting, and a program that is expected to be late, which has nothing to spare, was refused although servers were free. The utilization from shared counts could not exceed 1.

Change: waits count from when a call was put into the queue, and a wait of 20 ms keeps no program from starting. The utilization is the running calls of all fronts by the capacity.

Measured: 20 specs of waitqueue pass, one of them new; the specs of gateway on ordering, rank and admission pass with the race detector.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -105,9 +105,10 @@
 // calls use.
 func (s *Scheduler) utilization(service route.Service, now time.Time) float64 {
 	if s.places != nil {
-		free, running, known := s.places.Places(service.Name, s.admission.callsInMemory(service), now)
-		if known && free+running > 0 {
-			return float64(running) / float64(free+running)
+		callsInMemory := s.admission.callsInMemory(service)
+		_, capacity := s.fleet.Occupancy(service.Name, callsInMemory)
+		if _, running, known := s.places.Places(service.Name, callsInMemory, now); known && capacity > 0 {
+			return float64(running) / capacity
 		}
 	}
 	return s.admission.utilization(s.fleet, service, int(s.listedFronts.Load()))
--- a/waitqueue/admit.go
+++ b/waitqueue/admit.go
@@ -9,6 +9,10 @@
 	// the fronts do not know that all of them are full.
 	fullUtilization = 1.0
 	levelHeadroom   = 0.2
+	// minAffordable is a wait that keeps no program from starting: calls that wait are
+	// looked at each 20 ms. Programs that are expected to be late, which have nothing to
+	// spare, thus start while the servers have room.
+	minAffordable = 20 * time.Millisecond
 )
 
 // Start describes a call that would start a program.
@@ -32,7 +36,7 @@
 	if s.Levels > 0 {
 		share = float64(max(1, s.Levels-s.Level)) / float64(s.Levels)
 	}
-	return time.Duration(share * float64(max(0, s.Slack)) / max(1, s.Calls))
+	return max(minAffordable, time.Duration(share*float64(max(0, s.Slack))/max(1, s.Calls)))
 }
 
 // MayStart reports whether a program may start: the servers or the queue must have room,
--- a/waitqueue/waitqueue.go
+++ b/waitqueue/waitqueue.go
@@ -46,7 +46,7 @@
 	// The times below count from the epoch of the queue: comparing numbers is several
 	// times as fast, and each decision compares up to all calls that wait.
 	inTimeUntil, lateUntil, latest time.Duration
-	overdueFrom                    time.Duration // when it has waited for half of the time that it can
+	pushed, overdueFrom            time.Duration // overdueFrom is when it has waited for half of the time that it can
 }
 
 func (e *Entry[T]) weight() float64 {
@@ -139,6 +139,7 @@
 	}
 	q.drain.observe(now, q.waiting)
 	e.inTimeUntil, e.lateUntil, e.latest = q.instant(e.Urgency.InTimeUntil), q.instant(e.Urgency.LateUntil), q.instant(e.Latest)
+	e.pushed = q.instant(now)
 	e.overdueFrom = q.instant(e.Arrived.Add(e.Latest.Sub(e.Arrived) / 2))
 	q.insert(e, q.instant(now))
 	q.drain.arrived[min(max(0, e.Level), maxLevels-1)]++
@@ -180,7 +181,7 @@
 			continue
 		}
 		q.charge(e)
-		q.drain.sent(e.Level, now.Sub(e.Arrived), now)
+		q.drain.sent(e.Level, q.instant(now)-e.pushed, now)
 		q.drain.observe(now, q.waiting)
 		return e, true
 	}
--- a/waitqueue/waitqueue_test.go
+++ b/waitqueue/waitqueue_test.go
@@ -196,6 +196,25 @@
 		Expect(q.Refuse(at)).To(BeEmpty(), "all others are sent in time")
 	})
 
+	// Guards against programs that are refused for ever because they are expected to be late.
+	It("lets programs start that have no time to spare, while calls need not wait", func() {
+		start := waitqueue.Start{Level: 1, Slack: -time.Second, Calls: 3}
+		at := now
+		for range 100 {
+			at = at.Add(10 * time.Millisecond)
+			q.Push(entry("x", 1, time.Second), at)
+			q.Pop(at.Add(time.Millisecond))
+		}
+		_, ok := q.MayStart(start, at)
+		Expect(ok).To(BeTrue())
+		start.Utilization = 1.15
+		_, ok = q.MayStart(start, at)
+		Expect(ok).To(BeFalse())
+		start.Level = 0
+		_, ok = q.MayStart(start, at)
+		Expect(ok).To(BeTrue())
+	})
+
 	// Guards against callers that all return at once.
 	It("lets refused callers return one after the other, the urgent first", func() {
 		var r waitqueue.Returns
