--- a/gateway/job.go
+++ b/gateway/job.go
@@ -9,6 +9,7 @@
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/ring"
 	"dogwoodline.example/route"
+	"dogwoodline.example/urgency"
 )
 
 const (
@@ -40,6 +41,7 @@
 	body          []byte
 	deadline      time.Time
 	startsProgram bool // it starts a program
+	turn          int  // turns of the conversation before it; urgency.NotTurn if it is none
 	// priority is that of the organisation and the route, of priorityLevels values; 0 is
 	// the most urgent. priorityLevels is 0 if the configuration has no organisations.
 	priority       int
@@ -53,6 +55,7 @@
 	// The fields below are not synchronized: only the goroutine that currently
 	// processes the job (scheduler or call worker) may use them.
 	exclude      []string
+	refusedBy    []string // servers that refused it because they were full, and may be chosen again
 	tries        int
 	possibleRuns int // attempts in which a backend server may have run it
 	lostRuns     int // of those, the ones whose backend server crashed or became unreachable
@@ -61,6 +64,8 @@
 	resumeAfter  string
 	headSent     bool
 	lastReason   string
+	// urgency is set if the calls to its service compete for places.
+	urgency *urgency.Assessment
 	// origin limits the backend servers that may send the rest of the stream; nil
 	// before its first event.
 	origin       *streamOrigin
--- a/gateway/sharedview.go
+++ b/gateway/sharedview.go
@@ -114,7 +114,13 @@
 }
 
 // waitingFor returns the number of calls to a service that wait at this front.
-func (s *Scheduler) waitingFor(service string) int { return len(s.waiting.byService[service]) }
+func (s *Scheduler) waitingFor(service string) int {
+	waiting := len(s.waiting.byService[service])
+	if q := s.queues.byService[service]; q != nil {
+		waiting += q.queue.Len()
+	}
+	return waiting
+}
 
 // zoneDemand is what the directory needs to know: whether any service is contended, and
 // the calls that run or wait by the zone of their front, if that is known.
