--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -124,9 +124,9 @@
 		crashes: crashRecords{}, ends: newServerEnds(), reportedCrashes: turnStore.Crashes(), reportCrash: turnStore.ReportCrash,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	s.places = s.fleet
 	s.addresses.Store(&map[string]bool{})
 	s.zoneDemand.Store(&zoneDemand{})
+	s.places = s.fleet
 	s.statistics = newServerStatistics(zone, func(table serverstats.Table) bool {
 		return s.messages.TryPush(schedulerMessage{table: &table}) == nil
 	})
