--- a/gateway/job.go
+++ b/gateway/job.go
@@ -9,6 +9,7 @@
 	"dogwoodline.example/fleet"
 	"dogwoodline.example/ring"
 	"dogwoodline.example/route"
+	"dogwoodline.example/urgency"
 )
 
 const (
@@ -40,6 +41,7 @@
 	body          []byte
 	deadline      time.Time
 	startsProgram bool // it starts a program
+	turn          int  // turns of the conversation before it; urgency.NotTurn if it is none
 	// priority is that of the organisation and the route, of priorityLevels values; 0 is
 	// the most urgent. priorityLevels is 0 if the configuration has no organisations.
 	priority       int
@@ -53,6 +55,7 @@
 	// The fields below are not synchronized: only the goroutine that currently
 	// processes the job (scheduler or call worker) may use them.
 	exclude      []string
+	refusedBy    []string // servers that refused it because they were full, and may be chosen again
 	tries        int
 	possibleRuns int // attempts in which a backend server may have run it
 	lostRuns     int // of those, the ones whose backend server crashed or became unreachable
@@ -61,10 +64,13 @@
 	resumeAfter  string
 	headSent     bool
 	lastReason   string
+	// urgency is set if the calls to its service compete for places.
+	urgency *urgency.Assessment
 	// origin limits the backend servers that may send the rest of the stream; nil
 	// before its first event.
 	origin       *streamOrigin
 	originRecord originRecord
+	home         string        // the ID of the backend server that generated the turn before; empty if not known
 	pieces       *turnPieces   // of a turn that can be taken up; nil for none
 	waits        *waitingPlace // its place among those that wait for the limits of the backend servers; nil if it has none yet
 }
@@ -135,6 +141,7 @@
 	hasBody bool
 	event   []byte // one event, as the backend server sent it
 	end     bool   // the stream is complete
+	backend string // with end: the ID of the backend server that sent the last part of the stream
 	// failure ends a job without a complete response.
 	failure *failure
 }
