newsfeed, gateway, role: Count the age of a feed's answer in the doubt about the configuration

A store had confirmed to its fronts what was up to 2 s old, and the front took the time of that answer for the time of what it says.

Change: the reader tells how old the last answer to a watch was, and the front counts from then.

Ruled out: a shorter bound for all answers (a front in calm would doubt its configuration between two watches).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,13 +145,10 @@
 	}
 }
 
-// ConfirmTable records that this front knows the newest configuration now. Until the first
-// call, and when the last one is older than MaxTableAge, a key that the table lacks may be
+// ConfirmTable records that this front knows the configuration that was the newest at the
+// given time. Until the first call, and when that time is longer ago than MaxTableAge, a key that the table lacks may be
 // in force.
-func (g *Gateway) ConfirmTable() {
-	now := time.Now()
-	g.tableConfirmed.Store(&now)
-}
+func (g *Gateway) ConfirmTable(at time.Time) { g.tableConfirmed.Store(&at) }
 
 // tableMayBeOld reports whether the operator may have changed the configuration without
 // this front knowing it in time.
--- a/gateway/organisation_test.go
+++ b/gateway/organisation_test.go
@@ -73,7 +73,7 @@
 		s = newFixtureWith(slog.New(slog.DiscardHandler), gateway.Settings{CallWorkers: 8, MaxTableAge: 200 * time.Millisecond}, plain, s.ok)
 		s.gateway.SetTable(keyTable(2, plain, "key-1"))
 		Expect(status("1", keyHeader, "key-2")).To(Equal(http.StatusServiceUnavailable), "nothing shows yet that the table is the newest")
-		s.gateway.ConfirmTable()
+		s.gateway.ConfirmTable(time.Now())
 		Expect(status("2", keyHeader, "key-2")).To(Equal(http.StatusUnauthorized))
 		Eventually(func() int { return status("3", keyHeader, "key-2") }, "2s").Should(Equal(http.StatusServiceUnavailable))
 		Expect(status("4", keyHeader, "key-1")).To(Equal(http.StatusOK))
--- a/newsfeed/newsfeed_test.go
+++ b/newsfeed/newsfeed_test.go
@@ -125,6 +125,16 @@
 		Expect(store.watches).To(Equal(1))
 	})
 
+	// Guards against a front that takes its configuration for the newest although its feed has
+	// not heard from the platform's store for a while.
+	It("tells how old the answer of a feed is", func() {
+		Expect(hub.Listed(ctx, 1)).To(Succeed())
+		_, _, err := reader.Watch(ctx, "", 1, 300*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reader.WatchAge()).To(BeNumerically(">=", 300*time.Millisecond))
+		Expect(store.watches).To(BeZero())
+	})
+
 	// Guards against a store that keeps thousands of versions of a large configuration in
 	// memory.
 	It("finds only the newest changes at the feed when they are large", func() {
--- a/newsfeed/reader.go
+++ b/newsfeed/reader.go
@@ -36,6 +36,7 @@
 	connect     func(address string) (grpc.ClientConnInterface, func(), error)
 	feeds       atomic.Pointer[[]string] // addresses, preferred ones first
 	followsFeed atomic.Bool
+	watchAge    atomic.Int64 // of the last answer to a watch when it arrived, in ms
 
 	// The fields below are accessed only by the goroutine that watches.
 	client      feedpb.FeedClient
@@ -74,6 +75,7 @@
 func (r *Reader) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Event, kvstore.Version, error) {
 	feeds := *r.feeds.Load()
 	if prefix != "" || len(feeds) == 0 {
+		r.watchAge.Store(0)
 		return r.Store.Watch(ctx, prefix, after, wait)
 	}
 	wait = min(wait, maxFeedWait)
@@ -81,6 +83,7 @@
 		address := feeds[r.failures%len(feeds)]
 		reply, err := r.watchFeed(ctx, address, after, wait)
 		if err == nil {
+			r.watchAge.Store(reply.AgeMs)
 			r.recordFeedResult(true, address, nil, reply.AgeMs)
 			return decodeEvents(reply.Events), kvstore.Version(reply.Revision), nil
 		}
@@ -92,9 +95,16 @@
 		r.failures++
 		r.feedRetryAt = time.Now().Add(feedRetryDelay)
 	}
+	r.watchAge.Store(0)
 	return r.Store.Watch(ctx, prefix, after, wait)
 }
 
+// WatchAge returns how long before the last answer to a watch of all keys the platform's
+// store had confirmed what it says. The answer of a feed may be as old as StaleAfter.
+func (r *Reader) WatchAge() time.Duration {
+	return time.Duration(r.watchAge.Load()) * time.Millisecond
+}
+
 // recordFeedResult records whether a feed answered the last watch. It logs each
 // failure of a feed, and the first answer after a failure.
 func (r *Reader) recordFeedResult(follows bool, address string, err error, ageMS int64) {
--- a/role/front.go
+++ b/role/front.go
@@ -74,7 +74,7 @@
 		return frontBatchDelay(p.currentHost())
 	}
 	var configs platform.ConfigDecoder // only the duty that follows the store uses it
-	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay, StaleFirstList: true}, &follower{onWatched: g.ConfirmTable, subscriptions: []subscription{
+	p.followStore(reader, membership.FollowOptions{WatchWait: frontWatchWait, BatchDelay: batchDelay, StaleFirstList: true}, &follower{onWatched: func() { g.ConfirmTable(time.Now().Add(-reader.WatchAge())) }, subscriptions: []subscription{
 		configSubscription(p.log, func(value []byte) error {
 			table, err := configs.Decode(value)
 			if err == nil && g.SetTable(table) {
