--- a/fleet/contended.go
+++ b/fleet/contended.go
@@ -117,7 +117,10 @@
 	f, load, capacity := c.fleet, c.load(s), c.capacity(s)
 	slowness := f.slowness(s, c.now)
 	utilization := min(maxCrowding, load/capacity)
-	cost := slowness * (1 + loadCost*utilization + crowdCost*math.Pow(utilization, 4))
+	cost := slowness * (1 + loadCost*utilization)
+	if s != c.preferred { // elsewhere it takes a slot for longer, to process the prompt again
+		cost += slowness * crowdCost * math.Pow(utilization, 4)
+	}
 	if load >= capacity {
 		cost += waitCost + slowness*(load-capacity+1)/capacity
 	}
