--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -52,11 +52,7 @@
 
 // load returns the utilization, and how much of it one call of this front stands for.
 func (a *admission) load(f *fleet.Fleet, service route.Service, fronts int) (utilization, step float64) {
-	callsPerServer := 0.0 // calls that fit into the KV cache; 0 if unknown
-	if size := a.meanCallTokens[service.Name]; size > 0 {
-		callsPerServer = float64(service.Engine.KVCacheTokens) / size
-	}
-	running, capacity := f.Occupancy(service.Name, callsPerServer)
+	running, capacity := f.Occupancy(service.Name, a.callsInMemory(service))
 	if capacity == 0 {
 		return 0, 0
 	}
--- a/role/front.go
+++ b/role/front.go
@@ -64,7 +64,7 @@
 		MaxTableAge: maxTableAge(p.host),
 	}, platform.DecodeRequest, platform.Codec{}, turnStores)
 	fronts := &frontList{}
-	exchange := p.coordinate(g, fronts, quotas)
+	exchange := p.coordinate(g, fronts, quotas, g.ServerStatistics())
 	quotas.SetWake(exchange.Wake)
 	reader := newsfeed.NewReader(p.store, p.log, connect)
 	batchDelay := func() time.Duration {
--- a/waitqueue/burst_test.go
+++ b/waitqueue/burst_test.go
@@ -72,6 +72,8 @@
 	random    *rand.Rand
 	events    events
 	running   int
+	atServers []func() // calls that wait at the servers, sent by fronts that took the slots for free
+	seen      int      // calls at the servers when the fronts last told each other
 	fronts    []*simulatedFront
 	slots     int
 	scale     float64
@@ -82,6 +84,9 @@
 }
 
 type simulatedFront struct {
+	share     waitqueue.Share
+	own       int // its calls at the servers
+	seenOwn   int // the same when the fronts last told each other
 	queue     *waitqueue.Queue[*simulatedProgram]
 	returns   waitqueue.Returns
 	estimates *urgency.Estimates
@@ -106,6 +111,9 @@
 	for at := time.Duration(0); at < length; at += 100 * time.Millisecond {
 		s.after(at, s.sample)
 	}
+	for at := time.Duration(0); at < length+10*time.Second; at += 250 * time.Millisecond {
+		s.after(at, s.tell)
+	}
 	for at := time.Duration(0); at < length+10*time.Second; at += 20 * time.Millisecond {
 		s.after(at, func() {
 			for _, f := range s.fronts {
@@ -208,11 +216,12 @@
 	s.after(f.returns.Reserve(p.kind.level, wait, time.Second, s.random.Float64(), s.now), func() { s.send(p, s.random.IntN(len(s.fronts))) })
 }
 
-// fill sends waiting calls while slots are free, from fronts in random order.
+// fill sends waiting calls while slots are free, from fronts in random order. In the large
+// deployment a front knows of the others what they told each other up to 250 ms ago.
 func (s *simulation) fill() {
 	for _, i := range s.random.Perm(len(s.fronts)) {
 		f := s.fronts[i]
-		for s.running < s.slots {
+		for s.mayTake(f) {
 			var p *simulatedProgram
 			if len(f.plain) > 0 {
 				p, f.plain = f.plain[0], f.plain[1:]
@@ -227,11 +236,42 @@
 	}
 }
 
+func (s *simulation) mayTake(f *simulatedFront) bool {
+	if len(s.fronts) == smallFronts {
+		return s.running < s.slots
+	}
+	return f.queue.Len() > 0 && f.share.MayTake(float64(s.slots), s.seen-f.seenOwn+f.own, f.own, len(s.fronts), s.random.Float64(), s.now)
+}
+
+// tell lets the fronts know how many calls all of them have at the servers.
+func (s *simulation) tell() {
+	s.seen = 0
+	for _, f := range s.fronts {
+		s.seen += f.own
+		f.seenOwn = f.own
+	}
+}
+
 func (s *simulation) run(p *simulatedProgram, f *simulatedFront) {
+	f.own++
+	if s.running >= s.slots {
+		s.atServers = append(s.atServers, func() { s.begin(p, f) })
+		return
+	}
+	s.begin(p, f)
+}
+
+func (s *simulation) begin(p *simulatedProgram, f *simulatedFront) {
 	s.running++
 	call, started := s.call(p), s.now
 	s.after(time.Duration((0.5+s.random.Float64())*float64(turnTime)), func() {
 		s.running--
+		f.own--
+		if len(s.atServers) > 0 {
+			next := s.atServers[0]
+			s.atServers = s.atServers[1:]
+			next()
+		}
 		f.estimates.Ended(call, started, s.now)
 		p.turn++
 		if p.turn == p.turns {
