soak: Run fronts and stores whose callers compete for places

The settings of the stand-in's hosts can say so, and seed 4 checks the guarantees of fronts and stores with the queue, the choice by measured speed and the exchange of statistics.

--- a/emulator/usersplatform/client.go
+++ b/emulator/usersplatform/client.go
@@ -87,6 +87,8 @@
 	// ConfigMs is the time within which a change of the configuration must be in force; 0
 	// for none.
 	ConfigMs int
+	// Contended says that callers compete for places at backend servers.
+	Contended bool
 }
 
 // Ports on which the fronts of the stand-in's deployment listen.
@@ -104,6 +106,9 @@
 	} else {
 		data = fmt.Sprintf("DataDir = %q\n", h.DataDir)
 	}
+	if h.Contended {
+		data += "Contracts = [\"pressure\"]\n"
+	}
 	if h.ConfigMs > 0 {
 		bounds = fmt.Sprintf("DrainMs = %[1]d\nConfigMs = %[1]d\n", h.ConfigMs)
 	}
--- a/soak/roles/deployment.go
+++ b/soak/roles/deployment.go
@@ -97,7 +97,7 @@
 			return nil, err
 		}
 		h := &host{role: role, folder: folder, platformRelay: platformRelay}
-		h.settings = usersplatform.Host{Name: role + "-" + ip, IP: ip, PeerPort: storePort, Store: platformRelay.Address()}
+		h.settings = usersplatform.Host{Name: role + "-" + ip, IP: ip, PeerPort: storePort, Store: platformRelay.Address(), Contended: config.Contended}
 		if config.Organisations {
 			h.settings.ConfigMs = int(keyDelay.Milliseconds())
 		}
--- a/soak/roles/roles.go
+++ b/soak/roles/roles.go
@@ -44,7 +44,9 @@
 	// Organisations makes the clients of turns and calls send the keys of organisations,
 	// and takes keys away during the run.
 	Organisations bool
-	Log           *slog.Logger
+	// Contended says in the settings of the hosts that callers compete for places.
+	Contended bool
+	Log       *slog.Logger
 }
 
 const (
--- a/soak/roles/roles_test.go
+++ b/soak/roles/roles_test.go
@@ -38,12 +38,12 @@
 	// joins. In about half of the runs no turn was answered any more, which is
 	// a violation now. Its links to the only backend server are cut for a
 	// while, so few turns are answered.
-	DescribeTable("keep their guarantees under faults", func(ctx context.Context, seed uint64, stores, answeredAbove int, limit float64, organisations bool) {
+	DescribeTable("keep their guarantees under faults", func(ctx context.Context, seed uint64, stores, answeredAbove int, limit float64, organisations, contended bool) {
 		binary := filepath.Join(GinkgoT().TempDir(), "dogwoodline")
 		out, err := exec.Command("go", "build", "-buildvcs=false", "-o", binary, "../../cmd/dogwoodline").CombinedOutput()
 		Expect(err).NotTo(HaveOccurred(), string(out))
 		result, err := roles.Run(ctx, roles.Config{
-			Binary: binary, Fronts: 2, Stores: stores, Programs: 6, Duration: 10 * time.Second, Seed: seed, SecondOctet: 70, Limit: limit, Organisations: organisations,
+			Binary: binary, Fronts: 2, Stores: stores, Programs: 6, Duration: 10 * time.Second, Seed: seed, SecondOctet: 70, Limit: limit, Organisations: organisations, Contended: contended,
 			Log: slog.New(slog.NewTextHandler(GinkgoWriter, nil)),
 		})
 		Expect(err).NotTo(HaveOccurred())
@@ -54,11 +54,12 @@
 		Expect(result.Folder).NotTo(BeADirectory())
 		Expect(result.Answered).To(BeNumerically(">", answeredAbove))
 	},
-		Entry("of seed 1", uint64(1), 4, 50, 0.0, false, NodeTimeout(time.Minute)),
-		Entry("of seed 8", uint64(8), 4, 50, 0.0, false, NodeTimeout(time.Minute)),
-		Entry("of seed 1006 with three stores", uint64(1006), 3, 0, 0.0, false, NodeTimeout(time.Minute)),
-		Entry("of seed 1006 with three stores, again", uint64(1006), 3, 0, 0.0, false, NodeTimeout(time.Minute)),
-		Entry("of seed 2 while the backend server names a limit", uint64(2), 4, 10, limitedRate, false, NodeTimeout(time.Minute)),
-		Entry("of seed 3 with organisations whose keys are taken away", uint64(3), 4, 50, 0.0, true, NodeTimeout(time.Minute)),
+		Entry("of seed 1", uint64(1), 4, 50, 0.0, false, false, NodeTimeout(time.Minute)),
+		Entry("of seed 8", uint64(8), 4, 50, 0.0, false, false, NodeTimeout(time.Minute)),
+		Entry("of seed 1006 with three stores", uint64(1006), 3, 0, 0.0, false, false, NodeTimeout(time.Minute)),
+		Entry("of seed 1006 with three stores, again", uint64(1006), 3, 0, 0.0, false, false, NodeTimeout(time.Minute)),
+		Entry("of seed 2 while the backend server names a limit", uint64(2), 4, 10, limitedRate, false, false, NodeTimeout(time.Minute)),
+		Entry("of seed 3 with organisations whose keys are taken away", uint64(3), 4, 50, 0.0, true, false, NodeTimeout(time.Minute)),
+		Entry("of seed 4 while callers compete for places", uint64(4), 4, 50, 0.0, false, true, NodeTimeout(time.Minute)),
 	)
 })
