--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -133,8 +133,8 @@
 	group.Go("scheduler", s.run)
 	group.RegisterRingDepth("scheduler", "items", s.messages.Len)
 	group.RegisterGauge("dogwoodline_calls_waiting", func() int { return int(s.waiting.count.Load()) })
-	s.shared.register(group)
 	s.queues.register(group)
+	s.shared.register(group)
 	group.RegisterGauge("dogwoodline_backend_servers", func() int { return int(s.backendCount.Load()) })
 	return s
 }
