fleet, gateway: Take the load of a home server from the table

Cause: the turns of a conversation may come through the same front. Its own calls at the home server, times the number of fronts, made that server look full, and the next turn would have gone where the prompt has to be processed again. Change: for the home server, the other fronts' load is the table's, or without one the mean of the service.

--- a/fleet/contended.go
+++ b/fleet/contended.go
@@ -103,6 +103,9 @@
 
 // load returns the number of calls that run at a server, from all fronts as far as known.
 func (c *contendedChoice) load(s *backendState) float64 {
+	if s == c.preferred {
+		return c.fleet.homeLoad(s, c.now)
+	}
 	return c.fleet.load(s, c.now)
 }
 
--- a/fleet/contended_test.go
+++ b/fleet/contended_test.go
@@ -116,6 +116,17 @@
 		}),
 	)
 
+	// Guards against a home server that counts as full for all fronts because the front that
+	// has served the conversation runs a call there.
+	It("sends the next turn to its home server although only this front has calls there", func() {
+		f := newFleet(20)
+		f.SetFronts("f0", []string{"f0", "f1", "f2", "f3", "f4", "f5", "f6", "f7", "f8", "f9"}, nil, now)
+		f.CallStarted("b3", now.Add(-20*time.Second))
+		Expect(choose(f, request)).To(Equal("b3"))
+		f.LearnOthers(fleet.OthersTable{Service: "s", Servers: map[uint32]fleet.Others{}}, now)
+		Expect(choose(f, request)).To(Equal("b3"))
+	})
+
 	It("sends the next turn where the hash says if the server of the turn before is not recorded", func() {
 		f := newFleet(20)
 		unknown := request
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -77,3 +77,13 @@
 	}
 	return float64(s.running) + s.others.Load // this front runs too little to go by it
 }
+
+// homeLoad estimates the number of calls that run at the home server of a conversation. The
+// turns of a conversation may come through the same front, so that what this front runs
+// there says little about the others.
+func (f *Fleet) homeLoad(s *backendState, now time.Time) float64 {
+	if s.others.valid(now) {
+		return float64(s.running) + s.others.Load
+	}
+	return float64(s.running) + f.speedOf(s.Service, now).meanLoad*float64(max(0, len(f.listed)-1))
+}
--- a/fleet/speed.go
+++ b/fleet/speed.go
@@ -79,6 +79,7 @@
 type serviceSpeed struct {
 	median   float64 // of the lasting averages, as a logarithm of ms
 	measured int     // servers with a measurement
+	meanLoad float64 // calls of this front that run at a server, averaged
 	updated  time.Time
 	uneven   unevenness
 }
@@ -95,7 +96,9 @@
 	}
 	known.updated = now
 	var gaps []float64
+	known.meanLoad = 0
 	for _, s := range f.byService[service] {
+		known.meanLoad += s.average.at(s.running, now) / float64(len(f.byService[service]))
 		if s.speed.streams > 0 {
 			gaps = append(gaps, s.speed.lasting)
 		}
--- a/gateway/sharedview.go
+++ b/gateway/sharedview.go
@@ -132,19 +132,18 @@
 // learnTable takes in what the other fronts have measured of a service.
 func (s *Scheduler) learnTable(table serverstats.Table, now time.Time) {
 	v := s.view(table.Service)
-	if !v.valid(now) {
-		s.log.Info("gateway: statistics of other fronts known", "service", table.Service, "fronts", table.Fronts, "listed", s.listedFronts.Load(),
-			"servers", len(table.Servers))
-	}
-	v.table, v.told = table, now
 	s.shared.tables.Add(1)
 	// Fronts of earlier releases, and those that do not take the service for contended, do
 	// not report. They are taken to do as much as the others.
 	others, listed := float64(table.Fronts-1), float64(s.listedFronts.Load()-1)
 	if others < minReporting*listed {
-		v.told = time.Time{}
 		return
 	}
+	if !v.valid(now) {
+		s.log.Info("gateway: statistics of other fronts known", "service", table.Service, "fronts", table.Fronts, "listed", s.listedFronts.Load(),
+			"servers", len(table.Servers))
+	}
+	v.table, v.told = table, now
 	scale := 1.0
 	if others > 0 && listed > others {
 		scale = listed / others
