coordination: Leave out reports that their front no longer waits for

Cause: a coordinator that stood still would answer reports of long ago when it goes on, and count shares that their fronts use elsewhere by then.

Change: a report whose call has ended is dropped before the topics see it.

--- a/coordination/calls.go
+++ b/coordination/calls.go
@@ -13,7 +13,7 @@
 // Report implements coordinationpb.CoordinationServer.
 func (e *Exchange) Report(ctx context.Context, in *pb.ReportRequest) (*pb.ReportReply, error) {
 	reply := make(chan *pb.ReportReply, 1)
-	if e.messages.TryPush(message{report: &incoming{request: in, reply: reply}}) != nil {
+	if e.messages.TryPush(message{report: &incoming{ctx: ctx, request: in, reply: reply}}) != nil {
 		return nil, status.Error(codes.ResourceExhausted, "too many fronts report")
 	}
 	select {
--- a/coordination/exchange.go
+++ b/coordination/exchange.go
@@ -93,6 +93,7 @@
 
 // incoming is the report of another front.
 type incoming struct {
+	ctx     context.Context // ends when the front no longer waits
 	request *pb.ReportRequest
 	reply   chan<- *pb.ReportReply // has a buffer of one
 }
@@ -159,6 +160,8 @@
 
 func (e *Exchange) handle(m message, now time.Time) {
 	switch {
+	case m.report != nil && m.report.ctx.Err() != nil:
+		// This process stood still. The front has taken what it said for lost.
 	case m.report != nil:
 		m.report.reply <- &pb.ReportReply{Parts: e.answer(m.report.request.Front, m.report.request.Parts, now)}
 		e.answered.Add(1)
