coordination: Look for due reports once a second while no topic has anything to say

Cause: the exchange woke up 40 times a second and read the list of fronts four times a second at each front, in deployments too that have neither quotas nor contended services; each wake-up costs processor time there.

Change: two seconds after the last part that was sent or received, the exchange checks once a second. What is urgent wakes it at once, as before.

Ruled out: no duty while no topic is in use, since a topic begins to have something to say while the process runs.

--- a/coordination/exchange.go
+++ b/coordination/exchange.go
@@ -21,6 +21,11 @@
 	CallTimeout = 300 * time.Millisecond
 	// checkInterval is how often the exchange looks whether reports are due.
 	checkInterval = 25 * time.Millisecond
+	// idleInterval replaces checkInterval once no topic has had anything to say for
+	// idleAfter. Each of some hundred fronts would otherwise wake up 40 times a second in
+	// deployments that use no topic.
+	idleInterval = time.Second
+	idleAfter    = 2 * time.Second
 	// frontsInterval is how often the list of fronts is read. A front that has just started
 	// refuses requests of organisations until it knows the list.
 	frontsInterval = 250 * time.Millisecond
@@ -71,6 +76,7 @@
 	coordinators []string
 	fronts       []Front
 	frontsRead   time.Time
+	lastPart     time.Time // when a topic had something to say last, here or at another front
 }
 
 // link is what the exchange knows of a front that is or was a coordinator.
@@ -141,28 +147,39 @@
 			l.close()
 		}
 	}()
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
+	e.lastPart = time.Now() // the first reports of topics must not wait
+	timer := time.NewTimer(checkInterval)
+	defer timer.Stop()
 	for {
 		e.refreshFronts(time.Now())
 		for m, ok := e.messages.TryPop(); ok; m, ok = e.messages.TryPop() {
 			e.handle(m, time.Now())
 		}
 		e.reportDue(time.Now())
+		timer.Reset(e.nextCheck(time.Now()))
 		select {
 		case <-e.messages.Ready():
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// nextCheck returns the time until the exchange looks again whether reports are due.
+func (e *Exchange) nextCheck(now time.Time) time.Duration {
+	if now.Sub(e.lastPart) > idleAfter {
+		return idleInterval
+	}
+	return checkInterval
+}
+
 func (e *Exchange) handle(m message, now time.Time) {
 	switch {
 	case m.report != nil && m.report.ctx.Err() != nil:
 		// This process stood still. The front has taken what it said for lost.
 	case m.report != nil:
+		e.lastPart = now
 		m.report.reply <- &pb.ReportReply{Parts: e.answer(m.report.request.Front, m.report.request.Parts, now)}
 		e.answered.Add(1)
 	case m.result != nil:
@@ -272,6 +289,9 @@
 			parts = append(parts, &pb.Part{Topic: t.Name(), Payload: payload})
 		}
 	}
+	if len(parts) > 0 {
+		e.lastPart = now
+	}
 	switch {
 	case len(parts) == 0:
 	case l.address == e.settings.Self:
