--- a/emulator/usersplatform/config.go
+++ b/emulator/usersplatform/config.go
@@ -22,7 +22,7 @@
 // Organisation is an entry of the configuration's list of organisations.
 type Organisation struct {
 	Name     string
-	ApiKeys  []string //nolint:revive // spelled as in the platform's configuration
+	Keys     []string `json:"ApiKeys"`
 	Priority int
 	RatePerS float64
 	Burst    float64
--- a/soak/roles/organisations.go
+++ b/soak/roles/organisations.go
@@ -48,9 +48,9 @@
 // organisationsWith returns the organisations of a configuration in which the rotating
 // one has the given keys.
 func organisationsWith(keys ...string) []usersplatform.Organisation {
-	list := []usersplatform.Organisation{{Name: rotatingOrganisation, ApiKeys: keys, Priority: 1}}
+	list := []usersplatform.Organisation{{Name: rotatingOrganisation, Keys: keys, Priority: 1}}
 	for _, name := range organisationNames {
-		list = append(list, usersplatform.Organisation{Name: name, ApiKeys: []string{keyOf(name)}})
+		list = append(list, usersplatform.Organisation{Name: name, Keys: []string{keyOf(name)}})
 	}
 	return list
 }
