--- a/gateway/ordering.go
+++ b/gateway/ordering.go
@@ -31,7 +31,7 @@
 	queue   *waitqueue.Queue[*job]
 	returns waitqueue.Returns
 	checked time.Time // when calls that would be sent too late were looked for
-	drawn   time.Time // when it was drawn whether this front takes a slot beyond its share
+	share   waitqueue.Share
 	// Counts since the last line.
 	sent, refused, notStarted int
 	logged                    time.Time
@@ -128,11 +128,7 @@
 	}
 }
 
-// mayTakePlace reports whether this front may send another call to a service. Where all
-// fronts know how many slots are free, each may always take its share of all slots: a
-// front whose calls have ended would otherwise find the slots taken by those that replace
-// one call by the next. Of the free slots beyond that each takes one in an interval with
-// the probability that there is one for it, because all fronts see the same free slots.
+// mayTakePlace reports whether this front may send another call to a service.
 func (s *Scheduler) mayTakePlace(q *placeQueue, now time.Time) bool {
 	service := q.service
 	callsInMemory := s.admission.callsInMemory(service)
@@ -142,17 +138,9 @@
 	if s.places == nil {
 		return true
 	}
-	free, running, known := s.places.Places(service.Name, callsInMemory, now)
-	own, _ := s.fleet.Occupancy(service.Name, callsInMemory)
-	fronts := max(1, int(s.listedFronts.Load()))
-	switch {
-	case !known, own*fronts < free+running, free >= fronts:
-		return true
-	case now.Sub(q.drawn) < queueInterval:
-		return false
-	}
-	q.drawn = now
-	return s.random.IntN(fronts) < free
+	_, running, known := s.places.Places(service.Name, callsInMemory, now)
+	own, capacity := s.fleet.Occupancy(service.Name, callsInMemory)
+	return !known || q.share.MayTake(capacity, running, own, int(s.listedFronts.Load()), s.random.Float64(), now)
 }
 
 // refuseQueued refuses the waiting jobs that would be sent too late.
