--- a/gateway/ordering.go
+++ b/gateway/ordering.go
@@ -112,11 +112,14 @@
 		if j.ctx.Err() != nil {
 			continue // the handler has already ended the request
 		}
-		if _, left := s.fleet.LimitWait(request, now); !left {
-			s.failJob(j, j.noServerLeft(), retryAfterFull, now)
-			continue
+		anyServer := len(request.Exclude) == 0 && request.SoftwareVersion == "" && s.fleet.Size(request.Service) > 0
+		if !anyServer {
+			if _, left := s.fleet.LimitWait(request, now); !left {
+				s.failJob(j, j.noServerLeft(), retryAfterFull, now)
+				continue
+			}
 		}
-		if (len(request.Exclude) > 0 || request.SoftwareVersion != "") && !s.fleet.HasFree(request, s.admission.callsInMemory(q.service), now) {
+		if !anyServer && !s.fleet.HasFree(request, s.admission.callsInMemory(q.service), now) {
 			kept = append(kept, e)
 			continue
 		}
--- a/gateway/ordering_bench_test.go
+++ b/gateway/ordering_bench_test.go
@@ -21,7 +21,7 @@
 	now := time.Now()
 	s := &Scheduler{
 		log: slog.New(slog.DiscardHandler), fleet: fleet.New("a"), queues: newPlaceQueues(), attempts: ring.New[attempt](8), estimates: urgency.New(),
-		random: rand.New(rand.NewPCG(1, 2)), admission: admission{meanCallTokens: map[string]float64{}}, contendedCapacity: true,
+		random: rand.New(rand.NewPCG(1, 2)), admission: admission{meanCallTokens: map[string]float64{}}, views: map[string]*sharedView{}, contendedCapacity: true,
 		hasIdleConnection: func(string) bool { return true },
 	}
 	for i := range 1000 {
