zones, gateway: Count the demand of zones without servers, and spread it

Cause: the demand of a zone without servers of a service was left out, and with an infinite delay there, all other zones looked equally good, so that the first one by name got everything. Measured: the new spec failed without the second change (a share of 1.0 for one zone), not run without the first; go test ./zones and the specs of the statistics in ./gateway green.

--- a/gateway/serverstatistics_test.go
+++ b/gateway/serverstatistics_test.go
@@ -133,6 +133,27 @@
 		Expect(crossing(a, 0, now)).To(BeNumerically(">", 40))
 		Expect(b.views["s"].shares).To(BeEmpty())
 	})
+
+	// Guards against demand that is left out because it begins where no server is, so that
+	// all of it goes where the others send too.
+	It("count the demand of a zone without servers", func() {
+		a, c := newFront("a", 2, true), newFront("c", 2, true)
+		now := start
+		c.fleet.CallEnded(fleet.CallResult{BackendID: "b0", Duration: 250 * time.Millisecond, Comparable: true}, now)
+		for i := range 4 {
+			c.fleet.CallStarted(fmt.Sprint("b", i), now)
+		}
+		for range 20 {
+			now = now.Add(time.Second)
+			exchange(now, a, c)
+		}
+		sum := 0.0
+		for _, share := range c.views["s"].shares {
+			sum += share.Part
+			Expect(share.Part).To(BeNumerically("~", 0.5, 0.1))
+		}
+		Expect(sum).To(BeNumerically("~", 1, 0.01))
+	})
 })
 
 var _ = Describe("The fronts for clients of a zone", func() {
--- a/gateway/sharedview.go
+++ b/gateway/sharedview.go
@@ -166,8 +166,15 @@
 	var wanted []zones.Share
 	if v.valid(now) {
 		all := s.fleet.ZoneCapacities(service, v.callsInMemory, now)
+		known := map[string]bool{}
 		for i := range all {
 			all[i].Demand = v.table.ZoneDemand[all[i].Name]
+			known[all[i].Name] = true
+		}
+		for zone, calls := range v.table.ZoneDemand { // zones without a server
+			if !known[zone] {
+				all = append(all, zones.Zone{Name: zone, Demand: calls})
+			}
 		}
 		call := zones.Call{Time: s.fleet.TypicalTime(service), Transit: zoneTransit, Bytes: int(v.callBytes)}
 		wanted = zones.Shares(s.zone, all, call)
--- a/zones/zones.go
+++ b/zones/zones.go
@@ -58,6 +58,9 @@
 	// minGain is the part of a call's time that sending it to another zone must save.
 	// Less may be chance.
 	minGain = 0.1
+	// noServerDelay is the delay in a zone without servers, in units of a call's time. It is
+	// finite, so that the zones that take its calls still differ.
+	noServerDelay = 1e6
 	// steps is the number of parts into which the demand is divided.
 	steps = 100
 )
@@ -66,7 +69,7 @@
 // units of its time at the idle median server.
 func (z Zone) delay(load float64) float64 {
 	if z.Capacity <= 0 {
-		return math.Inf(1)
+		return noServerDelay
 	}
 	utilization := load / z.Capacity
 	return max(z.Slowness, 0.1) * (1 + batchSlowdown*min(1, utilization) + queueing(utilization, z.Slots))
