--- a/cmd/dogwoodline/roles_test.go
+++ b/cmd/dogwoodline/roles_test.go
@@ -29,11 +29,13 @@
 	address  string // of the emulated metadata store
 	backend  *usersplatform.Backend
 	hosts    map[string]*testHost
+	limits   usersplatform.Host // MemoryMB and MaxFDs of the hosts that are started next
 }
 
 type testHost struct {
 	name, role, ip string
 	dir            string
+	peerPort       int
 	process        *exec.Cmd
 	logFile        *os.File
 }
@@ -84,7 +86,10 @@
 	h := &testHost{name: name, role: role, ip: ip, dir: dir}
 	f.hosts[name] = h
 	settings := filepath.Join(f.dir, name+".toml")
-	host := usersplatform.Host{Name: name, IP: ip, PeerPort: freePort(ip), DataDir: dir, Store: f.address}
+	host := usersplatform.Host{
+		Name: name, IP: ip, PeerPort: freePort(ip), DataDir: dir, Store: f.address, MemoryMB: f.limits.MemoryMB, MaxFDs: f.limits.MaxFDs,
+	}
+	h.peerPort = host.PeerPort
 	Expect(os.WriteFile(settings, []byte(host.Settings()), 0o644)).To(Succeed())
 	h.process = exec.Command(f.binary, role)
 	h.process.Env = append(os.Environ(), usersplatform.SettingsVariable+"="+settings)
--- a/emulator/usersplatform/client.go
+++ b/emulator/usersplatform/client.go
@@ -84,8 +84,16 @@
 	DataDir string
 	// Store is the address of the metadata store.
 	Store string
+	// MemoryMB and MaxFDs are the limits of the process; 0 means the defaults.
+	MemoryMB, MaxFDs int
 }
 
+// Default limits of a process.
+const (
+	defaultMemoryMB = 200
+	defaultMaxFDs   = 4100
+)
+
 // Ports on which the fronts of the stand-in's deployment listen.
 const (
 	FrontPort     = 8149
@@ -101,9 +109,10 @@
 	} else {
 		data = fmt.Sprintf("DataDir = %q\n", h.DataDir)
 	}
-	return fmt.Sprintf("NodeName = %q\nIp = %q\nZone = %q\nPortRange = [%d,%d]\n%s[Listen]\n%s[Limits]\nMemoryMb = 200\nMaxFds = 4100\n"+
+	return fmt.Sprintf("NodeName = %q\nIp = %q\nZone = %q\nPortRange = [%d,%d]\n%s[Listen]\n%s[Limits]\nMemoryMb = %d\nMaxFds = %d\n"+
 		"[FaultTolerance]\nMachines = 1\n[Bounds]\nDrainMs = 2000\nGraceS = 8\nttl_max_s = 5\n[Platform]\nAddress = %q\n"+
-		"WritesPerS = 400\nReadsPerS = 2000\nTtlMinMs = 1000\n", h.Name, h.IP, "zone-"+h.Name, h.PeerPort, h.PeerPort, data, listen, h.Store)
+		"WritesPerS = 400\nReadsPerS = 2000\nTtlMinMs = 1000\n", h.Name, h.IP, "zone-"+h.Name, h.PeerPort, h.PeerPort, data, listen,
+		cmp.Or(h.MemoryMB, defaultMemoryMB), cmp.Or(h.MaxFDs, defaultMaxFDs), h.Store)
 }
 
 // SettingsVariable is the environment variable for the settings file.
