clientlimits, role, daemon: Bound what clients can hold at every address

Cause: nothing bounded the connections of a process, or what incomplete request heads hold. Change: module clientlimits. Head judges bytes, lines and empty lines of a head; Victims and Overdue choose which connections are closed; both are without network or clock. Budget and Listener apply them, with one duty for each kind of clients. Fronts and stores take the shares from Limits.MemoryMb and Limits.MaxFds; callers, directory, operators' addresses and other processes have separate shares. The operator's limits for heads and idle connections apply once the configuration is known. The node takes its shares from the operating system. Ruled out: netutil.LimitListener, which lets clients wait behind silent ones; a deadline on each connection, which would cost each request; 1,024 lines in a head, with which the spec of many lines measured 76672 KB, because net/http makes a map for all lines that it sees.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodline.example/api"
+	"dogwoodline.example/clientlimits"
 	"dogwoodline.example/config"
 	"dogwoodline.example/duty"
 	"dogwoodline.example/fencedlog"
@@ -55,6 +56,8 @@
 	node         *node.Node
 	httpServer   *http.Server
 	httpListener net.Listener
+	// callers and peers bound the connections of the two listeners.
+	callers, peers *clientlimits.Budget
 	// beginShutdown ends the watches that are pending at the HTTP API.
 	beginShutdown context.CancelFunc
 }
@@ -112,11 +115,13 @@
 	if o.wrapPeerListener != nil {
 		peerListener = o.wrapPeerListener(peerListener)
 	}
+	d.callers, d.peers = newClientBudgets(log, d.metrics)
 	d.node, err = node.New(nodeSettings(s), node.Dependencies{
 		Stores: node.Stores{
 			Lease: limiter.Store(budgeted.Lease), Journal: limiter.Store(budgeted.Journal), Placement: limiter.Store(budgeted.Status),
 		},
-		Hosts: limiter.Hosts(client), Resources: d.config.Snapshot, Config: d.config, Listener: peerListener, TLS: inbound,
+		Hosts: limiter.Hosts(client), Resources: d.config.Snapshot, Config: d.config,
+		Listener: d.peers.Wrap(peerListener, clientlimits.HTTP2), TLS: inbound,
 		Links: d.links, Clock: clock, Log: log, Metrics: d.metrics, Credentials: credentialFromEnv,
 	})
 	if err != nil {
@@ -164,7 +169,10 @@
 		Service: readyService{d.node.Service(), d.config}, Authenticator: authenticator{d.config.Snapshot}, Resources: resources{d.config},
 		OperatorKey: d.settings.Operator.Key, Metrics: d.metrics, Log: d.log, ShutdownContext: ctx,
 	})
-	return handler.HTTPServer(d.settings.Listen.HTTP)
+	server := handler.HTTPServer(d.settings.Listen.HTTP)
+	server.ConnState = clientlimits.ConnState
+	d.callers.SetLimits(clientlimits.Defaults.Operator(server.MaxHeaderBytes, server.ReadHeaderTimeout, server.IdleTimeout))
+	return server
 }
 
 // Ready returns nil if the node can serve callers, otherwise the reason why it
@@ -180,6 +188,8 @@
 	group := duty.NewGroup(ctx, d.log, d.metrics)
 	defer group.Stop()
 	d.config.Start(group)
+	group.Go("client-limits", d.callers.Run)
+	group.Go("client-limits", d.peers.Run)
 	httpErr := make(chan error, 1)
 	go func() { httpErr <- d.serveHTTP() }()
 	nodeErr := make(chan error, 1)
@@ -202,9 +212,9 @@
 
 func (d *Daemon) serveHTTP() error {
 	if files := d.settings.TLS; files.CertificateFile != "" {
-		return d.httpServer.ServeTLS(d.httpListener, files.CertificateFile, files.KeyFile)
+		return d.httpServer.ServeTLS(d.callers.Wrap(d.httpListener, clientlimits.Encrypted), files.CertificateFile, files.KeyFile)
 	}
-	return d.httpServer.Serve(d.httpListener)
+	return d.httpServer.Serve(d.callers.Wrap(d.httpListener, clientlimits.HTTP1))
 }
 
 func (d *Daemon) close() {
--- a/role/front.go
+++ b/role/front.go
@@ -14,6 +14,7 @@
 	"github.com/go-chi/chi/v5"
 	"google.golang.org/grpc"
 
+	"dogwoodline.example/clientlimits"
 	"dogwoodline.example/coordination"
 	"dogwoodline.example/coordination/coordinationpb"
 	"dogwoodline.example/copyset"
@@ -79,6 +80,7 @@
 			table, err := configs.Decode(value)
 			if err == nil && g.SetTable(table) {
 				quotas.SetLimits(quotaLimits(table))
+				p.budgets.setLimits(table.Limits)
 			}
 			return err
 		}),
@@ -116,10 +118,10 @@
 			p.log.Info("role: port for other fronts not opened", "address", address, "error", err)
 			continue
 		}
-		server := grpc.NewServer()
+		server := grpc.NewServer(peerServerOptions()...)
 		tunnelpb.RegisterTunnelServer(server, tunnels)
 		coordinationpb.RegisterCoordinationServer(server, exchange)
-		p.group.Go("grpc-accept", func(context.Context) error { return server.Serve(listener) })
+		p.group.Go("grpc-accept", func(context.Context) error { return server.Serve(p.budgets.peers.Wrap(listener, clientlimits.HTTP2)) })
 		p.onStop = append(p.onStop, server.Stop)
 		return address
 	}
@@ -250,13 +252,18 @@
 			p.log.Info("role: address list not sent", "error", err)
 		}
 	})
-	for address, handler := range map[string]http.Handler{
-		p.host.FrontAddress: g, p.host.ReadyAddress: ready, p.host.DirectoryAddress: directory,
+	for _, s := range []struct {
+		address string
+		budget  *clientlimits.Budget
+		handler http.Handler
+	}{
+		{p.host.FrontAddress, p.budgets.callers, g}, {p.host.ReadyAddress, p.budgets.operators, ready},
+		{p.host.DirectoryAddress, p.budgets.directory, directory},
 	} {
-		if address == "" {
+		if s.address == "" {
 			continue
 		}
-		if err := p.listen(ctx, address, handler); err != nil {
+		if err := p.listen(ctx, s.address, s.budget, s.handler); err != nil {
 			return err
 		}
 	}
--- a/role/role.go
+++ b/role/role.go
@@ -28,6 +28,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"dogwoodline.example/clientlimits"
 	"dogwoodline.example/duty"
 	"dogwoodline.example/kvstore"
 	"dogwoodline.example/logline"
@@ -77,6 +78,7 @@
 	store     kvstore.Store
 	session   *membership.Session
 	member    membership.Member
+	budgets   clientBudgets
 	servers   []*http.Server
 	onStop    []func() // stop other servers
 	signals   chan os.Signal
@@ -106,6 +108,7 @@
 	p.member = membership.Member{ID: host.Name, Incarnation: rand.Text(), Zone: host.AvailabilityZone}
 	p.log.Info("role: started", "incarnation", p.member.Incarnation, "zone", host.AvailabilityZone, "memory_bytes", host.MemoryBytes,
 		"first_start", host.FirstStart, "platform_store", host.StoreAddress, "tolerated_losses", host.ToleratedHostLosses)
+	p.budgets = p.newClientBudgets(name)
 	p.serveMetrics()
 	err = serve(ctx, p)
 	for _, server := range p.servers { // the goroutines that accept connections end only then
@@ -140,19 +143,20 @@
 	}
 }
 
-// listen starts an HTTP server on the address. runProcess closes it.
-func (p *process) listen(ctx context.Context, address string, handler http.Handler) error {
+// listen starts an HTTP server on the address, whose clients share the budget. runProcess
+// closes it.
+func (p *process) listen(ctx context.Context, address string, budget *clientlimits.Budget, handler http.Handler) error {
 	listener, err := netdial.Listen(ctx, address)
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelInfo),
+		ConnState: clientlimits.ConnState, ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelInfo),
 	}
 	p.servers = append(p.servers, server)
 	p.group.Go("http-accept", func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(budget.Wrap(listener, clientlimits.HTTP1)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -160,15 +164,6 @@
 	return nil
 }
 
-const (
-	// headerTimeout, idleTimeout and maxHeaderBytes are looser than the limits
-	// in the operator's configuration, which is not known yet when a server
-	// starts.
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 64 << 10
-)
-
 func (p *process) serveMetrics() {
 	router := chi.NewRouter()
 	router.Get(metricsPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -176,7 +171,7 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	address := net.JoinHostPort(p.host.IP, strconv.Itoa(metricsPort))
-	if err := p.listen(context.Background(), address, router); err != nil {
+	if err := p.listen(context.Background(), address, p.budgets.operators, router); err != nil {
 		p.log.Error("role: metrics endpoint not started", "address", address, "error", err)
 	}
 }
--- a/role/store.go
+++ b/role/store.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/grpc"
 
+	"dogwoodline.example/clientlimits"
 	"dogwoodline.example/copyset"
 	"dogwoodline.example/kvstore"
 	"dogwoodline.example/membership"
@@ -39,11 +40,13 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	grpcServer := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))
+	grpcServer := grpc.NewServer(append(peerServerOptions(), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))...)
 	turnpb.RegisterTurnStoreServer(grpcServer, server)
 	feed := newsfeed.NewHub(p.group)
 	feedpb.RegisterFeedServer(grpcServer, feed)
-	p.group.Go("grpc-accept", func(context.Context) error { return grpcServer.Serve(listener) })
+	p.group.Go("grpc-accept", func(context.Context) error {
+		return grpcServer.Serve(p.budgets.peers.Wrap(listener, clientlimits.HTTP2))
+	})
 
 	self := copyset.Member{Host: p.host.Name, Address: address, Zone: p.host.AvailabilityZone}
 	report := func(done bool) (string, []byte) { return platform.RetireReport(p.host.Name, done) }
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -22,6 +22,13 @@
 // tenants. A program's history of 590,000 tokens is about 3 MB.
 const maxMessageBytes = 64 << 20
 
+const (
+	// connectionTimeout is the time for the handshake of a connection.
+	connectionTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the metadata of a call, of which nodes send a few hundred bytes.
+	maxHeaderBytes = 64 << 10
+)
+
 // Server accepts the connections of other nodes.
 type Server struct {
 	grpc *grpc.Server
@@ -33,7 +40,8 @@
 	if tls == nil {
 		tls = insecure.NewCredentials()
 	}
-	server := grpc.NewServer(grpc.Creds(tls), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes))
+	server := grpc.NewServer(grpc.Creds(tls), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.ConnectionTimeout(connectionTimeout), grpc.MaxHeaderListSize(maxHeaderBytes))
 	peerpb.RegisterPeerServer(server, &service{handler: handler})
 	return &Server{grpc: server}
 }
