--- a/clientlimits/budget.go
+++ b/clientlimits/budget.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,11 +94,11 @@
 // snapshot returns the connections and their states.
 func (b *Budget) snapshot() ([]*Conn, []State) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	connections := make([]*Conn, 0, len(b.connections))
-	states := make([]State, 0, len(b.connections))
-	for c := range b.connections {
-		connections = append(connections, c)
+	connections := slices.AppendSeq(make([]*Conn, 0, len(b.connections)), maps.Keys(b.connections))
+	b.mu.Unlock()
+	states := make([]State, 0, len(connections))
+	for _, c := range connections {
+		c.refresh()
 		states = append(states, c.state())
 	}
 	return connections, states
--- a/clientlimits/conn.go
+++ b/clientlimits/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Protocol is how the requests on a connection are told apart.
@@ -19,7 +21,9 @@
 	// Encrypted is HTTP over TLS. The server judges request heads itself and reports the
 	// phases by ConnState.
 	Encrypted
-	// HTTP2 is gRPC. A connection counts as serving from the end of its preface.
+	// HTTP2 is gRPC. A connection counts as serving from the end of its preface. TCP
+	// connections are passed on as they are, because grpc-go sets TCP_USER_TIMEOUT on them
+	// and holds no buffer while it waits for their bytes.
 	HTTP2
 )
 
@@ -47,7 +51,13 @@
 		}
 		c := &Conn{Conn: inner, budget: l.budget, protocol: l.protocol}
 		c.since.Store(time.Now().UnixNano())
-		if l.budget.admit(c) {
+		if l.protocol == HTTP2 {
+			c.watched, _ = inner.(*net.TCPConn)
+		}
+		switch admitted := l.budget.admit(c); {
+		case admitted && c.watched != nil:
+			return inner, nil
+		case admitted:
 			return c, nil
 		}
 		if tcp, ok := inner.(*net.TCPConn); ok {
@@ -62,6 +72,8 @@
 	net.Conn
 	budget   *Budget
 	protocol Protocol
+	// watched is the inner connection if the server uses it without this one; else nil.
+	watched *net.TCPConn
 
 	since, headBytes, writingSince atomic.Int64
 	// phase changes under mu, so that a connection is not closed to make room in the
@@ -141,6 +153,31 @@
 	return c.budget.headBytes.Add(length - before)
 }
 
+// refresh brings a watched connection up to date. Of others it does nothing.
+func (c *Conn) refresh() {
+	if c.watched == nil {
+		return
+	}
+	var received uint64
+	raw, err := c.watched.SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) {
+			if Phase(c.phase.Load()) == Serving {
+				return // only whether it is closed is of interest
+			}
+			if info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
+				received = info.Bytes_received
+			}
+		})
+	}
+	switch {
+	case err != nil: // the server has closed it
+		_ = c.Close()
+	case received >= prefaceBytes:
+		c.setPhase(Serving)
+	}
+}
+
 func (c *Conn) setPhase(phase Phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,6 +194,15 @@
 	return count, err
 }
 
+// CloseWrite closes the sending side. net/http calls it to keep a last response from being
+// lost by a reset.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
--- a/role/clients.go
+++ b/role/clients.go
@@ -30,10 +30,10 @@
 // the platform, stores and backend servers and for files, and the rest of the memory for
 // the bodies of requests and responses and for what the process knows.
 var (
-	callerShares   = clientShares{0.5, 0.25}
-	directoryShare = clientShares{0.1, 0.03}
-	operatorShares = clientShares{0.05, 0.02}
-	peerShares     = map[string]clientShares{"front": {0.1, 0.05}, "store": {0.5, 0.2}}
+	callerShares    = clientShares{0.45, 0.25}
+	directoryShares = clientShares{0.08, 0.05}
+	operatorShares  = clientShares{0.04, 0.02}
+	peerShares      = map[string]clientShares{"front": {0.13, 0.08}, "store": {0.5, 0.2}}
 )
 
 // clientBudgets bounds the connections of each kind of clients, so that none takes the
@@ -54,7 +54,7 @@
 	}
 	budgets := clientBudgets{operators: start("operators", operatorShares), peers: start("peers", peerShares[role])}
 	if role == "front" {
-		budgets.callers, budgets.directory = start("callers", callerShares), start("directory", directoryShare)
+		budgets.callers, budgets.directory = start("callers", callerShares), start("directory", directoryShares)
 	}
 	return budgets
 }
