--- a/clientlimits/conn.go
+++ b/clientlimits/conn.go
@@ -247,7 +247,7 @@
 func (c *Conn) reject(cause Cause) {
 	c.budget.closed[cause].Inc()
 	c.setHeadBytes(0)
-	_ = c.Conn.SetDeadline(time.Now().Add(rejectWait)) // fails only if the connection is closed
+	_ = c.SetDeadline(time.Now().Add(rejectWait)) // fails only if the connection is closed
 	_, err := io.WriteString(c.Conn, "HTTP/1.1 "+rejections[cause]+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && err == nil {
 		_ = tcp.CloseWrite()
