--- a/gateway/beginturn.go
+++ b/gateway/beginturn.go
@@ -8,6 +8,7 @@
 
 	"dogwoodline.example/route"
 	"dogwoodline.example/turnstore"
+	"dogwoodline.example/urgency"
 )
 
 // takesUp reports whether the client takes up a stream after its last event.
@@ -41,15 +42,22 @@
 		"previous", e.request.PreviousTurn, "budget", e.request.TokenBudget, "spent", result.Spent, "reserved", result.Reserved, "ledger_entries", result.LedgerEntries,
 		"most", e.request.MaxOutputTokens, "synced", result.Synced, "copy_set", result.CopySet, "turns", len(result.Conversation), "missing_turn", result.MissingTurn, "turn_of", owner, "resumed_attempt", e.request.ResumedAttempt,
 		"took_ms", time.Since(start).Milliseconds())
+	e.turnsBefore = len(result.Conversation)
 	e.startsProgram = e.turn.hasBudget && result.Spent == 0 && result.Reserved == 0
 	if result.Verdict != turnstore.Stored {
 		e.refuseTurn(result, start)
 		return nil, false
 	}
+	if e.startsAnew() && e.storesLackRoom() {
+		e.turn.settle(start)
+		e.refuseForRoom()
+		return nil, false
+	}
 	if e.takesUp() && !e.useOrigin(ctx, result.Fact) {
 		e.turn.settle(start)
 		return nil, false
 	}
+	e.home = result.HomeServer
 	body, held := e.withConversation(ctx, result.Conversation)
 	if !held {
 		e.turn.settle(start)
@@ -59,6 +67,15 @@
 	return body, true
 }
 
+// turnNumber returns the number of turns of the conversation before the request, or
+// urgency.NotTurn for requests that are no turns.
+func (e *clientExchange) turnNumber() int {
+	if e.route.Kind != route.Streaming || !e.route.RetainTurns {
+		return urgency.NotTurn
+	}
+	return e.turnsBefore
+}
+
 // withConversation returns the turns before, followed by the request's own body. It
 // reports false if there is no memory for them.
 func (e *clientExchange) withConversation(ctx context.Context, turns [][]byte) ([]byte, bool) {
@@ -88,6 +105,10 @@
 	case !e.gateway.turnStore.Serving():
 		e.refuse("too few turn stores are known", retryAfterNotReady)
 		return false
+	case e.gateway.turnStore.Fullness() >= 1 && e.request.PreviousTurn == "" && !e.takesUp():
+		// The stores would refuse the reservation too.
+		e.refuseForRoom()
+		return false
 	case !e.route.Resumable && e.request.LastEventID != "":
 		// The backend server would leave out the events that the client has, and the turn
 		// would be stored without them.
--- a/role/clients.go
+++ b/role/clients.go
@@ -4,8 +4,6 @@
 	"syscall"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"dogwoodline.example/clientlimits"
 	"dogwoodline.example/route"
 )
@@ -76,8 +74,3 @@
 	b.callers.SetLimits(limits)
 	b.directory.SetLimits(limits)
 }
-
-// peerServerOptions returns the limits of gRPC servers for other processes.
-func peerServerOptions() []grpc.ServerOption {
-	return []grpc.ServerOption{grpc.ConnectionTimeout(headerTimeout), grpc.MaxHeaderListSize(maxPeerHeaderBytes)}
-}
--- a/turnstore/client.go
+++ b/turnstore/client.go
@@ -47,6 +47,7 @@
 	toReport  *ring.Ring[Crash] // to be stored
 	senders   [maxMembers]*sender
 	serving   atomic.Bool
+	fullness  atomic.Int64 // in permille
 
 	// The run goroutine owns the fields below.
 	set           *copyset.Set        // never modified in place, because senders share it
@@ -65,6 +66,8 @@
 	copySet *copyset.Set
 	// reachabilityChanged means that a sender has lost or regained its member.
 	reachabilityChanged bool
+	// fullnessChanged means that a member is fuller or less full than before.
+	fullnessChanged bool
 }
 
 // submission is an operation and the channel for its result.
@@ -123,6 +126,7 @@
 	group.Go("turn-keeper", c.run)
 	group.Go("crash-reporter", c.runCrashReporter)
 	group.RegisterRingDepth("turn-keeper", "commands", c.commands.Len)
+	group.RegisterGauge("dogwoodline_turn_stores_fullness_permille", func() int { return int(c.fullness.Load()) })
 	return c
 }
 
@@ -190,6 +194,9 @@
 		c.adoptCopySet(*cmd.copySet)
 	case cmd.reachabilityChanged:
 		c.updateServing()
+		c.updateFullness()
+	case cmd.fullnessChanged:
+		c.updateFullness()
 	}
 }
 
@@ -219,6 +226,7 @@
 		c.senders[slot].assign(m.Address)
 	}
 	c.updateServing()
+	c.updateFullness()
 	c.log.Info("turnstore: copy set adopted", "version", set.Version, "members", len(set.Members),
 		"majority", set.Majority(), "serves", set.Serves(c.tolerated))
 }
