--- a/emulator/usersplatform/client.go
+++ b/emulator/usersplatform/client.go
@@ -84,6 +84,8 @@
 	DataDir string
 	// Store is the address of the metadata store.
 	Store string
+	// MemoryMB and MaxFDs are the limits of the process; 0 means the defaults.
+	MemoryMB, MaxFDs int
 	// ConfigMs is the time within which a change of the configuration must be in force; 0
 	// for none.
 	ConfigMs int
@@ -91,6 +93,12 @@
 	Contended bool
 }
 
+// Default limits of a process.
+const (
+	defaultMemoryMB = 200
+	defaultMaxFDs   = 4100
+)
+
 // Ports on which the fronts of the stand-in's deployment listen.
 const (
 	FrontPort     = 8149
@@ -112,9 +120,10 @@
 	if h.ConfigMs > 0 {
 		bounds = fmt.Sprintf("DrainMs = %[1]d\nConfigMs = %[1]d\n", h.ConfigMs)
 	}
-	return fmt.Sprintf("NodeName = %q\nIp = %q\nZone = %q\nPortRange = [%d,%d]\n%s[Listen]\n%s[Limits]\nMemoryMb = 200\nMaxFds = 4100\n"+
+	return fmt.Sprintf("NodeName = %q\nIp = %q\nZone = %q\nPortRange = [%d,%d]\n%s[Listen]\n%s[Limits]\nMemoryMb = %d\nMaxFds = %d\n"+
 		"[FaultTolerance]\nMachines = 1\n[Bounds]\n%sGraceS = 8\nttl_max_s = 5\n[Platform]\nAddress = %q\n"+
-		"WritesPerS = 400\nReadsPerS = 2000\nTtlMinMs = 1000\n", h.Name, h.IP, "zone-"+h.Name, h.PeerPort, h.PeerPort, data, listen, bounds, h.Store)
+		"WritesPerS = 400\nReadsPerS = 2000\nTtlMinMs = 1000\n", h.Name, h.IP, "zone-"+h.Name, h.PeerPort, h.PeerPort, data, listen,
+		cmp.Or(h.MemoryMB, defaultMemoryMB), cmp.Or(h.MaxFDs, defaultMaxFDs), bounds, h.Store)
 }
 
 // SettingsVariable is the environment variable for the settings file.
