clientlimits: Do not enforce an idle time shorter than the default

Cause: the operator's idle time was applied at once, also when a new configuration shortens it. Clients learn of it later and send requests on connections that are being closed, which costs them their retry; a client that reads slowly would lose its response.

A budget closes idle connections when it needs their room, as before.

Result: the specs of clientlimits and the linter pass. The specs of processes use the defaults.

--- a/clientlimits/limits.go
+++ b/clientlimits/limits.go
@@ -39,7 +39,10 @@
 }
 
 // Operator returns the limits with those of the operator's configuration, of which 0
-// means that the configuration does not set it.
+// means that the configuration does not set it. An idle time that is shorter than the
+// one in force before is not enforced: clients hear of it later than this process and
+// would send requests on connections that are being closed, and one that reads slowly
+// would lose its response. A budget closes idle connections when it needs their room.
 func (l Limits) Operator(headBytes int, headTimeout, idleTimeout time.Duration) Limits {
 	if headBytes > 0 {
 		l.HeadBytes = headBytes
@@ -47,9 +50,7 @@
 	if headTimeout > 0 {
 		l.HeadTimeout = headTimeout
 	}
-	if idleTimeout > 0 {
-		l.IdleTimeout, l.UnreadTimeout = idleTimeout, idleTimeout
-	}
+	l.IdleTimeout, l.UnreadTimeout = max(l.IdleTimeout, idleTimeout), max(l.UnreadTimeout, idleTimeout)
 	return l
 }
 
