--- a/cmd/dogwoodline/soak.go
+++ b/cmd/dogwoodline/soak.go
@@ -17,15 +17,16 @@
 // soakCommand runs fronts and stores under random faults, with one run for each
 // seed.
 type soakCommand struct {
-	Seeds    int           `default:"1" help:"Number of seeds, one run for each."`
-	From     uint64        `default:"0" help:"First seed; 0 derives one from the current time. The others follow it."`
-	Duration time.Duration `default:"10s" help:"How long faults are injected in each run."`
-	Fronts   int           `default:"2" help:"Number of front processes, 1 to 200."`
-	Stores   int           `default:"4" help:"Number of store processes, 3 to 64."`
-	Programs int           `default:"6" help:"Number of concurrent programs."`
-	Net      int           `default:"64" help:"Second octet of the loopback addresses, 1 to 250. Concurrent runs need different values."`
-	Limit    float64       `default:"0" help:"Requests per second that the backend server says it takes from all fronts together; 0 for none."`
-	Binary   string        `help:"Binary of the processes. Default: this binary."`
+	Seeds         int           `default:"1" help:"Number of seeds, one run for each."`
+	From          uint64        `default:"0" help:"First seed; 0 derives one from the current time. The others follow it."`
+	Duration      time.Duration `default:"10s" help:"How long faults are injected in each run."`
+	Fronts        int           `default:"2" help:"Number of front processes, 1 to 200."`
+	Stores        int           `default:"4" help:"Number of store processes, 3 to 64."`
+	Programs      int           `default:"6" help:"Number of concurrent programs."`
+	Net           int           `default:"64" help:"Second octet of the loopback addresses, 1 to 250. Concurrent runs need different values."`
+	Limit         float64       `default:"0" help:"Requests per second that the backend server says it takes from all fronts together; 0 for none."`
+	Organisations bool          `help:"Clients send keys of organisations, and keys are taken away."`
+	Binary        string        `help:"Binary of the processes. Default: this binary."`
 }
 
 // Run fails if any of the runs finds violations.
@@ -44,7 +45,7 @@
 	for i := range s.Seeds {
 		result, err := roles.Run(ctx, roles.Config{
 			Binary: binary, Fronts: s.Fronts, Stores: s.Stores, Programs: s.Programs, Duration: s.Duration,
-			Seed: from + uint64(i), SecondOctet: s.Net, Limit: s.Limit, Log: newLogger(c.stderr, settings.Default().Log),
+			Seed: from + uint64(i), SecondOctet: s.Net, Limit: s.Limit, Organisations: s.Organisations, Log: newLogger(c.stderr, settings.Default().Log),
 		})
 		if err != nil {
 			return err
--- a/emulator/usersplatform/backend.go
+++ b/emulator/usersplatform/backend.go
@@ -14,6 +14,10 @@
 	RequestID string
 	Body      string
 	At        time.Time
+	// Organisation is the one that the system named; empty for none.
+	Organisation string
+	// HasKey says that the request still had the client's credentials.
+	HasKey bool
 }
 
 // Backend is a backend server that answers requests of streaming routes with a
@@ -68,7 +72,9 @@
 		return // the client disconnected
 	}
 	b.mu.Lock()
-	b.runs = append(b.runs, Run{RequestID: id, Body: string(body), At: time.Now()})
+	b.runs = append(b.runs, Run{
+		RequestID: id, Body: string(body), At: time.Now(), Organisation: r.Header.Get("X-Tenant"), HasKey: r.Header.Get("Authorization") != "",
+	})
 	pause, limit := b.eventInterval, b.limit
 	b.mu.Unlock()
 	if limit > 0 {
--- a/emulator/usersplatform/client.go
+++ b/emulator/usersplatform/client.go
@@ -29,6 +29,9 @@
 	// Resumes is the id of the attempt that brought the first event of the stream that
 	// is taken up, and LastEventID the id of its last event; empty for a new stream.
 	Resumes, LastEventID string
+	// Key is the key of the client's organisation; empty for none. A client with a key also
+	// names an organisation itself, which the system must not pass on.
+	Key string
 }
 
 // maxOutputTokens is the maximum number of tokens that one turn generates.
@@ -57,6 +60,10 @@
 		r.Header.Set("Resumes", request.Resumes)
 		r.Header.Set("Last-Event-Id", request.LastEventID)
 	}
+	if request.Key != "" {
+		r.Header.Set("Authorization", "Bearer "+request.Key)
+		r.Header.Set("X-Tenant", "forged")
+	}
 	reply, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return 0, "", err
@@ -125,34 +132,3 @@
 	}
 	return list.Addresses, nil
 }
-
-// SiteHost is the HTTP host name of all routes in the stand-in's configuration.
-const SiteHost = "site.example"
-
-// ResumableTurnsPath is the path of the route whose turns are kept and whose streams
-// may be resumed.
-const ResumableTurnsPath = "/resumable-turns/"
-
-// FragileService is the service of the FragileBackends.
-const FragileService = "fragile"
-
-// Configure registers the backend server at the address and writes a
-// configuration that routes the paths /turns/, ResumableTurnsPath and /calls/ to its
-// service, the path /fragile/ to FragileService, StreamPath to StreamService and
-// WorkPath to WorkService.
-func (s *Store) Configure(ctx context.Context, b *Backend, address string) error {
-	err := s.Put(ctx, "servers/"+b.ID, map[string]any{
-		"Service": "llm", "Version": "v1", "Address": address, "Zone": "a", "Slots": 8, "State": "ready",
-	})
-	if err != nil {
-		return err
-	}
-	return s.Put(ctx, "op/config", json.RawMessage(`{"Version":3,"Routes":[
-		{"Name":"turns","Host":"site.example","PathPrefix":"/turns/","Kind":"streaming","TimeoutMs":5000,"Service":"llm","Attempts":1,"Retain":true,"RetentionS":60},
-		{"Name":"resumable-turns","Host":"site.example","PathPrefix":"/resumable-turns/","Kind":"streaming","TimeoutMs":5000,"Service":"llm","Attempts":1,"Retain":true,"RetentionS":60,"Resumable":true},
-		{"Name":"calls","Host":"site.example","PathPrefix":"/calls/","Kind":"unsafe","TimeoutMs":5000,"Service":"llm"},
-		{"Name":"streams","Host":"site.example","PathPrefix":"/streams/","Kind":"streaming","TimeoutMs":5000,"Service":"streams","Attempts":1,"Resumable":true},
-		{"Name":"work","Host":"site.example","PathPrefix":"/work/","Kind":"unsafe","TimeoutMs":6000,"Service":"work"},
-		{"Name":"fragile","Host":"site.example","PathPrefix":"/fragile/","Kind":"safe","TimeoutMs":1500,"Service":"fragile","Attempts":1}],
-		"Services":[{"Name":"llm","MaxConns":50,"Engine":{"Slots":8,"TokensPerEvent":5}},{"Name":"fragile","MaxConns":50},{"Name":"streams","MaxConns":50},{"Name":"work","MaxConns":100}],"Limits":{"MaxBodyBytes":100000}}`))
-}
--- a/soak/roles/check.go
+++ b/soak/roles/check.go
@@ -18,9 +18,13 @@
 	turn     bool
 	after    int // of a turn that the attempt takes up: the number of events before
 	budget   int
-	status   int
-	body     string
-	err      error
+	// organisation is that of the client's key, and foreign says that the turn before belongs
+	// to another one.
+	organisation string
+	foreign      bool
+	status       int
+	body         string
+	err          error
 }
 
 // expectedEvents returns the data of the events of a complete answer.
@@ -86,6 +90,15 @@
 		default:
 			result.BrokenOff++
 		}
+		if a.foreign {
+			if a.succeeded() {
+				addViolation("%s continued turn %q of another organisation", a.id, a.previous)
+			}
+			continue
+		}
+		if a.err == nil && a.status == http.StatusUnauthorized {
+			addViolation("%s was answered 401, although its key is in force", a.id)
+		}
 		if a.err == nil && a.status == http.StatusNotFound {
 			addViolation("%s was answered 404, although turn %q was answered completely", a.id, a.previous)
 		}
@@ -107,6 +120,10 @@
 			continue // the client was stopped before it recorded the attempt
 		case ran[run.RequestID]:
 			addViolation("%s ran twice", run.RequestID)
+		case a.foreign:
+			addViolation("%s ran, although the turn before belongs to another organisation", run.RequestID)
+		case run.HasKey || run.Organisation != a.organisation:
+			addViolation("%s ran for organisation %q, want %q; with its key: %t", run.RequestID, run.Organisation, a.organisation, run.HasKey)
 		case a.saysNotRun():
 			addViolation("%s ran and was answered %d", run.RequestID, a.status)
 		case run.Body != a.prompt:
--- a/soak/roles/client.go
+++ b/soak/roles/client.go
@@ -38,6 +38,8 @@
 	random   *rand.Rand
 	requests int // sent so far
 	programs int // started so far
+	// organisation is the one whose key the client sends; empty for none.
+	organisation string
 }
 
 // run runs programs until the context ends.
@@ -63,6 +65,7 @@
 			return
 		}
 		previous, conversation = id, conversation+input+output
+		c.runForeignTurn(ctx, previous)
 		c.runCall(ctx, name, step)
 		if pause(ctx, pauseAfterTurn) != nil {
 			return
@@ -81,7 +84,8 @@
 	var events []string // of the attempts that the next one takes up
 	for range maxAttempts {
 		request.ID = c.nextID()
-		a := attempt{id: request.ID, program: request.Program, previous: request.Previous, turn: true, prompt: prompt, budget: request.Budget, after: len(events)}
+		request.Key = keyOf(c.organisation)
+		a := attempt{id: request.ID, organisation: c.organisation, program: request.Program, previous: request.Previous, turn: true, prompt: prompt, budget: request.Budget, after: len(events)}
 		a.status, a.body, a.err = c.send(ctx, send, request)
 		c.recorder.add(a)
 		received := a.completeEvents()
@@ -112,7 +116,8 @@
 func (c *client) runCall(ctx context.Context, program string, step int) {
 	for range maxAttempts {
 		request := usersplatform.Request{ID: c.nextID(), Body: fmt.Sprintf("%s-post%d", program, step)}
-		a := attempt{id: request.ID, prompt: request.Body}
+		request.Key = keyOf(c.organisation)
+		a := attempt{id: request.ID, organisation: c.organisation, prompt: request.Body}
 		a.status, a.body, a.err = c.send(ctx, sendCall, request)
 		c.recorder.add(a)
 		if !a.saysNotRun() || pause(ctx, retryPause) != nil {
--- a/soak/roles/deployment.go
+++ b/soak/roles/deployment.go
@@ -78,6 +78,11 @@
 	if err := d.store.Configure(ctx, d.backend, d.backendRelay.Address()); err != nil {
 		return d, Error.Wrap(err)
 	}
+	if config.Organisations {
+		if err := d.store.PutConfig(ctx, usersplatform.FirstConfigVersion+1, organisationsWith()); err != nil {
+			return d, Error.Wrap(err)
+		}
+	}
 	for _, server := range streamServers() {
 		if err := d.addStreamServer(ctx, server); err != nil {
 			return d, err
--- a/soak/roles/faults.go
+++ b/soak/roles/faults.go
@@ -45,6 +45,7 @@
 	random        *rand.Rand
 	log           *slog.Logger
 	storeFaultEnd time.Time // end of the latest fault that made a store unavailable
+	unaware       []span    // while a front could not hear of a new configuration
 }
 
 // activeFault is a fault that has begun and not yet ended.
@@ -182,7 +183,7 @@
 	}},
 	{name: "freeze", start: func(inj *faultInjector) (func() error, string) {
 		h := inj.randomFront()
-		return inj.freeze(h), h.settings.Name
+		return inj.noteUnaware(inj.freeze(h)), h.settings.Name
 	}},
 	{name: "planned stop", start: func(inj *faultInjector) (func() error, string) {
 		h := inj.randomFront()
@@ -203,7 +204,7 @@
 		for _, h := range inj.deployment.hosts() {
 			relays = append(relays, h.platformRelay)
 		}
-		return setMode(inj.randomMode(), relays...), "all hosts"
+		return inj.noteUnaware(setMode(inj.randomMode(), relays...)), "all hosts"
 	}},
 	{name: "client link fault", start: func(inj *faultInjector) (func() error, string) {
 		h := inj.randomFront()
--- a/soak/roles/roles.go
+++ b/soak/roles/roles.go
@@ -41,7 +41,10 @@
 	// Limit is the number of requests per second that the backend server says it
 	// takes from all fronts together; 0 for none.
 	Limit float64
-	Log   *slog.Logger
+	// Organisations makes the clients of turns and calls send the keys of organisations,
+	// and takes keys away during the run.
+	Organisations bool
+	Log           *slog.Logger
 }
 
 const (
@@ -110,6 +113,9 @@
 	for i := range config.Programs {
 		c := &client{fronts: d.frontAddresses(), recorder: recorder, name: fmt.Sprintf("s%d-c%d", config.Seed, i),
 			random: rand.New(rand.NewPCG(config.Seed, uint64(i)+1))}
+		if config.Organisations {
+			c.organisation = organisationNames[i%len(organisationNames)]
+		}
 		clients.Go("client", c.run)
 	}
 	for _, c := range crashingClients(config.Seed, d.frontAddresses()) {
@@ -121,6 +127,10 @@
 			random: rand.New(rand.NewPCG(config.Seed, uint64(2000+i)))}
 		clients.Go("stream-client", c.run)
 	}
+	keys := newKeyLog(config.Seed)
+	if config.Organisations {
+		keys.start(clients, d)
+	}
 	for _, b := range d.fragile {
 		group.Go("fragile-backend", b.Run)
 	}
@@ -143,6 +153,9 @@
 		crashes = append(crashes, b.Runs()...)
 	}
 	result.Violations = append(result.Violations, checkCrashes(crashes)...)
+	if config.Organisations {
+		result.Violations = append(result.Violations, keys.check(runs, injector.unaware)...)
+	}
 	result.Violations = append(result.Violations, streams.violations...)
 	result.TakenUp, result.GoneOn = streams.takenUp, streams.goneOn
 	result.Seed, result.Faults, result.Folder = config.Seed, faults, folder
