--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -26,6 +26,7 @@
 	plain          bool // no turn: without a number of tokens
 	ctx            context.Context
 	lastEvent      string
+	parts          string // of the prompt
 	prompt, output int
 }
 
@@ -78,6 +79,7 @@
 	set(names.Deadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	set(names.Previous, t.previous)
 	set(names.LastEvent, t.lastEvent)
+	set(names.Parts, t.parts)
 	if !t.plain {
 		set(names.Tokens, fmt.Sprintf("%d,%d", max(t.prompt, 100), max(t.output, 40)))
 	}
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -255,38 +256,32 @@
 	return reply.StatusCode == http.StatusOK
 }
 
-func (d *deployment) withRole(role string) []*node {
+func (d *deployment) fronts() []*node {
 	var found []*node
 	for _, n := range d.nodes {
-		if n.role == role {
+		if n.role == "front" {
 			found = append(found, n)
 		}
 	}
 	return found
 }
 
-func (d *deployment) fronts() []*node { return d.withRole("front") }
-func (d *deployment) stores() []*node { return d.withRole("store") }
-
 // front returns the address at which clients reach a front.
 func (n *node) front() string { return net.JoinHostPort(n.ip, "8149") }
 
+// configVersion is the version of the only configuration.
+const configVersion = 7
+
 // configure writes the operator's configuration.
-func (d *deployment) configure(version int, routes, services string) error {
+func (d *deployment) configure(routes, services string) error {
 	var config bytes.Buffer
 	fmt.Fprintf(&config, `{"Version":%d,"Routes":[%s],"Services":[%s],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`,
-		version, routes, services)
-	return d.platform.Put(d.ctx, "op/config", rawJSON(config.String()))
+		configVersion, routes, services)
+	return d.platform.Put(d.ctx, "op/config", json.RawMessage(config.Bytes()))
 }
 
-// rawJSON is a JSON text.
-type rawJSON string
-
-// MarshalJSON implements json.Marshaler.
-func (r rawJSON) MarshalJSON() ([]byte, error) { return []byte(r), nil }
-
-// tail returns the last lines of a node's output that are no structured log lines, such as
-// those of a panic.
+// panicLines returns the first lines of a node's output that are no structured log lines and
+// name no file: those of a panic.
 func (n *node) panicLines() []string {
 	content, err := os.ReadFile(n.output.Name())
 	if err != nil {
--- a/review/standin-2/longhistory.go
+++ b/review/standin-2/longhistory.go
@@ -12,10 +12,10 @@
 // configuration allows, one turn after the other. Without the disruption, the inputs are
 // short.
 func longHistory(d *deployment, trouble bool) (verdict, error) {
-	if _, err := startModelServers(d, 14, 7, 10*time.Millisecond, false); err != nil {
+	if _, err := startModelServers(d, 7, 10*time.Millisecond, false); err != nil {
 		return verdict{}, err
 	}
-	if err := d.configure(7, keptRoute, engineService); err != nil {
+	if err := d.configure(keptRoute, engineService); err != nil {
 		return verdict{}, err
 	}
 	if err := d.startAll(2); err != nil {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,7 +28,7 @@
 	"store-memory":     storeMemory,
 	"long-history":     longHistory,
 	"repeated-refusal": repeatedRefusal,
-	"poisoned-batch":   poisonedBatch,
+	"misstated-tokens": misstatedTokens,
 }
 
 func main() {
--- a/review/standin-2/names.go
+++ b/review/standin-2/names.go
@@ -24,6 +24,7 @@
 	Previous    string `json:"previous"`
 	LastEvent   string `json:"last_event"`
 	Finish      string `json:"finish"`
+	Parts       string `json:"parts"`
 }
 
 var names = decodeNames()
--- a/review/standin-2/repeatedrefusal.go
+++ b/review/standin-2/repeatedrefusal.go
@@ -140,12 +140,12 @@
 		}
 		context.AfterFunc(d.ctx, func() { _ = listener.Close() })
 		go s.accept(listener)
-		if err := register(d.ctx, d.platform, s.id, "wuno96b", zones[i], listener.Addr().String(), workSlots); err != nil {
+		if err := register(d.ctx, d.platform, s.id, "wuno96b", zones[i], listener.Addr().String(), workSlots, time.Now().UnixMilli()); err != nil {
 			return verdict{}, err
 		}
 		servers = append(servers, s)
 	}
-	if err := d.configure(7, workRoute, workService); err != nil {
+	if err := d.configure(workRoute, workService); err != nil {
 		return verdict{}, err
 	}
 	if err := d.startAll(7); err != nil {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -20,15 +20,15 @@
 	events   int
 	interval time.Duration // between events
 	log      *record
-	quiet    bool // leaves the runs out of the record
+	quiet    bool  // leaves the runs out of the record
+	born     int64 // Unix time of its start, in ms
 
 	mu   sync.Mutex
 	runs map[string]int // by request id
-	busy int
 }
 
 func newModelServer(id string, events int, interval time.Duration, log *record) *modelServer {
-	return &modelServer{id: id, events: events, interval: interval, log: log, runs: map[string]int{}}
+	return &modelServer{id: id, events: events, interval: interval, log: log, born: time.Now().UnixMilli(), runs: map[string]int{}}
 }
 
 // ran returns how often a request has run.
@@ -54,19 +54,22 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	switch r.URL.Path {
+	case "/health":
+		return
+	case "/report":
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = fmt.Fprintf(w, `{"Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Busy":false,"CallSeq":0,"Queued":0,"Running":0,`+
+			`"KvUsed":0,"KvTotal":164954,"Handles":0,"born":%d}`, s.born) // the caller may have left
+		return
+	}
 	size, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		return // the caller has left
 	}
 	s.mu.Lock()
 	s.runs[id]++
-	s.busy++
 	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		s.busy--
-		s.mu.Unlock()
-	}()
 	if !s.quiet {
 		s.log.line("server %s runs %s, body of %d bytes", s.id, shorten(id), size)
 	}
@@ -108,9 +111,9 @@
 }
 
 // register writes the registration of a server into the platform's store.
-func register(ctx context.Context, store *usersplatform.Store, id, service, zone, address string, slots int) error {
+func register(ctx context.Context, store *usersplatform.Store, id, service, zone, address string, slots int, born int64) error {
 	return store.Put(ctx, "servers/"+id, map[string]any{
 		"Service": service, "Version": "v1", "Address": address, "Zone": zone, "Slots": slots, "State": "ready", "ColdLeftMs": 0, "CallSeq": 0,
-		"born": time.Now().UnixMilli(),
+		"born": born,
 	})
 }
--- a/review/standin-2/storememory.go
+++ b/review/standin-2/storememory.go
@@ -13,9 +13,9 @@
 // heads stay within the limit of the configuration. Without the disruption, the ids are
 // short.
 func storeMemory(d *deployment, trouble bool) (verdict, error) {
-	servers, err := startModelServers(d, 14, 2, 2*time.Millisecond, true)
+	servers, err := startModelServers(d, 2, 2*time.Millisecond, true)
 	if err == nil {
-		err = d.configure(7, keptRoute, engineService)
+		err = d.configure(keptRoute, engineService)
 	}
 	if err == nil {
 		err = d.startAll(2)
--- a/review/standin-2/traffic.go
+++ b/review/standin-2/traffic.go
@@ -20,15 +20,18 @@
 	bothPath       = "/zaro417/2f"
 )
 
+// modelServers is how many model servers there are, as on the site.
+const modelServers = 14
+
 // startModelServers starts and registers model servers.
-func startModelServers(d *deployment, count, events int, interval time.Duration, quiet bool) ([]*modelServer, error) {
+func startModelServers(d *deployment, events int, interval time.Duration, quiet bool) ([]*modelServer, error) {
 	var servers []*modelServer
-	for i := range count {
+	for i := range modelServers {
 		s := newModelServer(fmt.Sprintf("i-%08x", 0x7f3a91c2+i), events, interval, d.log)
 		s.quiet = quiet
 		address, err := serve(d.ctx, fmt.Sprintf("%s.%d", d.net, 100+i), s)
 		if err == nil {
-			err = register(d.ctx, d.platform, s.id, "huvo11a", zones[i%len(zones)], address, 12)
+			err = register(d.ctx, d.platform, s.id, "huvo11a", zones[i%len(zones)], address, 12, s.born)
 		}
 		if err != nil {
 			return nil, err
@@ -181,7 +184,7 @@
 		s := newModelServer(fmt.Sprintf("i-%08x", 0x51c07be2+i), 1, 0, d.log)
 		address, err := serve(d.ctx, fmt.Sprintf("%s.%d", d.net, 150+i), s)
 		if err == nil {
-			err = register(d.ctx, d.platform, s.id, "wuno96b", zones[i%len(zones)], address, 6)
+			err = register(d.ctx, d.platform, s.id, "wuno96b", zones[i%len(zones)], address, 6, s.born)
 		}
 		if err != nil {
 			return err
@@ -190,6 +193,15 @@
 	return nil
 }
 
+// startReaders starts callers that read at the fronts until ctx ends.
+func (c *callers) startReaders(ctx context.Context, fronts []*node, perFront int) {
+	for _, front := range fronts {
+		for number := range perFront {
+			c.wg.Go(func() { c.read(ctx, front, number) })
+		}
+	}
+}
+
 // read sends safe requests, one after the other.
 func (c *callers) read(ctx context.Context, front *node, number int) {
 	client := newClient()
@@ -199,15 +211,3 @@
 		sleep(ctx, 100*time.Millisecond)
 	}
 }
-
-// since waits until all callers have ended, and returns what they got of requests that were
-// sent from a time on.
-func (c *callers) since(from time.Time) []result {
-	var found []result
-	for _, r := range c.wait() {
-		if r.sent.After(from) {
-			found = append(found, r)
-		}
-	}
-	return found
-}
