Review case 10: routes are selected by the decoded path

Ruled out: the servers are sound and record the path as it arrives, unchanged; with a dash in place of the encoded slash (TROUBLE=0) every call goes where the configuration allows.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 	"long-history":     longHistory,
 	"repeated-refusal": repeatedRefusal,
 	"misstated-tokens": misstatedTokens,
+	"encoded-slash":    encodedSlash,
 }
 
 func main() {
