Review case 7: a turn that names itself makes all stores loop for good

Shows: one client with two requests, the second with the id of the first and a minute and a half after it, stops all turns of all callers. All four stores spin in turnstore/state.go, extendExpiry, and answer nothing any more.

Ruled out: load (14 servers with 12 slots, 12 ordinary callers), a lost store (no process ends, reads are served), the pause by itself (TROUBLE=0 has the same pause, and a second turn with an id of its own is stored).

Nothing is fixed.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,7 @@
 	"repeated-refusal": repeatedRefusal,
 	"misstated-tokens": misstatedTokens,
 	"encoded-slash":    encodedSlash,
+	"repeated-id":      repeatedID,
 }
 
 func main() {
@@ -72,7 +73,7 @@
 }
 
 // longestPlay is how long a case may take with its end; run scripts have 120 s.
-const longestPlay = 112 * time.Second
+const longestPlay = 117 * time.Second
 
 // endEarly ends all processes, and this one, on a signal or when the case takes too long.
 func endEarly(d *deployment) {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,7 +18,7 @@
 // after the one that the request names.
 type modelServer struct {
 	id       string
-	events   int
+	events   int           // of an answer; 0 for as many as the request's most tokens allow
 	interval time.Duration // between events
 	log      *record
 	quiet    bool  // leaves the runs out of the record
@@ -76,7 +77,11 @@
 	w.Header().Set(names.Seal, "seal-"+s.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(r.Header.Get(names.LastEvent)) // none for a stream from its start
-	for i := first; i < s.events; i++ {
+	events := s.events
+	if events == 0 {
+		events = mostEvents(r)
+	}
+	for i := first; i < events; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i+1, i+1) // the caller may have left
 		if flusher, ok := w.(http.Flusher); ok {
 			flusher.Flush()
@@ -89,6 +94,16 @@
 	}
 }
 
+// tokensPerEvent is that of the service of the model servers.
+const tokensPerEvent = 5
+
+// mostEvents returns how many events the most tokens of a request make.
+func mostEvents(r *http.Request) int {
+	_, most, _ := strings.Cut(r.Header.Get(names.Tokens), ",")
+	tokens, _ := strconv.Atoi(most) // without it there is no event
+	return tokens / tokensPerEvent
+}
+
 // shorten returns a readable form of an id for the record.
 func shorten(id string) string {
 	if len(id) > 40 {
