--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,7 +24,8 @@
 	program        string
 	budget         int
 	deadline       time.Duration
-	plain          bool // no turn: without a number of tokens
+	finish         time.Duration // left until the program should be finished; 0 for 8 s
+	plain          bool          // no turn: without a number of tokens
 	ctx            context.Context
 	lastEvent      string
 	parts          string // of the prompt
@@ -86,7 +88,7 @@
 	if t.program != "" {
 		set(names.Program, t.program)
 		set(names.Session, "s"+strings.ToValidUTF8(t.program, ""))
-		set(names.Finish, "8000")
+		set(names.Finish, strconv.FormatInt(cmp.Or(t.finish, 8*time.Second).Milliseconds(), 10))
 		set(names.Budget, strconv.Itoa(t.budget))
 	}
 	reply, err := client.Do(request)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,6 +31,7 @@
 	"misstated-tokens": misstatedTokens,
 	"encoded-slash":    encodedSlash,
 	"repeated-id":      repeatedID,
+	"long-turn":        longTurn,
 }
 
 func main() {
