Stand-ins of the second review: end all processes before the result is printed

A trial whose output was cut left six processes behind, because a closed output ends the program at its last line, before it ends what it has started.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -64,6 +64,7 @@
 		fmt.Println("could not run:", err)
 		return 2
 	}
+	d.stop() // before the output, whose reader may have left
 	fmt.Println(result.text)
 	if result.broken {
 		log.line("the rule was BROKEN: %s", result.text)
