upstream: Send no request over a connection that has carried its id

Cause: an answer belongs to a request by its id, but the id names the request of a client, not one sending of it. Where callers compete for places, or servers differ in speed, a call that a full server refused waits for a slot there and is sent to it again, mostly over the same connection. A backend server in trouble may send the refusal a second time, where the answer to the next request is expected. The front took that copy for the answer to the second sending, "not run", and sent the call elsewhere while it ran.

One server refused a call once, and the front read two refusals from it.

Change: a connection carries no two requests with one id, whoever repeats it: a call that waits for a slot, a client that uses an id for several requests, a server registered again at the address. The request takes another connection; the first one stays with other requests. A connection keeps hashes of the ids that it has carried and is closed after 512 requests, so that none is forgotten while it is used. HasIdle is asked for a request, since the choice of a server counts the connections that it may use. No answer to an id can be a copy then, so "not run" is about this sending.

The specs of incarnations sent one id over and over as a shortcut and counted connections; they send an id of its own each time now, with the same expectations.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -249,8 +249,8 @@
 	// SoftwareVersion is the only software version that may serve the call; empty if
 	// any may.
 	SoftwareVersion string
-	// Connected reports whether an idle connection to an address is open. It is
-	// nil if that shall not influence the choice.
+	// Connected reports whether an idle connection to an address is open that may carry
+	// the call. It is nil if that shall not influence the choice.
 	Connected func(address string) bool
 	// TieBreak is a random number that decides between backend servers of equal cost.
 	TieBreak uint64
--- a/gateway/ordering_bench_test.go
+++ b/gateway/ordering_bench_test.go
@@ -23,7 +23,7 @@
 	s := &Scheduler{
 		log: slog.New(slog.DiscardHandler), fleet: fleet.New("a"), queues: newPlaceQueues(), attempts: ring.New[attempt](8), estimates: urgency.New(),
 		random: rand.New(rand.NewPCG(1, 2)), admission: admission{meanCallTokens: map[string]float64{}}, views: map[string]*sharedView{}, contendedCapacity: true,
-		hasIdleConnection: func(string) bool { return true },
+		hasIdleConnection: func(string, string) bool { return true },
 	}
 	for i := range 1000 {
 		backend := fleet.Backend{ID: fmt.Sprint("server-", i), Service: "svc", Slots: 1, AvailabilityZone: "a"}
--- a/gateway/preview_test.go
+++ b/gateway/preview_test.go
@@ -43,7 +43,7 @@
 			log: slog.New(slog.DiscardHandler), fleet: fleet.New("a"), zone: "a", queues: newPlaceQueues(), waiting: newWaitingCalls(), attempts: ring.New[attempt](512),
 			messages: ring.New[schedulerMessage](1), estimates: urgency.New(), admission: admission{meanCallTokens: map[string]float64{}}, views: map[string]*sharedView{},
 			lateness: lateness{}, shares: fairshare.New(now), crashes: crashRecords{}, contendedCapacity: contended, random: seeded(seed),
-			hasIdleConnection: func(address string) bool { return address < "b3" },
+			hasIdleConnection: func(address, _ string) bool { return address < "b3" },
 		}
 		s.places = s.fleet
 		s.listedFronts.Store(2)
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -94,8 +94,9 @@
 	fleet           *fleet.Fleet
 	random          *rand.Rand
 	dropConnections func(address string)
-	// hasIdleConnection reports whether an idle connection to an address is open.
-	hasIdleConnection func(address string) bool
+	// hasIdleConnection reports whether an idle connection to an address is open that may
+	// carry a request.
+	hasIdleConnection func(address, requestID string) bool
 	contendedCapacity bool // the settings say that callers compete for places
 	backendCount      atomic.Int64
 	slotCount         atomic.Int64
@@ -240,7 +241,7 @@
 	request := j.fleetRequest()
 	request.TieBreak = s.random.Uint64()
 	if j.service.Engine == nil { // for model servers, cached prompts matter more than an open connection
-		request.Connected = s.hasIdleConnection
+		request.Connected = func(address string) bool { return s.hasIdleConnection(address, j.request.ID) }
 	}
 	if j.route.Sticky {
 		request.Affinity = j.request.LocalityKey()
--- a/gateway/waitingplaces_test.go
+++ b/gateway/waitingplaces_test.go
@@ -28,7 +28,7 @@
 	BeforeEach(func() {
 		s = &Scheduler{
 			log: slog.New(slog.DiscardHandler), fleet: fleet.New("a"), waiting: newWaitingCalls(), attempts: ring.New[attempt](16),
-			random: rand.New(rand.NewPCG(1, 1)), hasIdleConnection: func(string) bool { return true },
+			random: rand.New(rand.NewPCG(1, 1)), hasIdleConnection: func(string, string) bool { return true },
 		}
 		s.fleet.Put(fleet.Backend{ID: "b", Service: "svc", Slots: 16})
 		s.fleet.Heard(statement, start)
--- a/upstream/incarnation_test.go
+++ b/upstream/incarnation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"log/slog"
@@ -76,8 +77,9 @@
 		address, accepted = startBackend(b.serve)
 	})
 	sendFor := func(incarnation int64) (call.Verdict, error) {
+		id := rand.Text()
 		request := upstream.Request{
-			ID: "r", Address: address, Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {"r"}}, Incarnation: incarnation,
+			ID: id, Address: address, Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Incarnation: incarnation,
 		}
 		exchange, verdict, err := p.Do(context.Background(), request, always)
 		if err != nil {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +34,7 @@
 	incarnations  Incarnations
 	heard         heardIncarnations
 	pendingWrites *ring.Ring[func()]
+	seed          maphash.Seed // of the hashes of request ids
 
 	mu         sync.Mutex
 	idle       map[string][]*conn // by address, the one used last at the end
@@ -64,7 +67,7 @@
 	p := &Pool{
 		decoder: decoder, log: settings.Log, detour: settings.Detour, dial: settings.Dial, paths: newPaths(),
 		incarnations: settings.Incarnations, heard: newHeardIncarnations(), pendingWrites: ring.New[func()](writerCount),
-		idle: map[string][]*conn{}, openConns: map[string]int{}, idleLimits: idleLimits{},
+		seed: maphash.MakeSeed(), idle: map[string][]*conn{}, openConns: map[string]int{}, idleLimits: idleLimits{},
 	}
 	if p.log == nil {
 		p.log = slog.New(slog.DiscardHandler)
@@ -130,11 +133,12 @@
 	}
 }
 
-// acquire returns the most recently used idle connection that is still usable,
-// or opens one. It closes the unusable ones that it meets.
-func (p *Pool) acquire(ctx context.Context, address, service string) (*conn, error) {
+// acquire returns the most recently used idle connection that is still usable and has
+// carried no request with the same id, or opens one. It closes the unusable ones that it
+// meets.
+func (p *Pool) acquire(ctx context.Context, request Request) (*conn, error) {
 	for {
-		c, usable := p.popIdle(address, service)
+		c, usable := p.popIdle(request)
 		if c == nil {
 			break
 		}
@@ -143,7 +147,7 @@
 		}
 		p.discard(c)
 	}
-	return p.connect(ctx, address)
+	return p.connect(ctx, request.Address)
 }
 
 // recordEarlyClose records that a connection ended when it was used again after
@@ -172,20 +176,34 @@
 	p.dialled++
 }
 
-// popIdle removes and returns the idle connection that was used last, if any,
-// and reports whether it may be used after the time that it was idle.
-func (p *Pool) popIdle(address, service string) (c *conn, usable bool) {
+// popIdle removes and returns the idle connection that was used last, if any, among those
+// that have carried no request with the same id, and reports whether it may be used after
+// the time that it was idle.
+func (p *Pool) popIdle(request Request) (c *conn, usable bool) {
+	id := p.hash(request.ID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
+	list := p.idle[request.Address]
+	at := lastWithout(list, id)
+	if at < 0 {
 		return nil, false
 	}
 	now := time.Now()
-	last := list[len(list)-1]
-	last.idleBefore = now.Sub(last.idleSince)
-	p.idle[address] = list[:len(list)-1]
-	return last, p.idleLimits.allows(service, last.idleBefore, now)
+	c = list[at]
+	c.idleBefore = now.Sub(c.idleSince)
+	p.idle[request.Address] = slices.Delete(list, at, at+1)
+	return c, p.idleLimits.allows(request.Service, c.idleBefore, now)
+}
+
+// lastWithout returns the index of the last connection that has not carried a request;
+// -1 if there is none.
+func lastWithout(list []*conn, request requestHash) int {
+	for at, c := range slices.Backward(list) {
+		if !c.carried.has(request) {
+			return at
+		}
+	}
+	return -1
 }
 
 func (p *Pool) putIdle(c *conn) {
@@ -253,11 +271,13 @@
 	return Silent
 }
 
-// HasIdle reports whether a connection to the address is open and idle.
-func (p *Pool) HasIdle(address string) bool {
+// HasIdle reports whether a connection to the address is open and idle that may carry
+// the request with the given id.
+func (p *Pool) HasIdle(address, requestID string) bool {
+	id := p.hash(requestID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle[address]) > 0
+	return lastWithout(p.idle[address], id) >= 0
 }
 
 // ConnCounts returns the number of connections that are open now and the number
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -1,8 +1,8 @@
 // Package upstream exchanges requests with backend servers over HTTP/1.1.
 //
-// One connection serves one request at a time. A response belongs to a request
-// only if it carries the request's id; other responses are skipped. A
-// call.Verdict states what an exchange proves about the execution of the request.
+// One connection serves one request at a time, and never two with the same id. A
+// response belongs to a request only if it carries the request's id; other responses
+// are skipped. A call.Verdict states what an exchange proves about the execution of the request.
 package upstream
 
 import (
@@ -81,6 +81,7 @@
 	reader      *bufio.Reader // reads from bounded
 	bounded     *boundedReader
 	answered    bool // a response has arrived on it
+	carried     carriedRequests
 	address     string
 	idleSince   time.Time // when it became idle
 	expires     time.Time // when it may no longer be reused
@@ -137,7 +138,7 @@
 	if err != nil {
 		return nil, call.NotRun, Error.Wrap(err)
 	}
-	c, err := p.acquire(ctx, request.Address, request.Service)
+	c, err := p.acquire(ctx, request)
 	if err != nil {
 		return nil, call.NotRun, err
 	}
@@ -160,6 +161,7 @@
 	// server that nobody waits for the response.
 	cancelClose := context.AfterFunc(ctx, func() { _ = c.Close() })
 	sent := time.Now()
+	c.carried = append(c.carried, p.hash(request.ID))
 	p.write(c, message)
 	exchange, err := p.readResponse(c, request)
 	if err != nil {
@@ -286,11 +288,11 @@
 func (e *Exchange) Abort() { _ = e.conn.Close() } // fails only if the connection is closed already
 
 // Close ends the exchange. The connection is kept for reuse only if the request
-// was written and the response read completely, nothing else has arrived, and the
-// backend server keeps the connection open.
+// was written and the response read completely, nothing else has arrived, the
+// backend server keeps the connection open, and it may carry another request.
 func (e *Exchange) Close() {
 	stopped := e.cancelClose()
-	if !stopped || !e.bodyRead || e.Response.Close || !e.conn.framed || e.conn.reader.Buffered() > 0 || e.conn.idleTimeout <= 0 || e.conn.detour {
+	if !stopped || !e.bodyRead || e.Response.Close || !e.conn.framed || e.conn.reader.Buffered() > 0 || e.conn.idleTimeout <= 0 || e.conn.detour || e.conn.carried.full() {
 		e.pool.discard(e.conn)
 		return
 	}
