upstream: Count the answer that states the incarnation as an answer

Fault: before a resumable stream is sent on a new connection, the server there is asked which start of it answers. That answer did not count as one on the connection. If the server refused the question, a second copy of the refusal, which has no id, was taken for the refusal of the stream: it counted as not run while it ran (TWICE).

Change: the answer to the question is read by the function that reads all answers, and counts. An answer without an id is then not the first on the connection, and decides nothing.

Test: upstream "is not refused by a second copy of the answer to the question", which failed on the code before (verdict "not run", expected "answered"). The suite of upstream passed.

--- a/upstream/incarnation.go
+++ b/upstream/incarnation.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"dogwoodline.example/call"
 )
 
 // ErrOtherIncarnation reports that the backend server has started again since it was
@@ -143,7 +145,7 @@
 		return err
 	}
 	c.bounded.limit(maxStateBytes)
-	reply, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+	reply, _, err := p.nextResponse(c, http.MethodGet, func(call.Response, bool) bool { return true })
 	if err != nil {
 		return err
 	}
--- a/upstream/incarnation_test.go
+++ b/upstream/incarnation_test.go
@@ -113,6 +113,26 @@
 		Expect(b.asked.Load()).To(BeZero())
 	})
 
+	// Guards against a stream that runs and counts as not run, because a second copy of the
+	// refused question, which has no id, is taken for the answer to it (TWICE, issue 46).
+	It("is not refused by a second copy of the answer to the question", func() {
+		refusal := "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+		address, _ = startBackend(func(conn net.Conn, reader *bufio.Reader) {
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, refusal)
+				if request.URL.Path != statePath {
+					respond(conn, "200 OK", request.Header.Get("Id"))
+				}
+			}
+		})
+		Expect(sendFor(7)).To(Equal(call.Answered))
+	})
+
 	// Guards against requests that no server gets because the servers answer the question
 	// with something else.
 	DescribeTable("is sent to a server that does not say which one it is", func(state string) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -209,35 +209,48 @@
 // skips responses to other requests.
 func (p *Pool) readResponse(c *conn, request Request) (*Exchange, error) {
 	c.bounded.limit(maxHeadBytes)
+	// A refusal without an id can only be assigned to a request if the connection
+	// has carried no other: a late copy of an earlier refusal would state that this
+	// request has not run.
+	reply, response, err := p.nextResponse(c, request.Method, func(response call.Response, first bool) bool {
+		return response.RequestID == request.ID || (response.RequestID == "" && response.NotRun && first)
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.bounded.unlimit()
+	c.framed = reply.ContentLength >= 0 || len(reply.TransferEncoding) > 0
+	c.idleTimeout = idleTimeout(response.IdleTimeout)
+	return &Exchange{Response: response, Body: reply.Body, Length: reply.ContentLength, pool: p, conn: c}, nil
+}
+
+// nextResponse reads the status and header of the next response for which belongs
+// returns true, and skips those before it. belongs is told whether the response is
+// the first one on the connection.
+func (p *Pool) nextResponse(c *conn, method string, belongs func(response call.Response, first bool) bool) (*http.Response, call.Response, error) {
 	for skipped := 0; skipped <= maxSkippedResponses; {
-		reply, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		reply, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil && c.bounded.exhausted() {
-			return nil, errors.Join(ErrBroken, ErrHeadTooLong)
+			return nil, call.Response{}, errors.Join(ErrBroken, ErrHeadTooLong)
 		}
 		if err != nil {
-			return nil, errors.Join(ErrBroken, err)
+			return nil, call.Response{}, errors.Join(ErrBroken, err)
 		}
 		if reply.StatusCode < http.StatusOK {
 			continue // interim (1xx) response; the final one follows
 		}
-		firstAnswer := !c.answered
+		first := !c.answered
 		c.answered = true
 		response := p.decoder.Decode(reply)
-		// A refusal without an id can only be assigned to a request if the
-		// connection has carried no other: a late copy of an earlier refusal would
-		// state that this request has not run.
-		if response.RequestID == request.ID || (response.RequestID == "" && response.NotRun && firstAnswer) {
-			c.bounded.unlimit()
-			c.framed = reply.ContentLength >= 0 || len(reply.TransferEncoding) > 0
-			c.idleTimeout = idleTimeout(response.IdleTimeout)
-			return &Exchange{Response: response, Body: reply.Body, Length: reply.ContentLength, pool: p, conn: c}, nil
+		if belongs(response, first) {
+			return reply, response, nil
 		}
 		if err := c.skipBody(reply); err != nil {
-			return nil, errors.Join(ErrBroken, err)
+			return nil, call.Response{}, errors.Join(ErrBroken, err)
 		}
 		skipped++
 	}
-	return nil, errors.Join(ErrBroken, Error.New("answers to other requests"))
+	return nil, call.Response{}, errors.Join(ErrBroken, Error.New("answers to other requests"))
 }
 
 // skipBody reads the body of a response to another request.
