upstream: Skip copies of earlier answers when asking for the incarnation

Fault: on a connection that had carried a request already, the copy of an earlier answer was taken for the answer to the question which start of the server answers. It states none, and a server that states none passes, so that a stream could go on at another software version (ORDER).

Change: an answer with the id of a request that the connection has carried is skipped. One with another id is still accepted: the question has none, and a server may name its answers as it likes.

Test: upstream "is not sent to another one that answers the request before once more", which failed on the code before (the request was sent). The suite of upstream passed.

--- a/upstream/incarnation.go
+++ b/upstream/incarnation.go
@@ -145,7 +145,10 @@
 		return err
 	}
 	c.bounded.limit(maxStateBytes)
-	reply, _, err := p.nextResponse(c, http.MethodGet, func(call.Response, bool) bool { return true })
+	// The question has no id. An answer with the id of an earlier request is a copy.
+	reply, _, err := p.nextResponse(c, http.MethodGet, func(response call.Response, _ bool) bool {
+		return response.RequestID == "" || !c.carried.has(p.hash(response.RequestID))
+	})
 	if err != nil {
 		return err
 	}
--- a/upstream/incarnation_test.go
+++ b/upstream/incarnation_test.go
@@ -133,6 +133,22 @@
 		Expect(sendFor(7)).To(Equal(call.Answered))
 	})
 
+	// Guards against a check that passes whatever has started at the address, because the
+	// copy of an earlier answer states no incarnation (ORDER, issue 46).
+	It("is not sent to another one that answers the request before once more", func() {
+		before := ""
+		b.state = func(w io.Writer) { fmt.Fprint(w, before+"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7") }
+		id := rand.Text()
+		_, verdict, err := send(p, address, id, "in")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(verdict).To(Equal(call.Answered))
+		before = fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", id)
+		verdict, err = sendFor(6)
+		Expect(verdict).To(Equal(call.NotRun))
+		Expect(err).To(MatchError(upstream.ErrOtherIncarnation))
+		Expect(b.ran.Load()).To(BeEquivalentTo(1))
+	})
+
 	// Guards against requests that no server gets because the servers answer the question
 	// with something else.
 	DescribeTable("is sent to a server that does not say which one it is", func(state string) {
