--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	group.RegisterGauge("dogwoodline_requests_running", func() int { return int(g.activeRequests.Load()) })
 	group.RegisterGauge("dogwoodline_upstream_connections", func() int { open, _ := g.pool.ConnCounts(); return open })
 	group.RegisterGauge("dogwoodline_upstream_dials_total", func() int { _, dialled := g.pool.ConnCounts(); return dialled })
+	group.RegisterGauge("dogwoodline_upstream_responses_skipped_total", g.pool.SkippedResponses)
 	group.RegisterGauge("dogwoodline_answer_bytes", func() int { used, _ := g.answerBudget.counts(); return int(used) })
 	group.RegisterGauge("dogwoodline_answers_given_up_total", func() int { _, stopped := g.answerBudget.counts(); return stopped })
 	group.RegisterGauge("dogwoodline_request_bytes", func() int { return int(g.requestBudget.held.Load()) })
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +36,7 @@
 	heard         heardIncarnations
 	pendingWrites *ring.Ring[func()]
 	seed          maphash.Seed // of the hashes of request ids
+	skipped       atomic.Int64
 
 	mu         sync.Mutex
 	idle       map[string][]*conn // by address, the one used last at the end
@@ -290,3 +292,7 @@
 	}
 	return open, p.dialled
 }
+
+// SkippedResponses returns the number of responses that were read and belong to no
+// request under way. Backend servers in trouble send answers twice.
+func (p *Pool) SkippedResponses() int { return int(p.skipped.Load()) }
--- a/upstream/repeated_test.go
+++ b/upstream/repeated_test.go
@@ -61,6 +61,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(verdict).To(Equal(call.NotRun))
 		body, verdict, err := send(p, address, "second", "in")
+		Expect(p.SkippedResponses()).To(Equal(1), "operators see that the server sends answers twice")
 		if !answers {
 			Expect(verdict).To(Equal(call.Unknown))
 			return
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -245,6 +245,7 @@
 		if belongs(response, first) {
 			return reply, response, nil
 		}
+		p.skipped.Add(1)
 		if err := c.skipBody(reply); err != nil {
 			return nil, call.Response{}, errors.Join(ErrBroken, err)
 		}
