upstream, tunnel, dispatch, api/client: Tell the end of an answer from the loss of its connection

What callers saw: a backend server answered a long upload at once with a 200 without length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the loss of a connection (a reset, or the time limit of a silent path) to one system call only. If that is the write of the request, the read of the answer sees an end, and an answer without length or chunks is complete at an end. The same happens in a front that opens connections for others, where one goroutine writes and another reads, and in net/http, which also ends the body.

Change: an answer without length is complete if its connection ended in order and the request was written. - upstream waits at such an end for the result of the write, within the time of the call. A server that ends its answer and never reads on has not answered: the call ends as broken off. - netdial.ReportLoss tells an end from a loss whichever call got the report: a lost socket has no peer. The clients that use net/http and the fronts that open connections for others read through it. - tunnel: the other front says that the server has ended its side, and keeps the connection open until this front has sent the rest of the request. Before, it closed the connection and cut the request.

Why this works: the write that got the report is either in progress when the reader sees the end, and then its result is awaited, or has failed before. Ruled out: refusing answers without length while the request is being written, which servers may send; waiting in the kernel for acknowledgements, which a server that reads slowly delays.

--- a/api/client/client.go
+++ b/api/client/client.go
@@ -25,6 +25,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodline.example/api"
+	"dogwoodline.example/netdial"
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/program"
 )
@@ -103,7 +104,7 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         netdial.ReportLosses(dialer.DialContext),
 		MaxIdleConnsPerHost: maxIdleConnsPerNode,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -97,7 +97,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		result := errorResult(job, response)
+		result := errorResult(ctx, job, response)
 		result.Timing = schedule.Timing{Total: time.Since(started), Failed: true}
 		return result
 	}
--- a/dispatch/outcomes.go
+++ b/dispatch/outcomes.go
@@ -105,10 +105,13 @@
 	return body.Error.Reason
 }
 
-// errorResult returns the result of a call that got an error response.
-func errorResult(job Job, response *http.Response) Result {
-	// A read error is ignored: without a body the status decides the outcome.
-	data, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
+// errorResult returns the result of a call that got an error response. One that was
+// broken off says nothing: its body may have had the reason of a refusal.
+func errorResult(ctx context.Context, job Job, response *http.Response) Result {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
+	if err != nil {
+		return resultWithoutAnswer(job, incompleteOutcome(ctx, job, true, err), true)
+	}
 	reason := parseErrorReason(data)
 	result := Result{Outcome: errorOutcome(job, response, reason), StartID: response.Header.Get(headerStart)}
 	result.Leaving = reason == reasonLeaving
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -54,7 +54,7 @@
 // completed only if the response names its request ID and the state "done".
 func readServiceResponse(ctx context.Context, job Job, response *http.Response) Result {
 	if response.StatusCode != http.StatusOK {
-		return errorResult(job, response)
+		return errorResult(ctx, job, response)
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxServiceResponseBytes))
 	if err != nil {
--- a/dispatch/transport.go
+++ b/dispatch/transport.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"dogwoodline.example/netdial"
 )
 
 const (
@@ -52,7 +54,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return &trackedConn{Conn: conn}, nil
+				return &trackedConn{Conn: netdial.ReportLoss(conn)}, nil
 			},
 			DisableKeepAlives:   singleUse,
 			DisableCompression:  true,
--- a/kvstore/httpstore/httpstore.go
+++ b/kvstore/httpstore/httpstore.go
@@ -18,6 +18,7 @@
 
 	"dogwoodline.example/kvstore"
 	"dogwoodline.example/kvstore/wire"
+	"dogwoodline.example/netdial"
 )
 
 // Error is the class of errors that are not part of the platform's protocol.
@@ -83,7 +84,7 @@
 	settings.WatchSlack = orDefault(settings.WatchSlack, defaultWatchSlack)
 	dialer := &net.Dialer{Timeout: settings.DialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         netdial.ReportLosses(dialer.DialContext),
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
 	}
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -25,6 +25,8 @@
 	ErrRefused = Error.New("another front finds the connection refused")
 	// ErrSilent reports that another front got no answer either.
 	ErrSilent = Error.New("another front gets no answer either")
+
+	errEnded = Error.New("the other front has ended the connection")
 )
 
 const (
@@ -211,7 +213,7 @@
 		}
 		return nil, outcome, err
 	}
-	return &conn{stream: stream, cancel: cancel, address: address}, outcome, nil
+	return &conn{stream: stream, cancel: cancel, address: address, sending: make(chan struct{}, 1)}, outcome, nil
 }
 
 // open starts a stream and returns the outcome of the connection.
@@ -220,7 +222,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if err := stream.Send(&tunnelpb.Outbound{Address: address}); err != nil {
+	if err := stream.Send(&tunnelpb.Outbound{Address: address, ConfirmsEnd: true}); err != nil {
 		return nil, 0, err
 	}
 	first, err := stream.Recv()
@@ -239,10 +241,12 @@
 	cancel  context.CancelFunc
 	address string
 	unread  []byte
+	sending chan struct{} // holds a value while Write or confirmEnd uses the stream
 }
 
-// Read implements net.Conn. It returns io.EOF only if the backend server closed
-// the connection, and not if the other front was lost.
+// Read implements net.Conn. It returns io.EOF only if the backend server closed the
+// connection, and not if that or the other front was lost. If a Write is in progress then,
+// Read waits for it, and returns io.EOF only if the other front has written everything.
 func (c *conn) Read(into []byte) (int, error) {
 	for len(c.unread) == 0 {
 		message, err := c.stream.Recv()
@@ -252,6 +256,9 @@
 		if err != nil {
 			return 0, Error.Wrap(err)
 		}
+		if message.Ended {
+			c.confirmEnd()
+		}
 		c.unread = message.Data
 	}
 	count := copy(into, c.unread)
@@ -259,11 +266,27 @@
 	return count, nil
 }
 
+// confirmEnd ends this side of the stream once no Write is in progress.
+func (c *conn) confirmEnd() {
+	select {
+	case c.sending <- struct{}{}:
+		_ = c.stream.CloseSend() // the stream's status says whether it has failed
+		<-c.sending
+	case <-c.stream.Context().Done():
+	}
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(data []byte) (int, error) {
+	c.sending <- struct{}{}
+	defer func() { <-c.sending }()
 	for written := 0; written < len(data); {
 		part := data[written:min(len(data), written+copyBufferSize)]
-		if err := c.stream.Send(&tunnelpb.Outbound{Data: part}); err != nil {
+		err := c.stream.Send(&tunnelpb.Outbound{Data: part})
+		if errors.Is(err, io.EOF) {
+			return written, errEnded // Read returns the status
+		}
+		if err != nil {
 			return written, Error.Wrap(err)
 		}
 		written += len(part)
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/status"
 
 	"dogwoodline.example/duty"
+	"dogwoodline.example/netdial"
 	"dogwoodline.example/ring"
 	"dogwoodline.example/tunnel/tunnelpb"
 )
@@ -33,6 +34,9 @@
 	copyBufferSize = 8 << 10
 )
 
+// errLost is the status of a stream whose connection to the backend server was lost.
+var errLost = status.Error(codes.Aborted, "the connection to the backend server was lost")
+
 // Dial opens a TCP connection.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -53,6 +57,9 @@
 type outboundCopy struct {
 	stream tunnelpb.Tunnel_ConnectServer
 	to     net.Conn
+	// result is nil once all that the other front sent is written; capacity 1, so that
+	// a writer never blocks.
+	result chan error
 }
 
 // NewServer returns a server whose writers run in group. It opens connections only
@@ -86,14 +93,28 @@
 	if err != nil {
 		return stream.Send(&tunnelpb.Inbound{Outcome: s.outcome(err)})
 	}
-	defer func() { _ = conn.Close() }() // the writer may have closed it
+	defer func() { _ = conn.Close() }() // it may be closed already
+	// Closing the connection tells the backend server that nobody waits for its answer. A
+	// write that waits for the backend server notices the end of the stream by it only.
+	defer context.AfterFunc(stream.Context(), func() { _ = conn.Close() })()
 	if err := stream.Send(&tunnelpb.Inbound{Outcome: tunnelpb.Outcome_OUTCOME_CONNECTED}); err != nil {
 		return err
 	}
-	if err := s.writes.TryPush(outboundCopy{stream: stream, to: conn}); err != nil {
+	outbound := outboundCopy{stream: stream, to: conn, result: make(chan error, 1)}
+	if err := s.writes.TryPush(outbound); err != nil {
 		return status.Error(codes.ResourceExhausted, "all writers are busy")
 	}
-	return s.copyInbound(conn, stream)
+	if err := s.copyInbound(netdial.ReportLoss(conn), stream); err != nil || !first.ConfirmsEnd {
+		return err
+	}
+	// The backend server may end its side before it has read the whole request.
+	if err := stream.Send(&tunnelpb.Inbound{Ended: true}); err != nil {
+		return err
+	}
+	if err := <-outbound.result; err != nil {
+		return errLost
+	}
+	return nil
 }
 
 // outcome says what an error of a dial shows of the backend server.
@@ -119,7 +140,7 @@
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
-			return status.Error(codes.Aborted, "the connection to the backend server was lost")
+			return errLost
 		}
 	}
 }
@@ -131,21 +152,22 @@
 		if err != nil {
 			return err
 		}
-		c.run()
+		c.result <- c.run()
 	}
 }
 
-// run writes what the other front sends until it ends the stream. Closing the
-// connection then tells the backend server that nobody waits for its answer.
-func (c outboundCopy) run() {
-	defer func() { _ = c.to.Close() }() // the reader may have closed it
+// run writes what the other front sends until that ends its side of the stream.
+func (c outboundCopy) run() error {
 	for {
 		message, err := c.stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
 		if err != nil {
-			return
+			return err
 		}
 		if _, err := c.to.Write(message.Data); err != nil {
-			return
+			return err
 		}
 	}
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -60,15 +61,14 @@
 	Decode(reply *http.Response) call.Response
 }
 
-// Exchange is a request that was sent and its response. The caller must call
-// Close.
+// Exchange is a request that was sent and its response. Read reads the body of the
+// response. The caller must call Close.
 type Exchange struct {
 	Response call.Response
-	// Body is the body of the response. A body that ends with io.EOF is complete.
-	Body io.Reader
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
 
+	body        io.Reader
 	pool        *Pool
 	conn        *conn
 	bodyRead    bool        // the body was read to its end
@@ -88,10 +88,12 @@
 	idleTimeout time.Duration
 	idleBefore  time.Duration // how long it was idle before the exchange; 0 if new
 	writeResult chan error    // the result of the write in progress; capacity 1, so that a writer never blocks
-	framed      bool          // the response marks its own end, by length or chunks
-	detour      bool          // it leads through another host, and is not used again
-	asked       bool          // the incarnation is known, or the backend server states none
-	incarnation int64         // of the backend server; 0 if it is not known
+	closed      chan struct{} // closed when the connection is closed here
+	closeOnce   sync.Once
+	framed      bool  // the response marks its own end, by length or chunks
+	detour      bool  // it leads through another host, and is not used again
+	asked       bool  // the incarnation is known, or the backend server states none
+	incarnation int64 // of the backend server; 0 if it is not known
 }
 
 // Request is a request to a backend server.
@@ -221,7 +223,7 @@
 	c.bounded.unlimit()
 	c.framed = reply.ContentLength >= 0 || len(reply.TransferEncoding) > 0
 	c.idleTimeout = idleTimeout(response.IdleTimeout)
-	return &Exchange{Response: response, Body: reply.Body, Length: reply.ContentLength, pool: p, conn: c}, nil
+	return &Exchange{Response: response, Length: reply.ContentLength, body: reply.Body, pool: p, conn: c}, nil
 }
 
 // nextResponse reads the status and header of the next response for which belongs
@@ -281,16 +283,24 @@
 	return announced - idleMargin
 }
 
-// Read reads from the body and notes when it is complete.
+// Read reads from the body. It returns io.EOF only if the body is complete.
 func (e *Exchange) Read(into []byte) (int, error) {
-	count, err := e.Body.Read(into)
+	count, err := e.body.Read(into)
 	if count > 0 && e.conn.incarnation != 0 {
 		e.pool.heard.note(e.conn.address, e.conn.incarnation, time.Now())
 	}
-	if err == io.EOF {
-		e.bodyRead = true
+	if err != io.EOF {
+		return count, err
 	}
-	return count, err
+	if !e.conn.framed {
+		// The kernel reports the loss of a connection once. If the write of the request got the report, the read
+		// sees an end. A server that never reads the whole request leaves open which of the two it was.
+		if err := e.conn.awaitWrite(); err != nil {
+			return count, errors.Join(ErrBroken, Error.New("the request was not written: %v", err))
+		}
+	}
+	e.bodyRead = true
+	return count, io.EOF
 }
 
 // Framed reports whether the response marks its own end, by a length or by chunks.
@@ -327,6 +337,24 @@
 func newConn(socket net.Conn, address string) *conn {
 	bounded := &boundedReader{source: socket, left: unlimited}
 	return &conn{
-		Conn: socket, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize), writeResult: make(chan error, 1),
+		Conn: socket, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize),
+		writeResult: make(chan error, 1), closed: make(chan struct{}),
+	}
+}
+
+// Close closes the connection, which ends a read, a write and awaitWrite.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// awaitWrite waits until the request is written, and returns the error of the write.
+func (c *conn) awaitWrite() error {
+	select {
+	case err := <-c.writeResult:
+		c.writeResult <- err // Close reads it too
+		return err
+	case <-c.closed:
+		return net.ErrClosed
 	}
 }
