httpresponse: Refuse answers whose status is not one of HTTP

Cause: upstream took every status below 200 for an interim answer and read what follows as the next head. So it did with 101, which ends HTTP on the connection, and with interim answers that state a length or chunks. net/http passes 000 and 101 on as final answers: a call of the product's own node then counted as failed, one to its platform or to a node as done if the body read so, and an order as refused without effect.

Change: package httpresponse states which heads are sound. upstream reads heads with its Read, and all clients that use net/http have its Transport. A status below 100 is none, 101 was not asked for, and an interim answer has no body. What is not sound ends the exchange as broken off: nothing is known of the call, also if the head says that it did not run.

An interim answer with a length of 0 stays one, since no bytes can follow.

--- a/api/client/brokenanswer_test.go
+++ b/api/client/brokenanswer_test.go
@@ -48,6 +48,18 @@
 	}
 })
 
+// Guards against a call that counts as completed, or as not run, by an answer that is none (issue 50).
+var _ = DescribeTable("An answer whose head is not sound leaves open whether the call has run", func(head string) {
+	for _, body := range []string{completedReply, notRunReply, "trouble"} {
+		result, err := callNode(fmt.Sprintf(head, len(body))+body, responsetest.Close)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Outcome.Code).To(Equal(outcome.Unknown), body)
+	}
+},
+	Entry("status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: %d\r\n\r\n"),
+	Entry("status 099", "HTTP/1.1 099 Trouble\r\nContent-Length: %d\r\n\r\n"),
+)
+
 // Guards against sound answers that are refused.
 var _ = DescribeTable("A sound answer of a node is read", func(head string) {
 	result, err := callNode(fmt.Sprintf(head, len(completedReply))+completedReply, responsetest.Close)
--- a/api/client/client.go
+++ b/api/client/client.go
@@ -25,6 +25,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodline.example/api"
+	"dogwoodline.example/httpresponse"
 	"dogwoodline.example/netdial"
 	"dogwoodline.example/outcome"
 	"dogwoodline.example/program"
@@ -93,7 +94,7 @@
 	if cfg.Transport == nil {
 		cfg.Transport = newTransport()
 	}
-	return &Client{cfg: cfg, http: &http.Client{Transport: cfg.Transport}, addresses: map[string]cachedAddress{}}
+	return &Client{cfg: cfg, http: &http.Client{Transport: httpresponse.NewTransport(cfg.Transport)}, addresses: map[string]cachedAddress{}}
 }
 
 func newTransport() http.RoundTripper {
--- a/cmd/dogwoodline/where.go
+++ b/cmd/dogwoodline/where.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodline.example/gateway/where"
+	"dogwoodline.example/httpresponse"
 )
 
 const (
@@ -76,7 +77,7 @@
 // ask returns the front's response.
 func (w whereCommand) ask() ([]byte, error) {
 	target := url.URL{Scheme: "http", Host: w.Address, Path: where.Path, RawQuery: w.query().Encode().Encode()}
-	client := http.Client{Timeout: whereTimeout}
+	client := http.Client{Timeout: whereTimeout, Transport: httpresponse.NewTransport(http.DefaultTransport)}
 	response, err := client.Get(target.String())
 	if err != nil {
 		return nil, errs.Combine(errNoAnswer, err)
--- a/dispatch/brokenanswer_test.go
+++ b/dispatch/brokenanswer_test.go
@@ -31,6 +31,13 @@
 	refusal    = `{"error":{"reason":"overloaded"}}`
 )
 
+// brokenHeads are heads of responses that are not sound.
+var brokenHeads = []TableEntry{
+	Entry("status 000", "HTTP/1.1 000 Trouble\r\n\r\n"),
+	Entry("status 099", "HTTP/1.1 099 Trouble\r\n\r\n"),
+	Entry("status 101", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"),
+}
+
 // longText is longer than the socket buffers hold.
 var longText = strings.Repeat("x", responsetest.LongUpload)
 
@@ -70,6 +77,25 @@
 		Entry("of a failed call", "500 Internal Server Error", "", ""),
 	)
 
+	// Guards against a call that counts as failed, refused or completed by an answer that is none (issue 50).
+	DescribeTable("with a head that is not sound says nothing of the call", func(head string) {
+		for _, bodies := range [][2]string{{receipt, completion}, {refusal, refusal}, {"trouble", "trouble"}} {
+			runBoth(head, bodies[0], bodies[1], responsetest.Close)
+		}
+	}, brokenHeads)
+
+	DescribeTable("with a head that is not sound, to an order, leaves open whether it took effect", func(head string) {
+		server := startServer(head+"{}", responsetest.Close)
+		transport := dispatch.NewTransport()
+		DeferCleanup(transport.Close)
+		err := dispatch.NewControlClient(transport).Cancel(context.Background(), endpoint(server.Address), "r1", 1)
+		Expect(err).To(HaveOccurred())
+		var refused *dispatch.RefusedError
+		Expect(errors.As(err, &refused)).To(BeFalse())
+		_, err = dispatch.NewControlClient(transport).Load(context.Background(), endpoint(server.Address))
+		Expect(err).To(HaveOccurred())
+	}, brokenHeads)
+
 	It("to an order leaves open whether it took effect", func() {
 		for _, status := range slices.Repeat([]string{"200 OK", "409 Conflict"}, responsetest.Repeats) {
 			server := startServer("HTTP/1.1 "+status+"\r\n\r\n{}", responsetest.Reset)
--- a/dispatch/transport.go
+++ b/dispatch/transport.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"dogwoodline.example/httpresponse"
 	"dogwoodline.example/netdial"
 )
 
@@ -48,7 +49,7 @@
 func newClient(singleUse bool) *http.Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpresponse.NewTransport(&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
@@ -60,7 +61,7 @@
 			DisableCompression:  true,
 			IdleConnTimeout:     idleConnTimeout,
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		},
+		}),
 		// Following a redirect would send the request a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -32,6 +32,11 @@
 	}
 }
 
+// answerOf returns bytes that look like the answer to a request.
+func answerOf(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 4\r\n\r\nfake", idHeader, id, signatureHeader)
+}
+
 // upload sends a request whose body is longer than the socket buffers of a server that does not read it.
 func (s *fixture) upload() (status int, body string, err error) {
 	const length = 4 << 20
@@ -50,6 +55,11 @@
 var _ = Describe("A broken answer of a backend server", func() {
 	broken := []TableEntry{
 		Entry("a part without length, when the connection is reset during the upload", "200 OK", "", "part"),
+		Entry("status 000", "000 Trouble", "Content-Length: 2\r\n", "no"),
+		Entry("status 000, with an answer behind its head", "000 Trouble", "", answerOf("req-1")),
+		Entry("status 000 that says not run", "000 Trouble", refusedHeader+": 1\r\n", "HTTP/1.1 503 Full\r\n"+idHeader+": req-1\r\n"+refusedHeader+": 1\r\nContent-Length: 0\r\n\r\n"),
+		Entry("status 101, with an answer behind its head", "101 Switching Protocols", "", answerOf("req-1")),
+		Entry("an interim one with a length, with an answer as its body", "103 Early Hints", fmt.Sprintf("Content-Length: %d\r\n", len(answerOf("req-1"))), answerOf("req-1")),
 	}
 
 	// Guards against a broken answer that the client gets as a whole one, and against a call that runs twice because its
@@ -79,6 +89,21 @@
 		Expect(s.runs.Load()).To(BeEquivalentTo(1))
 	}, broken)
 
+	// Guards against sound answers that are refused: the status of a server is passed on unchanged.
+	DescribeTable("is not that of a status above those of HTTP", func(code int) {
+		s := newFixture(route.Route{Kind: route.Unsafe}, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(code)
+			fmt.Fprint(w, "odd")
+		})
+		status, body, header := s.post("/r/x")
+		Expect(status).To(Equal(code))
+		Expect(body).To(Equal("odd"))
+		Expect(header.Get(signatureHeader)).To(Equal("s"))
+	},
+		Entry("600", 600),
+		Entry("999", 999),
+	)
+
 	// Guards against a stream that looks complete because it was broken off between two events.
 	It("does not end a stream as complete if it breaks off between two events during the upload", func() {
 		runs := &atomic.Int64{}
--- a/kvstore/httpstore/brokenanswer_test.go
+++ b/kvstore/httpstore/brokenanswer_test.go
@@ -39,6 +39,21 @@
 	Entry("a refusal", "HTTP/1.1 409 Conflict\r\n\r\n"),
 )
 
+// Guards against a write that counts as done by an answer that is none (issue 50).
+var _ = DescribeTable("an answer whose head is not sound leaves open whether the call took effect", func(head string) {
+	for _, body := range []string{`{"version":5}`, `{"code":"conflict"}`, "trouble"} {
+		client, server := connect(fmt.Sprintf(head, len(body))+body, responsetest.Close)
+		_, err := client.Put(context.Background(), "k", []byte("v"), kvstore.Absent, 0)
+		Expect(err).To(MatchError(kvstore.ErrAmbiguous), body)
+		Expect(server.Writes()).To(Equal(1))
+		_, err = client.Get(context.Background(), "k")
+		Expect(err).To(MatchError(kvstore.ErrUnavailable), body)
+	}
+},
+	Entry("status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: %d\r\n\r\n"),
+	Entry("status 099", "HTTP/1.1 099 Trouble\r\nContent-Length: %d\r\n\r\n"),
+)
+
 // Guards against sound answers that are refused.
 var _ = DescribeTable("a sound answer is read", func(head string) {
 	const body = `{"version":5}`
--- a/kvstore/httpstore/httpstore.go
+++ b/kvstore/httpstore/httpstore.go
@@ -16,6 +16,7 @@
 
 	"github.com/zeebo/errs"
 
+	"dogwoodline.example/httpresponse"
 	"dogwoodline.example/kvstore"
 	"dogwoodline.example/kvstore/wire"
 	"dogwoodline.example/netdial"
@@ -88,7 +89,7 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
 	}
-	return &Client{settings: settings, base: base, http: &http.Client{Transport: transport}}, nil
+	return &Client{settings: settings, base: base, http: &http.Client{Transport: httpresponse.NewTransport(transport)}}, nil
 }
 
 // Close closes idle connections.
--- a/upstream/incarnation_test.go
+++ b/upstream/incarnation_test.go
@@ -149,6 +149,17 @@
 		Expect(b.ran.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against a server that counts as the expected one by bytes behind a broken answer (ORDER, issue 50).
+	It("is not sent if the answer to the question has status 000", func() {
+		b.state = func(w io.Writer) {
+			fmt.Fprint(w, "HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7")
+		}
+		verdict, err := sendFor(7)
+		Expect(verdict).To(Equal(call.NotRun))
+		Expect(err).To(MatchError(upstream.ErrNotConnected))
+		Expect(b.ran.Load()).To(BeZero())
+	})
+
 	// Guards against requests that no server gets because the servers answer the question
 	// with something else.
 	DescribeTable("is sent to a server that does not say which one it is", func(state string) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -22,6 +22,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodline.example/call"
+	"dogwoodline.example/httpresponse"
 )
 
 // Error is the class of all errors of this package.
@@ -231,7 +232,7 @@
 // the first one on the connection.
 func (p *Pool) nextResponse(c *conn, method string, belongs func(response call.Response, first bool) bool) (*http.Response, call.Response, error) {
 	for skipped := 0; skipped <= maxSkippedResponses; {
-		reply, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		reply, err := httpresponse.Read(c.reader, method)
 		if err != nil && c.bounded.exhausted() {
 			return nil, call.Response{}, errors.Join(ErrBroken, ErrHeadTooLong)
 		}
