httpresponse: Refuse answers whose head has a name that is none

What callers saw: a backend server in trouble sent a head in which the name of a field held a blank.

Cause: net/http lets names with a blank pass and keeps them as other names. It refuses control bytes in names and values, but not in the status line. A line that begins with a blank, which may be a length, becomes a part of the value before it. What a trailer says was not looked at.

Change: package httpresponse also looks at the names of a head and of a trailer and at the status line. Reader, from which upstream reads, sees lines that begin with a blank as well: a gateway may refuse these, and sound servers have not sent them since the protocol gave them up. net/http does not show them to its users; what reads answers with it reads JSON and passes no field on.

--- a/cmd/dogwoodline/where_test.go
+++ b/cmd/dogwoodline/where_test.go
@@ -24,6 +24,8 @@
 	Entry("a part without length, closed", "HTTP/1.1 200 OK\r\n\r\n", `{"verdict":"sent","chosen":"b1"`, responsetest.Close),
 	Entry("all of it without length, reset", "HTTP/1.1 200 OK\r\n\r\n", whereAnswer, responsetest.Reset),
 	Entry("status 000", fmt.Sprintf("HTTP/1.1 000 Trouble\r\nContent-Length: %d\r\n\r\n", len(whereAnswer)), whereAnswer, responsetest.Close),
+	Entry("a name with a blank", fmt.Sprintf("HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: %d\r\n\r\n", len(whereAnswer)), whereAnswer, responsetest.Close),
+	Entry("a length whose name ends with a blank", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length : %d\r\n\r\n", len(whereAnswer)), whereAnswer, responsetest.Close),
 )
 
 const whereAnswer = `{"verdict":"sent","chosen":"b1"}`
--- a/dispatch/brokenanswer_test.go
+++ b/dispatch/brokenanswer_test.go
@@ -36,6 +36,9 @@
 	Entry("status 000", "HTTP/1.1 000 Trouble\r\n\r\n"),
 	Entry("status 099", "HTTP/1.1 099 Trouble\r\n\r\n"),
 	Entry("status 101", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"),
+	Entry("a name with a blank", "HTTP/1.1 200 OK\r\nBad Name: x\r\n\r\n"),
+	Entry("a name with a blank, in a refusal", "HTTP/1.1 503 Full\r\nX-Bad : x\r\n\r\n"),
+	Entry("a status line with a control byte", "HTTP/1.1 200 O\x01K\r\n\r\n"),
 }
 
 // longText is longer than the socket buffers hold.
--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -32,10 +32,8 @@
 	}
 }
 
-// answerOf returns bytes that look like the answer to a request.
-func answerOf(id string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 4\r\n\r\nfake", idHeader, id, signatureHeader)
-}
+// copyOfAnswer looks like the answer to request req-1.
+const copyOfAnswer = "HTTP/1.1 200 OK\r\n" + idHeader + ": req-1\r\n" + signatureHeader + ": s\r\nContent-Length: 4\r\n\r\nfake"
 
 // upload sends a request whose body is longer than the socket buffers of a server that does not read it.
 func (s *fixture) upload() (status int, body string, err error) {
@@ -56,10 +54,14 @@
 	broken := []TableEntry{
 		Entry("a part without length, when the connection is reset during the upload", "200 OK", "", "part"),
 		Entry("status 000", "000 Trouble", "Content-Length: 2\r\n", "no"),
-		Entry("status 000, with an answer behind its head", "000 Trouble", "", answerOf("req-1")),
+		Entry("status 000, with an answer behind its head", "000 Trouble", "", copyOfAnswer),
 		Entry("status 000 that says not run", "000 Trouble", refusedHeader+": 1\r\n", "HTTP/1.1 503 Full\r\n"+idHeader+": req-1\r\n"+refusedHeader+": 1\r\nContent-Length: 0\r\n\r\n"),
-		Entry("status 101, with an answer behind its head", "101 Switching Protocols", "", answerOf("req-1")),
-		Entry("an interim one with a length, with an answer as its body", "103 Early Hints", fmt.Sprintf("Content-Length: %d\r\n", len(answerOf("req-1"))), answerOf("req-1")),
+		Entry("a length whose name ends with a blank", "200 OK", "Content-Length : 4\r\n", "body and more"),
+		Entry("a name with a blank", "200 OK", "Bad Name: x\r\nContent-Length: 4\r\n", "body"),
+		Entry("a name with a control byte", "200 OK", "Bad\x01: x\r\nContent-Length: 4\r\n", "body"),
+		Entry("a name with a blank, and says not run", "503 Full", refusedHeader+": 1\r\nBad Name: x\r\nContent-Length: 0\r\n", ""),
+		Entry("status 101, with an answer behind its head", "101 Switching Protocols", "", copyOfAnswer),
+		Entry("an interim one with a length, with an answer as its body", "103 Early Hints", fmt.Sprintf("Content-Length: %d\r\n", len(copyOfAnswer)), copyOfAnswer),
 	}
 
 	// Guards against a broken answer that the client gets as a whole one, and against a call that runs twice because its
@@ -104,6 +106,35 @@
 		Entry("999", 999),
 	)
 
+	// Guards against a stream that goes on with bytes of an answer that is none.
+	DescribeTable("does not continue a stream that another server broke off", func(statusLine, fields string) {
+		runs := &atomic.Int64{}
+		rest := "id: 2\ndata: b\n\n"
+		broken := brokenAnswer(&atomic.Int64{}, statusLine, "Content-Type: text/event-stream\r\n"+fields, rest)
+		handler := func(w http.ResponseWriter, r *http.Request) {
+			switch runs.Add(1) {
+			case 1:
+				brokenAnswer(&atomic.Int64{}, "200 OK", "Content-Type: text/event-stream\r\n", "id: 1\ndata: a\n\n")(w, r)
+			case 2:
+				Expect(r.Header.Get(resumeHeader)).To(Equal("1"))
+				broken(w, r)
+			default:
+				Expect(r.Header.Get(resumeHeader)).To(Equal("1"))
+				w.Header().Set("Content-Type", "text/event-stream")
+				fmt.Fprint(w, rest)
+			}
+		}
+		s := newFixture(route.Route{Kind: route.Streaming, Resumable: true, MaxBackendServers: 3}, handler, handler, handler)
+		status, body, _ := s.post("/r/x")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("id: 1\ndata: a\n\n" + rest))
+		Expect(runs.Load()).To(BeEquivalentTo(3))
+	},
+		Entry("status 000", "000 Trouble", "Content-Length: 16\r\n"),
+		Entry("a name with a blank", "200 OK", "Bad Name: x\r\nContent-Length: 16\r\n"),
+		Entry("a length whose name ends with a blank", "200 OK", "Content-Length : 16\r\n"),
+	)
+
 	// Guards against a stream that looks complete because it was broken off between two events.
 	It("does not end a stream as complete if it breaks off between two events during the upload", func() {
 		runs := &atomic.Int64{}
--- a/httpresponse/httpresponse.go
+++ b/httpresponse/httpresponse.go
@@ -7,8 +7,10 @@
 package httpresponse
 
 import (
-	"bufio"
+	"errors"
+	"io"
 	"net/http"
+	"strings"
 
 	"github.com/zeebo/errs"
 )
@@ -16,19 +18,6 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("httpresponse")
 
-// Read reads the head of the next response from a connection. Its status is an interim
-// one if it is below 200; the final response follows.
-func Read(from *bufio.Reader, method string) (*http.Response, error) {
-	response, err := http.ReadResponse(from, &http.Request{Method: method})
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	if err := check(response); err != nil {
-		return nil, err
-	}
-	return response, nil
-}
-
 // check returns an error if the head of a response is not sound. Statuses of 600 and more
 // are sound: the protocol leaves them to servers.
 func check(response *http.Response) error {
@@ -39,11 +28,63 @@
 	case status == http.StatusSwitchingProtocols:
 		return Error.New("the server switches to a protocol that was not asked for")
 	case status < http.StatusOK:
-		return checkInterim(response.Header, response.TransferEncoding)
+		if err := checkInterim(response.Header, response.TransferEncoding); err != nil {
+			return err
+		}
+	}
+	if strings.ContainsFunc(response.Status, isControl) {
+		return Error.New("status line with a control byte: %q", response.Status)
+	}
+	return checkNames(response.Header)
+}
+
+// isControl reports whether a rune is a control byte other than the tab.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == '\x7f' }
+
+// checkNames returns an error if the name of a field is none. Package net/http lets names
+// with a blank pass, and does not take them for the names without it: what they state of
+// the body is lost.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if name == "" || strings.ContainsFunc(name, notInToken) {
+			return Error.New("field name %q", name)
+		}
 	}
 	return nil
 }
 
+// notInToken reports whether a rune is not allowed in the name of a field.
+func notInToken(r rune) bool {
+	return r <= ' ' || r >= '\x7f' || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
+}
+
+// trailerChecker is a body in chunks, which a trailer may follow.
+type trailerChecker struct {
+	io.ReadCloser
+
+	response *http.Response
+}
+
+// checkTrailer returns the body of a response that ends with an error if its trailer is
+// not sound.
+func checkTrailer(response *http.Response) io.ReadCloser {
+	if len(response.TransferEncoding) == 0 {
+		return response.Body // only chunks have a trailer
+	}
+	return trailerChecker{ReadCloser: response.Body, response: response}
+}
+
+// Read implements io.Reader.
+func (t trailerChecker) Read(into []byte) (int, error) {
+	count, err := t.ReadCloser.Read(into)
+	if errors.Is(err, io.EOF) {
+		if err := checkNames(t.response.Trailer); err != nil {
+			return count, err
+		}
+	}
+	return count, err
+}
+
 // checkInterim returns an error if an interim response states that a body follows, since
 // its bytes would be read as the next response.
 func checkInterim(header http.Header, transferEncoding []string) error {
--- a/httpresponse/transport.go
+++ b/httpresponse/transport.go
@@ -1,12 +1,15 @@
 package httpresponse
 
 import (
+	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 )
 
-// Transport is a RoundTripper that fails if the head of a response is not sound.
+// Transport is a RoundTripper that fails if the head of a response is not sound. The body
+// ends with an error if the trailer is not sound. Unlike Reader, it does not see whether a
+// line of a head begins with a blank.
 type Transport struct{ base http.RoundTripper }
 
 // NewTransport returns a Transport whose requests base sends.
@@ -15,7 +18,8 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
-		return checkInterim(http.Header(header), nil) // the transport has removed the transfer encoding
+		// The transport has removed the transfer encoding.
+		return errors.Join(checkInterim(http.Header(header), nil), checkNames(http.Header(header)))
 	}}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
@@ -25,6 +29,7 @@
 		_ = response.Body.Close() // the response is not used
 		return nil, err
 	}
+	response.Body = checkTrailer(response)
 	return response, nil
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -6,7 +6,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -79,7 +78,7 @@
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader // reads from bounded
+	reader      *httpresponse.Reader // reads from bounded
 	bounded     *boundedReader
 	answered    bool // a response has arrived on it
 	carried     carriedRequests
@@ -232,7 +231,7 @@
 // the first one on the connection.
 func (p *Pool) nextResponse(c *conn, method string, belongs func(response call.Response, first bool) bool) (*http.Response, call.Response, error) {
 	for skipped := 0; skipped <= maxSkippedResponses; {
-		reply, err := httpresponse.Read(c.reader, method)
+		reply, err := c.reader.Next(method)
 		if err != nil && c.bounded.exhausted() {
 			return nil, call.Response{}, errors.Join(ErrBroken, ErrHeadTooLong)
 		}
@@ -338,7 +337,7 @@
 func newConn(socket net.Conn, address string) *conn {
 	bounded := &boundedReader{source: socket, left: unlimited}
 	return &conn{
-		Conn: socket, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize),
+		Conn: socket, address: address, bounded: bounded, reader: httpresponse.NewReader(bounded, readBufferSize),
 		writeResult: make(chan error, 1), closed: make(chan struct{}),
 	}
 }
