--- a/tunnel/reset_test.go
+++ b/tunnel/reset_test.go
@@ -15,11 +15,14 @@
 	"dogwoodline.example/tunnel/tunnelpb"
 )
 
-// writeAll writes to a connection until it fails or the bytes are written, and returns the error.
-func writeAll(conn io.Writer, count int) <-chan error {
+// manyBytes is more than the buffers between a front and a backend server hold.
+const manyBytes = 16 << 20
+
+// writeAll writes manyBytes to a connection, and returns the error.
+func writeAll(conn io.Writer) <-chan error {
 	result := make(chan error, 1)
 	go func() {
-		_, err := conn.Write(make([]byte, count))
+		_, err := conn.Write(make([]byte, manyBytes))
 		result <- err
 	}()
 	return result
@@ -47,7 +50,6 @@
 
 var _ = Describe("A connection through another front, while bytes are written to the backend server", func() {
 	ctx := context.Background()
-	const manyBytes = 16 << 20
 	// serveEarly answers at once, and leaves the connection to finish.
 	serveEarly := func(finish func(conn *net.TCPConn)) string {
 		return serveBackend(func(conn net.Conn) {
@@ -71,7 +73,7 @@
 		for range 40 {
 			conn, err := client.Dial(ctx, address)
 			Expect(err).NotTo(HaveOccurred())
-			written := writeAll(conn, manyBytes)
+			written := writeAll(conn)
 			_, err = io.ReadAll(conn)
 			Expect(err).To(HaveOccurred())
 			_ = conn.Close()
@@ -105,7 +107,7 @@
 		address := serveEarly(reset)
 		conn, err := newClient(startPeer(anyAddress).address).Dial(ctx, address)
 		Expect(err).NotTo(HaveOccurred())
-		written := writeAll(conn, manyBytes)
+		written := writeAll(conn)
 		_, _ = io.ReadAll(conn)
 		var writeErr error
 		Eventually(written, "2s").Should(Receive(&writeErr))
@@ -147,7 +149,7 @@
 		p := startPeer(anyAddress)
 		conn, err := newClient(p.address).Dial(ctx, address)
 		Expect(err).NotTo(HaveOccurred())
-		written := writeAll(conn, manyBytes)
+		written := writeAll(conn)
 		Consistently(written, "100ms").ShouldNot(Receive())
 		Expect(conn.Close()).To(Succeed())
 		Eventually(written, "1s").Should(Receive(HaveOccurred()))
