--- a/upstream/unframed_test.go
+++ b/upstream/unframed_test.go
@@ -165,14 +165,7 @@
 
 // Guards against sound answers that are refused because they end with their connection.
 var _ = DescribeTable("An answer that ends with its connection is complete", func(answer, body string) {
-	address, _ := startBackend(func(conn net.Conn, reader *bufio.Reader) {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, answer)
-	})
+	address := answerWith(answer)
 	for _, upload := range []string{"", "in", strings.Repeat("b", 4<<20)} {
 		content, verdict, err := send(newPool(decoder{}), address, "a", upload)
 		Expect(err).NotTo(HaveOccurred())
