--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -24,6 +24,11 @@
 	peerPort = 7380
 	// startTimeout bounds the start of the whole deployment.
 	startTimeout = 15 * time.Second
+	// frontMemoryMB and frontDescriptors are the machine of a front in the deployment
+	// satamavirta-prod.
+	frontMemoryMB, frontDescriptors = 134, 4100
+	// ordinaryTimeout is the time that an ordinary caller has for a call.
+	ordinaryTimeout = 1200 * time.Millisecond
 	// restartDelay is the time from the end of a process to its next start.
 	restartDelay = 500 * time.Millisecond
 	// stopTimeout is the time for a planned stop before SIGKILL.
@@ -281,3 +286,30 @@
 	}
 	return used, true
 }
+
+// ordinaryCall sends one call on a new connection, and once more if it fails.
+func ordinaryCall(ctx context.Context, front, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, ordinaryTimeout)
+	defer cancel()
+	var last error
+	for try := range 2 {
+		request, err := usersplatform.Request{ID: fmt.Sprintf("%s-%d", id, try), Method: http.MethodGet}.HTTP(ctx, front, usersplatform.SiteHost, "/reads/x")
+		if err != nil {
+			return err
+		}
+		transport := &http.Transport{DisableKeepAlives: true}
+		reply, err := transport.RoundTrip(request)
+		if err != nil {
+			last = err
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		_, err = io.Copy(io.Discard, reply.Body)
+		_ = reply.Body.Close()
+		if err == nil && reply.StatusCode == http.StatusOK {
+			return nil
+		}
+		last = fmt.Errorf("status %d, %w", reply.StatusCode, err)
+	}
+	return last
+}
--- a/review/standin-3/versions.go
+++ b/review/standin-3/versions.go
@@ -28,6 +28,8 @@
 	streamTime    = 4 * time.Second
 	streamEvents  = 50
 	eventInterval = 40 * time.Millisecond
+	// rounds is how often all of it is played at most, with calmBetween between two rounds.
+	rounds, calmBetween = 4, 4 * time.Second
 	// streamsEach is how many streams begin at a time.
 	streamsEach = 24
 )
@@ -206,19 +208,16 @@
 	}
 	time.Sleep(4 * time.Second) // all stores have joined
 
-	var mu sync.Mutex
 	var all []*clientStream
 	var playing sync.WaitGroup
 	begin := func(name string, fronts ...string) {
 		for i := range streamsEach {
 			c := &clientStream{id: fmt.Sprintf("%s-%d", name, i), versions: map[string]bool{}}
-			mu.Lock()
 			all = append(all, c)
-			mu.Unlock()
 			playing.Go(func() { c.play(ctx, d, fronts) })
 		}
 	}
-	for round := range 2 {
+	for round := range rounds {
 		name := fmt.Sprintf("round%d", round)
 		begin(name+"-a", "front-1", "front-2")
 		time.Sleep(600 * time.Millisecond)
@@ -243,29 +242,27 @@
 		if err := second.begin(ctx, "v2"); err != nil {
 			return err
 		}
-		time.Sleep(6 * time.Second)
-		if round == 0 { // both go back to the first version, in calm
-			for _, server := range []*versionedServer{first, second} {
-				server.end()
-				time.Sleep(downTime)
-				if err := server.begin(ctx, "v1"); err != nil {
-					return err
-				}
+		playing.Wait()
+		mixed := 0
+		for _, c := range all {
+			if len(c.versions) > 1 {
+				mixed++
+				s.record.line("stream %s holds events of the versions %v", c.id, c.versions)
 			}
-			time.Sleep(6 * time.Second)
 		}
-	}
-	playing.Wait()
-	mixed := 0
-	for _, c := range all {
-		if len(c.versions) > 1 {
-			mixed++
-			s.record.line("stream %s holds events of the versions %v", c.id, c.versions)
+		s.record.say("round %d: %d of %d streams hold events of two software versions", round, mixed, len(all))
+		if mixed > 2 {
+			return errBroken
 		}
-	}
-	s.record.say("%d of %d streams hold events of two software versions", mixed, len(all))
-	if mixed > 2 {
-		return errBroken
+		// Both go back to the first version, in calm.
+		for _, server := range []*versionedServer{first, second} {
+			server.end()
+			time.Sleep(downTime)
+			if err := server.begin(ctx, "v1"); err != nil {
+				return err
+			}
+		}
+		time.Sleep(calmBetween)
 	}
 	return nil
 }
