--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,7 +24,7 @@
 	record         *record
 }
 
-var cases = map[string]func(setup) error{"slow-reader": slowReader, "reused-id": reusedID, "fan-out": fanOut, "software-versions": softwareVersions}
+var cases = map[string]func(setup) error{"dead-member": deadMember, "slow-reader": slowReader, "slow-bodies": slowBodies, "long-ids": longIDs, "software-versions": softwareVersions}
 
 func main() { os.Exit(run()) }
 
