review/12, 13: keep to the shares of the kinds

Case 12 restarts one worker of seven (it was two of two) and breaks half of the channels of later streams; case 13 crashes one worker of seven (its server broke off every stream).

--- a/review/standin-3/slowreader.go
+++ b/review/standin-3/slowreader.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,22 +16,23 @@
 )
 
 const (
-	// In a wave there is a stream for each number of events from firstEvents to lastEvents
-	// that the server has sent when it breaks the stream off.
+	// A wave has two streams for each number of events from firstEvents to lastEvents that a
+	// server has sent when it ends, endsAfter the wave begins. All are of one session.
 	firstEvents, lastEvents = 110, 229
+	endsAfter               = 700 * time.Millisecond
 	eventBytes              = 4096
 	// segmentBytes is the segment size that the clients announce, as on an Ethernet, and
 	// receiveBytes their receive buffer.
 	segmentBytes, receiveBytes = 1400, 32768
-	readerSpan                 = 14 * time.Second
+	readerSpan                 = 26 * time.Second
 	// strayCalls is how many ordinary calls may fail for other reasons, on a busy machine.
-	strayCalls = 5
+	strayCalls = 3
 	// The clients come in waves.
-	waves, waveInterval = 5, 2 * time.Second
+	waves, waveInterval = 3, 8 * time.Second
 )
 
 const slowReaderConfig = `{"Version":3,"Routes":[
-	{"Name":"chat","Host":"site.example","PathPrefix":"/chat/","Kind":"streaming","TimeoutMs":5000,"GoalMs":250,"GapAimMs":300,"Priority":1,"Service":"llm","Attempts":1},
+	{"Name":"chat","Host":"site.example","PathPrefix":"/chat/","Kind":"streaming","TimeoutMs":5000,"GoalMs":250,"GapAimMs":300,"Priority":1,"Service":"llm","Attempts":1,"Sticky":true},
 	{"Name":"reads","Host":"site.example","PathPrefix":"/reads/","Kind":"safe","TimeoutMs":1200,"GoalMs":150,"Priority":2,"Service":"app","Attempts":2}],
 	"Services":[{"Name":"llm","HealthPath":"/health","MaxConns":400},{"Name":"app","HealthPath":"/health","MaxConns":96}],
 	"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`
@@ -42,31 +42,6 @@
 //go:embed seal-header.txt
 var sealHeader string
 
-// brokenStreams is a server that sends as many events as the request's body says, and
-// then breaks off in the middle of an event.
-type brokenStreams struct{ id string }
-
-func (b brokenStreams) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Request-Id")
-	w.Header().Set("X-Request-Id", id)
-	if r.Header.Get("X-Expect-Instance") != b.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	body, _ := io.ReadAll(r.Body)
-	events, _ := strconv.Atoi(string(body))
-	w.Header().Set(strings.TrimSpace(sealHeader), "seal-"+id)
-	w.Header().Set("Content-Type", "text/event-stream")
-	text := strings.Repeat("t", eventBytes)
-	for event := 1; event <= events; event++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, text)
-		w.(http.Flusher).Flush()
-	}
-	_, _ = fmt.Fprintf(w, "id: %d\nda", events+1)
-	w.(http.Flusher).Flush()
-	panic(http.ErrAbortHandler)
-}
-
 // slowReader has clients ask for streams that their server breaks off, and not read what
 // arrives. Ordinary callers go on, at a server that is idle.
 func slowReader(s setup) error {
@@ -77,14 +52,20 @@
 	defer d.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
 	defer cancel()
-	for id, server := range map[string]http.Handler{"i-app": &usersplatform.Backend{ID: "i-app"}, "i-llm": brokenStreams{"i-llm"}} {
-		address, err := serve(server)
-		if err != nil {
-			return err
-		}
-		if err := d.store.Put(ctx, "servers/"+id, map[string]any{"Service": id[2:], "Version": "v1", "Address": address, "Zone": "a", "Slots": 400, "State": "ready"}); err != nil {
+	address, err := serve(&usersplatform.Backend{ID: "i-app"})
+	if err != nil {
+		return err
+	}
+	if err := d.store.Put(ctx, "servers/i-app", map[string]any{"Service": "app", "Version": "v1", "Address": address, "Zone": "a", "Slots": 400, "State": "ready"}); err != nil {
+		return err
+	}
+	var servers []*versionedServer
+	for i := range serverCount {
+		server := &versionedServer{d: d, id: fmt.Sprintf("i-%d", i+1), padding: strings.Repeat("t", eventBytes), slots: 400}
+		if err := server.begin(ctx, "v1"); err != nil {
 			return err
 		}
+		servers = append(servers, server)
 	}
 	if err := d.store.Put(ctx, "op/config", rawJSON(slowReaderConfig)); err != nil {
 		return err
@@ -101,14 +82,35 @@
 
 	span, stopSpan := context.WithTimeout(ctx, readerSpan)
 	defer stopSpan()
-	for wave := range waves {
-		time.AfterFunc(time.Second+time.Duration(wave)*waveInterval, func() {
-			s.record.line("wave %d: %d streams, their clients read: %t", wave+1, lastEvents-firstEvents+1, !s.trouble)
+	go func() {
+		for wave := range waves {
+			time.Sleep(time.Second)
+			s.record.line("wave %d: %d streams, their clients read: %t", wave+1, 2*(lastEvents-firstEvents+1), !s.trouble)
+			before := map[*versionedServer]int64{}
+			for _, server := range servers {
+				before[server] = server.runs.Load()
+			}
 			for events := firstEvents; events <= lastEvents; events++ {
-				go askForStream(span, d.front("front-1"), wave, events, !s.trouble)
+				for copy := range 2 {
+					go askForStream(span, d.front("front-1"), 2*wave+copy, events, !s.trouble)
+				}
 			}
-		})
-	}
+			time.Sleep(endsAfter)
+			busiest := servers[0]
+			for _, server := range servers {
+				if server.runs.Load()-before[server] > busiest.runs.Load()-before[busiest] {
+					busiest = server
+				}
+			}
+			s.record.line("server %s has %d of the streams", busiest.id, busiest.runs.Load()-before[busiest])
+			busiest.end()
+			time.Sleep(downTime)
+			if err := busiest.begin(ctx, "v1"); err != nil {
+				s.record.line("%s not started: %v", busiest.id, err)
+			}
+			time.Sleep(waveInterval - downTime - time.Second - endsAfter)
+		}
+	}()
 	var ordinary sync.WaitGroup
 	var mu sync.Mutex
 	served, failed, longest := 0, 0, time.Duration(0)
@@ -157,7 +159,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	body := strconv.Itoa(events)
-	_, _ = fmt.Fprintf(conn, "POST /chat/x HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: stream-%d-%d\r\nContent-Length: %d\r\n\r\n%s", wave, events, len(body), body)
+	_, _ = fmt.Fprintf(conn, "POST /chat/x HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: stream-%d-%d\r\nX-Session-Id: slow\r\nContent-Length: %d\r\n\r\n%s", wave, events, len(body), body)
 	if reads {
 		_, _ = io.Copy(io.Discard, conn)
 		return
--- a/review/standin-3/versions.go
+++ b/review/standin-3/versions.go
@@ -3,14 +3,15 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,18 +21,21 @@
 const (
 	// freezeTime is how long a front stands still.
 	freezeTime = 4600 * time.Millisecond
-	// A server ends beforeEnd after that begins, and is down for downTime. The other streams
-	// begin beforeWake before the front goes on.
-	beforeEnd, downTime, beforeWake = 200 * time.Millisecond, 2 * time.Second, 800 * time.Millisecond
+	// serverCount is the number of servers, one of which starts again: 0.143 of them.
+	serverCount = 7
+	// The server ends beforeEnd after the freeze begins, and is down for downTime. The later
+	// streams are asked for beforeWake before the front goes on.
+	beforeEnd, downTime, beforeWake = 200 * time.Millisecond, 2 * time.Second, 300 * time.Millisecond
 	// streamTime is the time that a client has for a stream, and streamEvents the number of
 	// its events, eventInterval apart.
 	streamTime    = 4 * time.Second
 	streamEvents  = 50
 	eventInterval = 40 * time.Millisecond
+	// earlyStreams are under way at the front when it is stopped. Of the laterStreams, every
+	// second one loses its channel after breakAfter events.
+	earlyStreams, laterStreams, breakAfter = 42, 84, 15
 	// rounds is how often all of it is played at most, with calmBetween between two rounds.
 	rounds, calmBetween = 4, 4 * time.Second
-	// streamsEach is how many streams begin at a time.
-	streamsEach = 24
 )
 
 const versionsConfig = `{"Version":3,"Routes":[
@@ -48,6 +52,13 @@
 	version string
 	born    int64
 	server  *http.Server
+	// events is the number of events of a stream, unless the prompt states after how many it
+	// becomes slow. interval is the time from one to the next, and padding is added to each.
+	events   int
+	interval time.Duration
+	padding  string
+	slots    int
+	runs     atomic.Int64
 }
 
 // begin starts the server, at the address that it had if it ran before, and registers it.
@@ -66,7 +77,7 @@
 	go func() { _ = server.Serve(listener) }()
 	v.d.record.line("server %s starts, version %s", v.id, version)
 	return v.d.store.Put(ctx, "servers/"+v.id, map[string]any{
-		"Service": "llm", "Version": version, "Address": v.address, "Zone": "a", "Slots": 64, "State": "ready", "born": v.born,
+		"Service": "llm", "Version": version, "Address": v.address, "Zone": "a", "Slots": v.slots, "State": "ready", "born": v.born,
 	})
 }
 
@@ -90,25 +101,35 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
+		body, _ := io.ReadAll(r.Body)
+		v.runs.Add(1)
+		events, stated := strconv.Atoi(string(body))
+		if stated != nil {
+			events = v.events
+		}
 		w.Header().Set(strings.TrimSpace(sealHeader), "seal-"+id)
 		w.Header().Set("Content-Type", "text/event-stream")
 		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		v.d.record.line("server %s, version %s, runs %s after event %d", v.id, version, id, last)
-		for event := last + 1; event <= streamEvents; event++ {
-			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, version); err != nil {
+		for event := last + 1; event <= events; event++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s%s\n\n", event, version, v.padding); err != nil {
 				return
 			}
 			w.(http.Flusher).Flush()
 			select {
-			case <-time.After(eventInterval):
+			case <-time.After(v.interval):
 			case <-r.Context().Done():
 				return
 			}
 		}
+		if stated == nil { // it is slow from here on, and its server ends first
+			<-r.Context().Done()
+		}
 	}
 }
 
+var errChannelBroken = errors.New("the channel broke")
+
 // clientStream is one stream of a client, over all its tries.
 type clientStream struct {
 	id       string
@@ -116,6 +137,8 @@
 	last     int
 	whole    bool
 	tries    int
+	// breakAfter is the event after which the channel of the first try breaks; 0 for none.
+	breakAfter int
 }
 
 // play asks for a stream at one of the fronts, and takes it up after its last event when
@@ -125,10 +148,7 @@
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	for ; c.tries < 4 && ctx.Err() == nil && !c.whole; c.tries++ {
-		front := fronts[rand.IntN(len(fronts))]
-		if c.tries == 0 {
-			front = fronts[0]
-		}
+		front := fronts[c.tries%len(fronts)]
 		status, err := c.try(ctx, d.front(front), time.Until(deadline))
 		d.record.line("client: %s, try %d at %s: status %d, last event %d, versions %v, whole %t, %v", c.id, c.tries, front, status, c.last, c.versions, c.whole, err)
 		if status == http.StatusServiceUnavailable {
@@ -173,6 +193,10 @@
 		if event, found := strings.CutPrefix(strings.TrimSpace(line), "id: "); found {
 			c.last, _ = strconv.Atoi(event)
 		}
+		if c.tries == 0 && c.breakAfter > 0 && c.last > c.breakAfter {
+			c.last = c.breakAfter
+			return reply.StatusCode, errChannelBroken
+		}
 		if version, found := strings.CutPrefix(strings.TrimSpace(line), "data: "); found {
 			c.versions[version] = true
 		}
@@ -180,7 +204,7 @@
 }
 
 // softwareVersions freezes a front while one server starts again with another software
-// version, and has the other server do so when the front goes on.
+// version. Clients whose channels break then take their streams up at the other front.
 func softwareVersions(s setup) error {
 	d, err := newDeployment(s.binary, s.folder, usersplatform.Host{MemoryMB: 284, MaxFDs: 4100, ConfigMs: 2000}, s.record)
 	if err != nil {
@@ -189,11 +213,13 @@
 	defer d.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
 	defer cancel()
-	first, second := &versionedServer{d: d, id: "i-1"}, &versionedServer{d: d, id: "i-2"}
-	for _, server := range []*versionedServer{first, second} {
+	var servers []*versionedServer
+	for i := range serverCount {
+		server := &versionedServer{d: d, id: fmt.Sprintf("i-%d", i+1), events: streamEvents, interval: eventInterval, slots: 64}
 		if err := server.begin(ctx, "v1"); err != nil {
 			return err
 		}
+		servers = append(servers, server)
 	}
 	if err := d.store.Put(ctx, "op/config", rawJSON(versionsConfig)); err != nil {
 		return err
@@ -210,38 +236,31 @@
 
 	var all []*clientStream
 	var playing sync.WaitGroup
-	begin := func(name string, fronts ...string) {
-		for i := range streamsEach {
-			c := &clientStream{id: fmt.Sprintf("%s-%d", name, i), versions: map[string]bool{}}
+	begin := func(name string, count, breakAfter int) {
+		for i := range count {
+			c := &clientStream{id: fmt.Sprintf("%s-%d", name, i), versions: map[string]bool{}, breakAfter: breakAfter * (i % 2)}
 			all = append(all, c)
-			playing.Go(func() { c.play(ctx, d, fronts) })
+			playing.Go(func() { c.play(ctx, d, []string{"front-1", "front-2"}) })
 		}
 	}
 	for round := range rounds {
-		name := fmt.Sprintf("round%d", round)
-		begin(name+"-a", "front-1", "front-2")
+		begin(fmt.Sprintf("round%d-early", round), earlyStreams, 0)
 		time.Sleep(600 * time.Millisecond)
 		if s.trouble {
 			d.signal("front-1", syscall.SIGSTOP)
 		}
 		time.Sleep(beforeEnd)
-		first.end()
+		servers[0].end()
 		time.Sleep(downTime)
-		if err := first.begin(ctx, "v2"); err != nil {
+		if err := servers[0].begin(ctx, "v2"); err != nil {
 			return err
 		}
 		time.Sleep(freezeTime - beforeEnd - downTime - beforeWake)
-		begin(name+"-b", "front-2", "front-1")
+		begin(fmt.Sprintf("round%d-later", round), laterStreams, breakAfter)
 		time.Sleep(beforeWake)
 		if s.trouble {
 			d.signal("front-1", syscall.SIGCONT)
 		}
-		time.Sleep(10 * time.Millisecond)
-		second.end()
-		time.Sleep(downTime)
-		if err := second.begin(ctx, "v2"); err != nil {
-			return err
-		}
 		playing.Wait()
 		mixed := 0
 		for _, c := range all {
@@ -254,13 +273,11 @@
 		if mixed > 2 {
 			return errBroken
 		}
-		// Both go back to the first version, in calm.
-		for _, server := range []*versionedServer{first, second} {
-			server.end()
-			time.Sleep(downTime)
-			if err := server.begin(ctx, "v1"); err != nil {
-				return err
-			}
+		// The server goes back to the first version, in calm.
+		servers[0].end()
+		time.Sleep(downTime)
+		if err := servers[0].begin(ctx, "v1"); err != nil {
+			return err
 		}
 		time.Sleep(calmBetween)
 	}
