--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -105,11 +106,23 @@
 			return nil, fmt.Errorf("no free loopback addresses")
 		}
 		if d.free() {
+			go d.stopOnSignal()
 			return d, nil
 		}
 	}
 }
 
+// stopOnSignal ends all roles when this program is told to end.
+func (d *deployment) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGPIPE)
+	<-signals
+	for _, name := range d.order {
+		d.signal(name, syscall.SIGKILL)
+	}
+	os.Exit(2)
+}
+
 // free reports whether the ports of the system are free on its loopback addresses.
 func (d *deployment) free() bool {
 	for i := 1; i < 20; i++ {
