review/standin-3: do not end cases at broken sockets

SIGPIPE is ignored now, and the loopback addresses of a case are reserved.

Ruled out: addresses taken by another case; the record of case 13 shows its own signals to its roles.

--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -52,6 +52,7 @@
 	store          *usersplatform.Store
 	storeAddress   string
 	network        int // third part of the loopback addresses
+	reservation    net.Listener
 	host           usersplatform.Host
 	roles          map[string]*role
 	order          []string
@@ -105,17 +106,24 @@
 		if d.network > 250 {
 			return nil, fmt.Errorf("no free loopback addresses")
 		}
-		if d.free() {
+		if d.reserve() && d.free() {
 			go d.stopOnSignal()
 			return d, nil
 		}
 	}
 }
 
+// reserve keeps other cases from the loopback addresses until this program ends.
+func (d *deployment) reserve() bool {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.254:%d", d.network, peerPort))
+	d.reservation = listener
+	return err == nil
+}
+
 // stopOnSignal ends all roles when this program is told to end.
 func (d *deployment) stopOnSignal() {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGPIPE)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
 	for _, name := range d.order {
 		d.signal(name, syscall.SIGKILL)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -8,6 +8,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -26,7 +28,10 @@
 
 var cases = map[string]func(setup) error{"dead-member": deadMember, "slow-reader": slowReader, "slow-bodies": slowBodies, "long-ids": longIDs, "software-versions": softwareVersions}
 
-func main() { os.Exit(run()) }
+func main() {
+	signal.Ignore(syscall.SIGPIPE) // if nobody reads the output, the roles still have to be ended
+	os.Exit(run())
+}
 
 // run returns the exit status: 0 if the rule held, 1 if it was broken, 2 if the case
 // could not run.
